--- /dev/null
+++ b/crates/apricotwell_admission/src/queue.rs
@@ -0,0 +1,251 @@
+//! The queue.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::time::Instant;
+
+use apricotwell_types::{Map, ModelId, OrgId, RequestId, Tokens, WorkClass};
+
+/// Virtual time of one token at weight 1.
+const VIRTUAL_UNIT: u64 = 1 << 10;
+
+/// Request that waits for a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Waiting {
+    /// Request.
+    pub request: RequestId,
+    /// Organisation.
+    pub org: OrgId,
+    /// Model, or the pool of a plain service.
+    pub model: ModelId,
+    /// Class.
+    pub class: WorkClass,
+    /// When it must have been given to a server.
+    pub deadline: Instant,
+    /// Tokens reserved for it.
+    pub cost: Tokens,
+}
+
+/// Why a request can't wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueueFull {
+    /// The organisation has its limit of waiting requests here.
+    Organisation,
+    /// This instance has its limit of waiting requests.
+    Instance,
+}
+
+impl fmt::Display for QueueFull {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            QueueFull::Organisation => {
+                "too many requests of the organisation wait; send fewer at once"
+            }
+            QueueFull::Instance => {
+                "too many requests wait on this instance; look up another address"
+            }
+        })
+    }
+}
+
+impl std::error::Error for QueueFull {}
+
+type Urgency = (WorkClass, Instant, RequestId);
+
+#[derive(Debug, Default)]
+struct OrgQueue {
+    // Virtual start time of the organisation's next request.
+    virtual_start: u64,
+    weight: u32,
+    models: BTreeMap<ModelId, BTreeMap<Urgency, Waiting>>,
+    len: usize,
+}
+
+/// Queue that is fair between organisations and ordered by urgency within each.
+///
+/// # Invariants
+///
+/// `order` holds each organisation with waiting requests once, by its virtual start time.
+#[derive(Debug)]
+pub struct FairQueue {
+    limit: usize,
+    len: usize,
+    virtual_now: u64,
+    orgs: Map<OrgId, OrgQueue>,
+    order: BTreeSet<(u64, OrgId)>,
+    deadlines: BTreeMap<(Instant, RequestId), (OrgId, ModelId, WorkClass)>,
+}
+
+impl FairQueue {
+    /// Returns an empty queue for at most `limit` requests.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            len: 0,
+            virtual_now: 0,
+            orgs: Map::default(),
+            order: BTreeSet::new(),
+            deadlines: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns the number of waiting requests of an organisation.
+    pub fn len_of(&self, org: &str) -> usize {
+        self.orgs.get(org).map_or(0, |queue| queue.len)
+    }
+
+    /// Adds a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the organisation or the instance is at its limit.
+    pub fn push(
+        &mut self,
+        entry: Waiting,
+        weight: u32,
+        max_waiting: usize,
+    ) -> Result<(), QueueFull> {
+        if self.len >= self.limit {
+            return Err(QueueFull::Instance);
+        }
+        if self.len_of(&entry.org) >= max_waiting {
+            return Err(QueueFull::Organisation);
+        }
+        let virtual_now = self.virtual_now;
+        let queue = self.orgs.entry(entry.org.clone()).or_default();
+        queue.weight = weight.max(1);
+        if queue.len == 0 {
+            // An idle organisation gets no credit for the time that it did not use.
+            queue.virtual_start = queue.virtual_start.max(virtual_now);
+            self.order.insert((queue.virtual_start, entry.org.clone()));
+        }
+        queue.len += 1;
+        self.len += 1;
+        let place = (entry.org.clone(), entry.model.clone(), entry.class);
+        self.deadlines
+            .insert((entry.deadline, entry.request), place);
+        let model = queue.models.entry(entry.model.clone()).or_default();
+        model.insert(urgency(&entry), entry);
+        Ok(())
+    }
+
+    /// Takes the next request whose model can run one now.
+    pub fn pop<F>(&mut self, mut can_run: F) -> Option<Waiting>
+    where
+        F: FnMut(&Waiting) -> bool,
+    {
+        let found = self.order.iter().find_map(|(_, org)| {
+            let queue = self.orgs.get(org)?;
+            let heads = queue
+                .models
+                .values()
+                .filter_map(|model| model.values().next());
+            let mut heads: Vec<&Waiting> = heads.collect();
+            heads.sort_unstable_by_key(|entry| urgency(entry));
+            heads.into_iter().find(|entry| can_run(entry)).cloned()
+        })?;
+        self.charge(&found);
+        self.unlink(&found);
+        Some(found)
+    }
+
+    /// Takes a request out, such as one whose caller has gone.
+    pub fn remove(&mut self, request: RequestId, deadline: Instant) -> Option<Waiting> {
+        let (org, model, class) = self.deadlines.get(&(deadline, request))?.clone();
+        let entry = self
+            .orgs
+            .get(&org)?
+            .models
+            .get(&model)?
+            .get(&(class, deadline, request))?
+            .clone();
+        self.unlink(&entry);
+        Some(entry)
+    }
+
+    /// Takes out the requests whose deadline has passed.
+    pub fn expire(&mut self, now: Instant) -> Vec<Waiting> {
+        let late: Vec<(Instant, RequestId)> = self
+            .deadlines
+            .range(..=(now, RequestId::MAX))
+            .map(|(key, _)| *key)
+            .collect();
+        late.into_iter()
+            .filter_map(|(deadline, request)| self.remove(request, deadline))
+            .collect()
+    }
+
+    /// Returns the earliest deadline.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.deadlines.keys().next().map(|(deadline, _)| *deadline)
+    }
+
+    /// Returns for each model how many requests wait and the earliest deadline among them.
+    pub fn demand(&self) -> BTreeMap<ModelId, (usize, Instant)> {
+        let mut demand = BTreeMap::new();
+        for ((deadline, _), (_, model, _)) in &self.deadlines {
+            let entry = demand.entry(model.clone()).or_insert((0, *deadline));
+            entry.0 += 1;
+        }
+        demand
+    }
+
+    /// Returns how many requests wait for a model.
+    pub fn waiting_for(&self, model: &str) -> usize {
+        let queues = self.orgs.values();
+        queues
+            .filter_map(|queue| queue.models.get(model))
+            .map(BTreeMap::len)
+            .sum()
+    }
+
+    fn charge(&mut self, entry: &Waiting) {
+        let Some(queue) = self.orgs.get_mut(&entry.org) else {
+            return;
+        };
+        self.order.remove(&(queue.virtual_start, entry.org.clone()));
+        self.virtual_now = self.virtual_now.max(queue.virtual_start);
+        let step = entry.cost.max(1).saturating_mul(VIRTUAL_UNIT) / u64::from(queue.weight);
+        queue.virtual_start = queue.virtual_start.saturating_add(step);
+        self.order.insert((queue.virtual_start, entry.org.clone()));
+    }
+
+    fn unlink(&mut self, entry: &Waiting) {
+        self.deadlines.remove(&(entry.deadline, entry.request));
+        let Some(queue) = self.orgs.get_mut(&entry.org) else {
+            return;
+        };
+        let Some(model) = queue.models.get_mut(&entry.model) else {
+            return;
+        };
+        if model.remove(&urgency(entry)).is_none() {
+            return;
+        }
+        if model.is_empty() {
+            queue.models.remove(&entry.model);
+        }
+        queue.len -= 1;
+        self.len -= 1;
+        if queue.len == 0 {
+            self.order.remove(&(queue.virtual_start, entry.org.clone()));
+            // Past virtual times are of no more use; a later push starts at `virtual_now`.
+            if queue.virtual_start <= self.virtual_now {
+                self.orgs.remove(&entry.org);
+            }
+        }
+    }
+}
+
+fn urgency(entry: &Waiting) -> Urgency {
+    (entry.class, entry.deadline, entry.request)
+}
--- /dev/null
+++ b/crates/apricotwell_leases/src/freshness.rs
@@ -0,0 +1,193 @@
+//! Tells a log that is down for everyone from an instance that is cut off from it.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_types::{InstanceId, Map, Offset};
+
+/// What a peer said of its own view of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// When the exchange that carried it began, by this instance's clock.
+    pub asked: Instant,
+    /// First offset that the peer has not applied.
+    pub next: Offset,
+    /// Time since the peer's last complete read began; `None` when it never read.
+    pub contact_age: Option<Duration>,
+}
+
+/// How far this instance's view can be trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum View {
+    /// The log, or a peer that read it, confirmed the view.
+    Fresh {
+        /// When the confirmation lapses.
+        until: Instant,
+    },
+    /// Most members say that nobody reaches the log, so nothing can have changed.
+    Outage {
+        /// When the members' statements lapse.
+        until: Instant,
+    },
+    /// Others may know more than this instance.
+    CutOff,
+}
+
+impl View {
+    /// Returns when the view lapses, or `None` when it has.
+    pub fn until(self) -> Option<Instant> {
+        match self {
+            View::Fresh { until } | View::Outage { until } => Some(until),
+            View::CutOff => None,
+        }
+    }
+
+    /// Returns the view's name in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            View::Fresh { .. } => "fresh",
+            View::Outage { .. } => "outage",
+            View::CutOff => "cut_off",
+        }
+    }
+}
+
+/// Evidence on the freshness of this instance's view.
+///
+/// # Invariants
+///
+/// `contact` is the beginning of an exchange, never its end: a record appended before `contact`
+/// has been applied here.
+#[derive(Clone, Debug)]
+pub struct Freshness {
+    window: Duration,
+    contact: Option<Instant>,
+    next: Offset,
+    peers: Map<InstanceId, Evidence>,
+}
+
+impl Freshness {
+    /// Returns the view of an instance that has read nothing.
+    ///
+    /// `window` is how long evidence counts.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            contact: None,
+            next: 1,
+            peers: Map::default(),
+        }
+    }
+
+    /// Returns how long evidence counts.
+    pub fn window(&self) -> Duration {
+        self.window
+    }
+
+    /// Returns the time since the last confirmed contact.
+    pub fn contact_age(&self, now: Instant) -> Option<Duration> {
+        self.contact
+            .map(|contact| now.saturating_duration_since(contact))
+    }
+
+    /// Notes a read that began at `began` and reached the end of the log at `next`.
+    pub fn note_log_read(&mut self, began: Instant, next: Offset) {
+        self.next = self.next.max(next);
+        self.contact = self.contact.max(Some(began));
+    }
+
+    /// Notes records applied without knowing whether they were the last ones.
+    pub fn note_applied(&mut self, next: Offset) {
+        self.next = self.next.max(next);
+    }
+
+    /// Notes what a peer said.
+    ///
+    /// A peer with recent contact and no record beyond ours confirms our view as well.
+    pub fn note_peer(&mut self, peer: InstanceId, evidence: Evidence) {
+        if let Some(age) = evidence.contact_age
+            && evidence.next <= self.next
+        {
+            let contact = evidence.asked.checked_sub(age);
+            self.contact = self.contact.max(contact);
+        }
+        self.peers.insert(peer, evidence);
+    }
+
+    /// Returns a peer that has applied records that this instance lacks.
+    pub fn peer_ahead(&self, now: Instant) -> Option<&InstanceId> {
+        self.recent(now)
+            .filter(|(_, evidence)| evidence.next > self.next)
+            .max_by_key(|(peer, evidence)| (evidence.next, *peer))
+            .map(|(peer, _)| peer)
+    }
+
+    /// Returns how far this instance's view can be trusted.
+    ///
+    /// `members` are the instances on the platform's list, `me` included.
+    pub fn view(&self, now: Instant, members: &[InstanceId], me: &str) -> View {
+        if let Some(contact) = self.contact
+            && now < contact + self.window
+        {
+            return View::Fresh {
+                until: contact + self.window,
+            };
+        }
+        if self.peer_ahead(now).is_some() {
+            return View::CutOff;
+        }
+        let mut asked: Vec<Instant> = self
+            .recent(now)
+            .filter(|(peer, _)| ***peer != *me && members.contains(peer))
+            .filter(|(_, evidence)| self.is_without_log(evidence))
+            .map(|(_, evidence)| evidence.asked)
+            .collect();
+        let needed = majority(members.len()).saturating_sub(1);
+        if asked.len() < needed {
+            return View::CutOff;
+        }
+        asked.sort_unstable_by(|a, b| b.cmp(a));
+        let weakest = match needed {
+            0 => now,
+            count => asked[count - 1],
+        };
+        View::Outage {
+            until: weakest + self.window,
+        }
+    }
+
+    /// Returns whether most members have applied the record at `offset`.
+    pub fn majority_applied(
+        &self,
+        now: Instant,
+        members: &[InstanceId],
+        me: &str,
+        offset: Offset,
+    ) -> bool {
+        let peers = self
+            .recent(now)
+            .filter(|(peer, _)| ***peer != *me && members.contains(peer))
+            .filter(|(_, evidence)| evidence.next > offset)
+            .count();
+        let own = usize::from(self.next > offset);
+        peers + own >= majority(members.len())
+    }
+
+    /// Forgets peers that are no longer members.
+    pub fn retain(&mut self, members: &[InstanceId]) {
+        self.peers.retain(|peer, _| members.contains(peer));
+    }
+
+    fn recent(&self, now: Instant) -> impl Iterator<Item = (&InstanceId, &Evidence)> {
+        self.peers
+            .iter()
+            .filter(move |(_, evidence)| now < evidence.asked + self.window)
+    }
+
+    fn is_without_log(&self, evidence: &Evidence) -> bool {
+        evidence.contact_age.is_none_or(|age| age >= self.window)
+    }
+}
+
+fn majority(members: usize) -> usize {
+    members / 2 + 1
+}
--- /dev/null
+++ b/crates/apricotwell_leases/src/planner.rs
@@ -0,0 +1,83 @@
+//! Which leases this instance should take or hand over.
+
+use std::collections::BTreeMap;
+
+use apricotwell_records::Take;
+use apricotwell_state::State;
+use apricotwell_types::{Incarnation, InstanceId, Shard, rendezvous_owner};
+
+/// Shards moved by one record, so that a joining member does not upset all duties at once.
+const MAX_MOVES: usize = 8;
+
+/// Member that may hold leases.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LiveMember {
+    /// Instance.
+    pub id: InstanceId,
+    /// Start number.
+    pub incarnation: Incarnation,
+}
+
+/// Lease records that this instance should append.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LeasePlan {
+    /// Shards without a live holder that this instance takes.
+    pub take: Option<Take>,
+    /// Shards that this instance hands to their new owners.
+    pub hand: Vec<Take>,
+}
+
+/// Plans leases from the state and the live members.
+///
+/// `live` holds those members that are neither dead, suspected for long nor leaving; a member that
+/// leaves is absent and so hands over all that it holds.
+pub fn plan_leases(
+    state: &State,
+    live: &[LiveMember],
+    me: &str,
+    incarnation: Incarnation,
+) -> LeasePlan {
+    let mut take = Take {
+        holder: me.to_owned(),
+        incarnation,
+        ..Take::default()
+    };
+    let mut hand: BTreeMap<&str, Take> = BTreeMap::new();
+    let mut moves = 0;
+    for shard in 0..state.genesis().shards {
+        let Some(owner) = owner_of(shard, live) else {
+            continue;
+        };
+        let lease = state.lease(shard);
+        let fence = lease.map_or(0, |lease| lease.fence);
+        let held_by_me =
+            lease.is_some_and(|lease| *lease.holder == *me && lease.incarnation == incarnation);
+        let holder_lives = lease.is_some_and(|lease| {
+            live.iter()
+                .any(|member| member.id == lease.holder && member.incarnation == lease.incarnation)
+        });
+        if held_by_me && *owner.id != *me && moves < MAX_MOVES {
+            let entry = hand.entry(&*owner.id).or_insert_with(|| Take {
+                holder: owner.id.to_string(),
+                incarnation: owner.incarnation,
+                ..Take::default()
+            });
+            entry.shards.push(shard);
+            entry.fences.push(fence);
+            moves += 1;
+        } else if !held_by_me && !holder_lives && *owner.id == *me {
+            take.shards.push(shard);
+            take.fences.push(fence);
+        }
+    }
+    LeasePlan {
+        take: (!take.shards.is_empty()).then_some(take),
+        hand: hand.into_values().collect(),
+    }
+}
+
+fn owner_of(shard: Shard, live: &[LiveMember]) -> Option<&LiveMember> {
+    let ids = live.iter().map(|member| &*member.id);
+    let owner = rendezvous_owner(u64::from(shard), ids)?;
+    live.iter().find(|member| *member.id == *owner)
+}
--- /dev/null
+++ b/crates/apricotwell_node/src/claim_desk.rs
@@ -0,0 +1,171 @@
+//! Claims as the instance that serves a request: asks for keys and tells how attempts end.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use apricotwell_claims::{Answer, BodyDigest, Outcome};
+use apricotwell_messages::{ClaimAsk, ClaimFinish, ClaimReply, ClaimVerdict, Message};
+use apricotwell_records::Finished;
+use apricotwell_types::{Ending, RequestId, Shard};
+
+/// Pause before a message without an answer is sent again.
+const RESEND: Duration = Duration::from_millis(300);
+/// Ends that may wait for being recorded.
+const MAX_ENDS: usize = 10_000;
+
+#[derive(Debug)]
+struct Asking {
+    request: RequestId,
+    shard: Shard,
+    ask: ClaimAsk,
+    sent: Option<Instant>,
+    give_up: Instant,
+}
+
+#[derive(Debug)]
+struct UnrecordedEnd {
+    shard: Shard,
+    finished: Finished,
+    sent: Option<Instant>,
+}
+
+/// What a request with an idempotency key may do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ClaimResult {
+    /// Dispatch once.
+    Granted,
+    /// Another attempt with the key is under way.
+    Held,
+    /// An attempt with the key was answered.
+    Answered(Answer),
+    /// An attempt with the key ended without an answer.
+    Ended(Ending),
+    /// The key came with another body.
+    OtherBody,
+    /// The claim could not be recorded; nothing runs.
+    Unavailable,
+}
+
+/// Asks under way and ends not yet recorded.
+#[derive(Debug, Default)]
+pub(crate) struct ClaimDesk {
+    asking: BTreeMap<String, Asking>,
+    ends: BTreeMap<String, UnrecordedEnd>,
+}
+
+impl ClaimDesk {
+    /// Asks for a key on behalf of an attempt.
+    pub(crate) fn ask(
+        &mut self,
+        request: RequestId,
+        shard: Shard,
+        key: BodyDigest,
+        body: BodyDigest,
+        attempt: &str,
+        give_up: Instant,
+    ) {
+        let ask = ClaimAsk {
+            key: key.0.to_vec(),
+            body: body.0.to_vec(),
+            attempt: attempt.to_owned(),
+        };
+        let asking = Asking {
+            request,
+            shard,
+            ask,
+            sent: None,
+            give_up,
+        };
+        self.asking.insert(attempt.to_owned(), asking);
+    }
+
+    /// Tells how an attempt ended.
+    pub(crate) fn finish(
+        &mut self,
+        shard: Shard,
+        key: BodyDigest,
+        attempt: &str,
+        outcome: &Outcome,
+    ) {
+        if self.ends.len() >= MAX_ENDS {
+            // The claim stays without an outcome, which a repeat is told truthfully.
+            return;
+        }
+        let end = UnrecordedEnd {
+            shard,
+            finished: outcome.to_record(key, attempt),
+            sent: None,
+        };
+        self.ends.insert(attempt.to_owned(), end);
+    }
+
+    /// Returns messages that are due, by shard, and requests whose claim took too long.
+    pub(crate) fn tick(&mut self, now: Instant) -> (Vec<(Shard, Message)>, Vec<RequestId>) {
+        let due = |sent: Option<Instant>| sent.is_none_or(|sent| now >= sent + RESEND);
+        let mut messages = Vec::new();
+        let mut late = Vec::new();
+        for asking in self.asking.values_mut() {
+            if now >= asking.give_up {
+                late.push(asking.request);
+            } else if due(asking.sent) {
+                asking.sent = Some(now);
+                messages.push((asking.shard, Message::ClaimAsk(asking.ask.clone())));
+            }
+        }
+        for end in self.ends.values_mut() {
+            if due(end.sent) {
+                end.sent = Some(now);
+                let finished = Some(end.finished.clone());
+                messages.push((end.shard, Message::ClaimFinish(ClaimFinish { finished })));
+            }
+        }
+        (messages, late)
+    }
+
+    /// Takes a reply; `None` when it answers nothing that is waited for.
+    pub(crate) fn on_reply(&mut self, reply: &ClaimReply) -> Option<(RequestId, ClaimResult)> {
+        let result = match ClaimVerdict::try_from(reply.verdict) {
+            Ok(ClaimVerdict::Granted) => ClaimResult::Granted,
+            Ok(ClaimVerdict::Held) => ClaimResult::Held,
+            Ok(ClaimVerdict::OtherBody) => ClaimResult::OtherBody,
+            Ok(ClaimVerdict::Unavailable) => ClaimResult::Unavailable,
+            Ok(ClaimVerdict::Ended) => ended(reply.finished.as_ref()?),
+            // The lease has moved: the next tick asks its new holder.
+            Ok(ClaimVerdict::NotHolder | ClaimVerdict::Unspecified) | Err(_) => return None,
+        };
+        let asking = self.asking.remove(&reply.attempt)?;
+        Some((asking.request, result))
+    }
+
+    /// Notes that the end of an attempt is recorded.
+    pub(crate) fn on_finished(&mut self, attempt: &str) {
+        self.ends.remove(attempt);
+    }
+
+    /// Gives up an ask. Its claim may be recorded all the same, so its end is told as not run.
+    pub(crate) fn give_up(&mut self, attempt: &str) {
+        let Some(asking) = self.asking.remove(attempt) else {
+            return;
+        };
+        if let Some(key) = BodyDigest::from_slice(&asking.ask.key) {
+            let outcome = Outcome::Ended(Ending::NotRun);
+            self.finish(asking.shard, key, attempt, &outcome);
+        }
+    }
+
+    /// Returns how many ends wait for being recorded.
+    pub(crate) fn ends(&self) -> usize {
+        self.ends.len()
+    }
+}
+
+fn ended(finished: &Finished) -> ClaimResult {
+    match Ending::from_name(&finished.outcome) {
+        Some(ending) => ClaimResult::Ended(ending),
+        None => ClaimResult::Answered(Answer {
+            status: finished.status as u16,
+            media: finished.media.clone(),
+            body: finished.answer.clone(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_node/src/claim_holder.rs
@@ -0,0 +1,497 @@
+//! Claims as the holder of their shards: folds claim streams and answers asks.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use apricotwell_claims::{BodyDigest, ClaimTable, Outcome, Verdict};
+use apricotwell_messages::{
+    ClaimAsk, ClaimFinish, ClaimFinished, ClaimReply, ClaimVerdict, Message,
+};
+use apricotwell_records::{
+    AppendError, ClaimBody, ClaimRecord, Claimed, Finished, LogBatch, Opened, ReadError,
+    claim_stream,
+};
+use apricotwell_types::{Ending, Fence, InstanceId, Offset, Shard};
+
+use crate::Action;
+
+/// Pause before an append or a read is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time without an append's outcome after which the asks in it are turned away.
+const MAX_ASK_AGE: Duration = Duration::from_secs(2);
+/// Records in one append.
+const MAX_GROUP: usize = 64;
+/// Asks and ends that may wait on one shard.
+const MAX_QUEUE: usize = 4096;
+
+/// Reply to an instance, which may be this one.
+pub(crate) type Reply = (InstanceId, Message);
+
+#[derive(Debug)]
+struct WaitingAsk {
+    from: InstanceId,
+    ask: ClaimAsk,
+    since: Instant,
+}
+
+#[derive(Debug)]
+struct WaitingEnd {
+    from: InstanceId,
+    finished: Finished,
+}
+
+#[derive(Debug)]
+struct Flight {
+    ticket: u64,
+    records: Vec<Vec<u8>>,
+    // Last offset of the group once it is appended.
+    last: Option<Offset>,
+    // When the same bytes go again, their outcome being unknown.
+    retry: Option<Instant>,
+    // Whether an earlier append of the group may still take effect.
+    doubtful: bool,
+}
+
+/// One claim shard held by this instance.
+///
+/// # Invariants
+///
+/// A verdict is given only from a table that contains the ask's own record or an earlier claim of
+/// its key, and whose highest opened fence is this holder's.
+#[derive(Debug)]
+struct HeldShard {
+    fence: Fence,
+    table: ClaimTable,
+    asks: Vec<WaitingAsk>,
+    ends: Vec<WaitingEnd>,
+    flight: Option<Flight>,
+    reading: Option<Instant>,
+    pause_until: Option<Instant>,
+    // Whether this holder's term has been appended.
+    opening: bool,
+    // Claims that stand below this offset are to be written anew.
+    republish_below: Offset,
+    // End of the stream when claims were last written anew.
+    boundary: Offset,
+    republish_at: Option<Instant>,
+}
+
+/// Claim shards held by this instance.
+#[derive(Debug, Default)]
+pub(crate) struct ClaimHolder {
+    shards: BTreeMap<Shard, HeldShard>,
+}
+
+impl ClaimHolder {
+    /// Takes an ask for a shard held under `fence`.
+    pub(crate) fn on_ask(
+        &mut self,
+        now: Instant,
+        shard: Shard,
+        fence: Fence,
+        from: InstanceId,
+        ask: ClaimAsk,
+    ) -> Option<Reply> {
+        let held = self.shard(shard, fence);
+        if held.asks.len() >= MAX_QUEUE {
+            return Some(reply(from, &ask.attempt, ClaimVerdict::Unavailable, None));
+        }
+        held.asks.retain(|known| known.ask.attempt != ask.attempt);
+        held.asks.push(WaitingAsk {
+            from,
+            ask,
+            since: now,
+        });
+        None
+    }
+
+    /// Takes the end of an attempt for a shard held under `fence`.
+    pub(crate) fn on_finish(
+        &mut self,
+        shard: Shard,
+        fence: Fence,
+        from: InstanceId,
+        finish: ClaimFinish,
+    ) {
+        let Some(finished) = finish.finished else {
+            return;
+        };
+        let held = self.shard(shard, fence);
+        let known = held
+            .ends
+            .iter()
+            .any(|end| end.finished.attempt == finished.attempt);
+        if !known && held.ends.len() < MAX_QUEUE {
+            held.ends.push(WaitingEnd { from, finished });
+        }
+    }
+
+    /// Returns replies and appends that are due.
+    ///
+    /// `is_gone` tells whether the process that made an attempt has ended.
+    pub(crate) fn tick<F>(
+        &mut self,
+        now: Instant,
+        wall: Duration,
+        memory: Duration,
+        tickets: &mut u64,
+        is_gone: F,
+    ) -> (Vec<Reply>, Vec<Action>)
+    where
+        F: Fn(&str) -> bool,
+    {
+        let mut replies = Vec::new();
+        let mut actions = Vec::new();
+        let wall_ms = wall.as_millis() as u64;
+        let oldest = wall_ms.saturating_sub(memory.as_millis() as u64);
+        for (shard, held) in &mut self.shards {
+            held.table.forget(oldest);
+            held.turn_away(now, &mut replies);
+            held.answer(&is_gone, &mut replies);
+            actions.extend(held.append(now, *shard, wall_ms, tickets));
+            actions.extend(held.read(now, *shard));
+        }
+        (replies, actions)
+    }
+
+    /// Takes the outcome of an append.
+    pub(crate) fn on_appended(
+        &mut self,
+        now: Instant,
+        ticket: u64,
+        result: Result<Offset, AppendError>,
+    ) {
+        let find = |held: &&mut HeldShard| {
+            let flight = held.flight.as_ref();
+            flight.is_some_and(|flight| flight.ticket == ticket)
+        };
+        let Some(held) = self.shards.values_mut().find(find) else {
+            return;
+        };
+        let Some(flight) = &mut held.flight else {
+            return;
+        };
+        match result {
+            Ok(first) => flight.last = Some(first + flight.records.len() as Offset - 1),
+            // What was refused this time may have been taken the time before.
+            Err(AppendError::NotAppended) if !flight.doubtful => {
+                held.flight = None;
+                held.opening = false;
+                held.pause_until = Some(now + RETRY_PAUSE);
+            }
+            Err(_) => {
+                flight.doubtful = true;
+                flight.retry = Some(now + RETRY_PAUSE);
+            }
+        }
+    }
+
+    /// Takes the outcome of a read.
+    pub(crate) fn on_read(
+        &mut self,
+        now: Instant,
+        stream: &str,
+        result: Result<LogBatch, ReadError>,
+    ) {
+        let found = self
+            .shards
+            .iter_mut()
+            .find(|(shard, _)| claim_stream(**shard) == stream);
+        if let Some((_, held)) = found {
+            held.on_read(now, result);
+        }
+    }
+
+    /// Gives up the shards for which `fence_of` no longer gives their fence.
+    ///
+    /// Asks under way are dropped: the new holder finds what they appended.
+    pub(crate) fn retain<F>(&mut self, fence_of: F)
+    where
+        F: Fn(Shard) -> Option<Fence>,
+    {
+        self.shards
+            .retain(|shard, held| fence_of(*shard) == Some(held.fence));
+    }
+
+    /// Keeps a shard open under `fence`, and has claims older than one `period` written anew.
+    pub(crate) fn hold(&mut self, now: Instant, shard: Shard, fence: Fence, period: Duration) {
+        let held = self.shard(shard, fence);
+        let due = held.republish_at.get_or_insert(now + period);
+        if now < *due {
+            return;
+        }
+        held.republish_at = Some(now + period);
+        held.republish_below = held.boundary;
+        held.boundary = held.table.next();
+    }
+
+    /// Returns the number of claims over all held shards.
+    pub(crate) fn claims(&self) -> usize {
+        self.shards.values().map(|held| held.table.len()).sum()
+    }
+
+    fn shard(&mut self, shard: Shard, fence: Fence) -> &mut HeldShard {
+        let known = self.shards.get(&shard).map(|held| held.fence);
+        if known != Some(fence) {
+            self.shards.insert(shard, HeldShard::new(fence));
+        }
+        self.shards
+            .entry(shard)
+            .or_insert_with(|| HeldShard::new(fence))
+    }
+}
+
+impl HeldShard {
+    fn new(fence: Fence) -> Self {
+        Self {
+            fence,
+            table: ClaimTable::default(),
+            asks: Vec::new(),
+            ends: Vec::new(),
+            flight: None,
+            reading: None,
+            pause_until: None,
+            opening: false,
+            republish_below: 0,
+            boundary: 0,
+            republish_at: None,
+        }
+    }
+
+    // Only a table that contains this holder's own opening has seen all earlier claims.
+    fn is_open(&self) -> bool {
+        self.table.fence() == self.fence
+    }
+
+    fn is_superseded(&self) -> bool {
+        self.table.fence() > self.fence
+    }
+
+    fn turn_away(&mut self, now: Instant, replies: &mut Vec<Reply>) {
+        let superseded = self.is_superseded();
+        self.asks.retain(|waiting| {
+            let late = now >= waiting.since + MAX_ASK_AGE;
+            if !late && !superseded {
+                return true;
+            }
+            let verdict = if superseded {
+                ClaimVerdict::NotHolder
+            } else {
+                ClaimVerdict::Unavailable
+            };
+            replies.push(reply(
+                waiting.from.clone(),
+                &waiting.ask.attempt,
+                verdict,
+                None,
+            ));
+            false
+        });
+    }
+
+    fn answer<F>(&mut self, is_gone: &F, replies: &mut Vec<Reply>)
+    where
+        F: Fn(&str) -> bool,
+    {
+        if !self.is_open() {
+            return;
+        }
+        let table = &self.table;
+        let ends = &mut self.ends;
+        self.asks.retain(|waiting| {
+            let Some((verdict, finished)) = judge(table, ends, &waiting.ask, is_gone) else {
+                return true;
+            };
+            let attempt = &waiting.ask.attempt;
+            replies.push(reply(waiting.from.clone(), attempt, verdict, finished));
+            false
+        });
+        self.ends.retain(|end| {
+            let done = is_recorded(table, &end.finished);
+            if done && !end.from.is_empty() {
+                let attempt = end.finished.attempt.clone();
+                let confirmation = Message::ClaimFinished(ClaimFinished { attempt });
+                replies.push((end.from.clone(), confirmation));
+            }
+            !done
+        });
+    }
+
+    fn append(
+        &mut self,
+        now: Instant,
+        shard: Shard,
+        wall_ms: u64,
+        tickets: &mut u64,
+    ) -> Option<Action> {
+        if let Some(flight) = &mut self.flight {
+            if flight.last.is_some_and(|last| self.table.next() > last) {
+                self.flight = None;
+            } else if flight.retry.is_some_and(|at| now >= at) {
+                flight.retry = None;
+                return Some(append_action(shard, flight));
+            } else {
+                return None;
+            }
+        }
+        if self.pause_until.is_some_and(|until| now < until) || self.is_superseded() {
+            return None;
+        }
+        let bodies = self.next_group();
+        let record = |body| ClaimRecord {
+            fence: self.fence,
+            written: wall_ms,
+            body: Some(body),
+        };
+        let mut records: Vec<Vec<u8>> = bodies
+            .into_iter()
+            .map(|body| record(body).to_bytes())
+            .collect();
+        if self.is_open() && self.republish_below > 0 {
+            let again = self.table.republish(self.republish_below, MAX_GROUP);
+            if again.is_empty() {
+                self.republish_below = 0;
+            }
+            records.extend(again.iter().map(ClaimRecord::to_bytes));
+        }
+        if records.is_empty() {
+            return None;
+        }
+        *tickets += 1;
+        let flight = Flight {
+            ticket: *tickets,
+            records,
+            last: None,
+            retry: None,
+            doubtful: false,
+        };
+        let action = append_action(shard, &flight);
+        self.flight = Some(flight);
+        Some(action)
+    }
+
+    fn next_group(&mut self) -> Vec<ClaimBody> {
+        if !self.is_open() {
+            if self.opening {
+                return Vec::new();
+            }
+            self.opening = true;
+            return vec![ClaimBody::Opened(Opened {})];
+        }
+        let ends = self.ends.iter().take(MAX_GROUP);
+        let mut bodies: Vec<ClaimBody> = ends
+            .map(|end| ClaimBody::Finished(end.finished.clone()))
+            .collect();
+        for waiting in self.asks.iter().take(MAX_GROUP) {
+            bodies.push(ClaimBody::Claimed(Claimed {
+                key: waiting.ask.key.clone(),
+                body: waiting.ask.body.clone(),
+                attempt: waiting.ask.attempt.clone(),
+            }));
+        }
+        bodies
+    }
+
+    // Reads while something that was appended has not been seen.
+    fn read(&mut self, now: Instant, shard: Shard) -> Option<Action> {
+        let appended = self
+            .flight
+            .as_ref()
+            .is_some_and(|flight| flight.last.is_some());
+        if !appended || self.reading.is_some_and(|at| now < at + RETRY_PAUSE * 5) {
+            return None;
+        }
+        self.reading = Some(now);
+        Some(Action::ReadClaims {
+            stream: claim_stream(shard),
+            from: self.table.next(),
+        })
+    }
+
+    fn on_read(&mut self, now: Instant, result: Result<LogBatch, ReadError>) {
+        self.reading = None;
+        match result {
+            Ok(batch) => {
+                for (offset, bytes) in (batch.first..).zip(&batch.records) {
+                    if let Some(record) = ClaimRecord::from_bytes(bytes) {
+                        self.table.apply(offset, &record);
+                    } else {
+                        let unknown = ClaimRecord::default();
+                        self.table.apply(offset, &unknown);
+                    }
+                }
+            }
+            // Claims are written anew before they are dropped, so what is gone has aged out.
+            Err(ReadError::Expired(first)) => self.table.skip_to(first),
+            Err(ReadError::Unreachable) => self.reading = Some(now),
+        }
+    }
+}
+
+// Returns the verdict on an ask, `None` while its record must be appended or read back.
+fn judge<F>(
+    table: &ClaimTable,
+    ends: &mut Vec<WaitingEnd>,
+    ask: &ClaimAsk,
+    is_gone: &F,
+) -> Option<(ClaimVerdict, Option<Finished>)>
+where
+    F: Fn(&str) -> bool,
+{
+    let key = BodyDigest::from_slice(&ask.key);
+    let body = BodyDigest::from_slice(&ask.body);
+    let (Some(key), Some(body)) = (key, body) else {
+        return Some((ClaimVerdict::Unavailable, None));
+    };
+    match table.verdict(key, body, &ask.attempt) {
+        Verdict::Free => None,
+        Verdict::Granted => Some((ClaimVerdict::Granted, None)),
+        Verdict::OtherBody => Some((ClaimVerdict::OtherBody, None)),
+        Verdict::Ended(outcome) => {
+            let finished = outcome.to_record(key, &ask.attempt);
+            Some((ClaimVerdict::Ended, Some(finished)))
+        }
+        Verdict::Held(attempt) if is_gone(&attempt) => {
+            // Its process ended without telling; nobody will ever know more.
+            let unknown = Outcome::Ended(Ending::OutcomeUnknown).to_record(key, &attempt);
+            if !ends.iter().any(|end| end.finished.attempt == attempt) {
+                ends.push(WaitingEnd {
+                    from: "".into(),
+                    finished: unknown,
+                });
+            }
+            None
+        }
+        Verdict::Held(_) => Some((ClaimVerdict::Held, None)),
+    }
+}
+
+// An end is recorded when its claim has an outcome or is gone, as after not run.
+fn is_recorded(table: &ClaimTable, finished: &Finished) -> bool {
+    let Some(key) = BodyDigest::from_slice(&finished.key) else {
+        return true;
+    };
+    !table.is_running(key, &finished.attempt)
+}
+
+fn append_action(shard: Shard, flight: &Flight) -> Action {
+    Action::Append {
+        stream: claim_stream(shard),
+        ticket: flight.ticket,
+        records: flight.records.clone(),
+    }
+}
+
+fn reply(
+    to: InstanceId,
+    attempt: &str,
+    verdict: ClaimVerdict,
+    finished: Option<Finished>,
+) -> Reply {
+    let reply = ClaimReply {
+        attempt: attempt.to_owned(),
+        verdict: verdict as i32,
+        finished,
+    };
+    (to, Message::ClaimReply(reply))
+}
--- /dev/null
+++ b/crates/apricotwell_node/src/fleet.rs
@@ -0,0 +1,339 @@
+//! This instance's place in the fleet: members, freshness and leases.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_leases::{
+    Evidence, Freshness, LeasePlan, LiveMember, Standing, Standings, View, plan_leases,
+};
+use apricotwell_membership::{Contact, MemberState, Membership, Outgoing, Probe};
+use apricotwell_messages::{Ack, Envelope, LogEvidence, Message, News, Ping, PingFor};
+use apricotwell_state::State;
+use apricotwell_types::{Fence, InstanceId, Offset, Shard};
+
+use crate::NodeSettings;
+use crate::order_desk::HeldTerm;
+use crate::token_desk::Tenure;
+
+/// Time in which a new instance lets the members on the list answer before it takes leases.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Members, freshness of the view, and standing on duty shards.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    me: InstanceId,
+    incarnation: u64,
+    window: Duration,
+    membership: Membership,
+    freshness: Freshness,
+    standings: Standings,
+    // Instances on the platform's list, this one included.
+    listed: Vec<InstanceId>,
+    leaving: bool,
+    started: Instant,
+}
+
+impl Fleet {
+    pub(crate) fn new(now: Instant, settings: &NodeSettings) -> Self {
+        let contact = settings.contact();
+        let membership = Membership::new(
+            now,
+            contact,
+            settings.incarnation,
+            settings.timing,
+            settings.seed,
+        );
+        Self {
+            me: settings.id.clone(),
+            incarnation: settings.incarnation,
+            window: settings.window,
+            membership,
+            freshness: Freshness::new(settings.window),
+            standings: Standings::new(settings.id.clone(), settings.incarnation),
+            listed: vec![settings.id.clone()],
+            leaving: false,
+            started: now,
+        }
+    }
+
+    pub(crate) fn set_list(&mut self, now: Instant, list: &[Contact]) {
+        self.membership.set_list(now, list);
+        self.listed = list.iter().map(|contact| contact.id.clone()).collect();
+        if !self.listed.contains(&self.me) {
+            self.listed.push(self.me.clone());
+        }
+        self.freshness.retain(&self.listed);
+    }
+
+    pub(crate) fn note_log_read(&mut self, began: Instant, next: Offset, reached_end: bool) {
+        if reached_end {
+            self.freshness.note_log_read(began, next);
+        } else {
+            self.freshness.note_applied(next);
+        }
+    }
+
+    pub(crate) fn note_applied(&mut self, next: Offset) {
+        self.freshness.note_applied(next);
+    }
+
+    pub(crate) fn view(&self, now: Instant) -> View {
+        self.freshness.view(now, &self.listed, &self.me)
+    }
+
+    pub(crate) fn contact_age(&self, now: Instant) -> Option<Duration> {
+        self.freshness.contact_age(now)
+    }
+
+    /// Returns a peer that has applied records which this instance lacks.
+    pub(crate) fn peer_ahead(&self, now: Instant) -> Option<Contact> {
+        let peer = self.freshness.peer_ahead(now)?;
+        self.contact(peer)
+    }
+
+    /// Returns any peer that answers.
+    pub(crate) fn any_peer(&self) -> Option<Contact> {
+        let mut alive = self.membership.members().filter(|member| {
+            member.news.state == MemberState::Alive && member.news.incarnation > 0
+        });
+        alive.next().map(|member| member.news.contact.clone())
+    }
+
+    pub(crate) fn contact(&self, id: &str) -> Option<Contact> {
+        let member = self.membership.get(id)?;
+        Some(member.news.contact.clone())
+    }
+
+    pub(crate) fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the members that a caller may be sent to, this one included.
+    pub(crate) fn open_members(&self) -> Vec<(InstanceId, String)> {
+        let peers = self.membership.members().filter(|member| {
+            member.news.state == MemberState::Alive && member.news.incarnation > 0
+        });
+        let mut open: Vec<(InstanceId, String)> = peers
+            .map(|member| {
+                let contact = &member.news.contact;
+                (contact.id.clone(), contact.zone.to_string())
+            })
+            .collect();
+        if !self.leaving {
+            let own = &self.membership.own().contact;
+            open.push((own.id.clone(), own.zone.to_string()));
+        }
+        open
+    }
+
+    /// Returns whether the process that made an attempt `instance/incarnation/…` has ended.
+    pub(crate) fn is_gone(&self, attempt: &str) -> bool {
+        let mut parts = attempt.split('/');
+        let (Some(instance), Some(incarnation)) = (parts.next(), parts.next()) else {
+            return true;
+        };
+        let incarnation: u64 = incarnation.parse().unwrap_or(0);
+        if *instance == *self.me {
+            return incarnation != self.incarnation;
+        }
+        match self.membership.get(instance) {
+            None => true,
+            Some(member) => {
+                member.news.incarnation > incarnation
+                    || (member.news.state == MemberState::Dead
+                        && member.news.incarnation == incarnation)
+            }
+        }
+    }
+
+    pub(crate) fn leave(&mut self) {
+        self.leaving = true;
+        self.membership.leave();
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns the probes that are due.
+    pub(crate) fn tick(&mut self, now: Instant, next: Offset) -> Vec<(Contact, Envelope)> {
+        let out = self.membership.tick(now);
+        self.envelopes(now, next, out)
+    }
+
+    /// Takes the membership part of a message and returns what to send.
+    pub(crate) fn receive(
+        &mut self,
+        now: Instant,
+        next: Offset,
+        envelope: &Envelope,
+    ) -> Vec<(Contact, Envelope)> {
+        let Some(sender) = envelope.sender.as_ref().and_then(News::to_update) else {
+            return Vec::new();
+        };
+        let probe = match &envelope.body {
+            Some(Message::Ping(ping)) => Probe::Ping {
+                number: ping.number,
+            },
+            Some(Message::Ack(ack)) => {
+                self.note_evidence(ack.number, &sender.contact.id, envelope.evidence);
+                Probe::Ack { number: ack.number }
+            }
+            Some(Message::PingFor(ask)) => Probe::PingFor {
+                number: ask.number,
+                target: ask.target.as_str().into(),
+            },
+            _ => return Vec::new(),
+        };
+        let news: Vec<_> = envelope.news.iter().filter_map(News::to_update).collect();
+        let out = self.membership.receive(now, &sender, probe, &news);
+        self.envelopes(now, next, out)
+    }
+
+    // Only an answer to an own ping counts: its beginning is known by this instance's clock.
+    fn note_evidence(&mut self, number: u64, peer: &InstanceId, evidence: Option<LogEvidence>) {
+        let asked = self.membership.ping_sent(number, peer);
+        if let (Some(asked), Some(evidence)) = (asked, evidence) {
+            let evidence = Evidence {
+                asked,
+                next: evidence.next,
+                contact_age: evidence.contact_ms.map(Duration::from_millis),
+            };
+            self.freshness.note_peer(peer.clone(), evidence);
+        }
+    }
+
+    /// Returns a message in an envelope with this instance's news.
+    pub(crate) fn envelope(&self, now: Instant, next: Offset, body: Message) -> Envelope {
+        Envelope {
+            sender: Some(News::from_update(self.membership.own())),
+            news: Vec::new(),
+            evidence: Some(self.evidence(now, next)),
+            body: Some(body),
+        }
+    }
+
+    fn evidence(&self, now: Instant, next: Offset) -> LogEvidence {
+        let age = self.contact_age(now);
+        LogEvidence {
+            next,
+            // Rounded up, so that a peer never takes the contact for more recent than it was.
+            contact_ms: age.map(|age| age.as_millis() as u64 + 1),
+        }
+    }
+
+    fn envelopes(
+        &self,
+        now: Instant,
+        next: Offset,
+        out: Vec<Outgoing>,
+    ) -> Vec<(Contact, Envelope)> {
+        let convert = |outgoing: Outgoing| {
+            let body = match outgoing.probe {
+                Probe::Ping { number } => Message::Ping(Ping { number }),
+                Probe::Ack { number } => Message::Ack(Ack { number }),
+                Probe::PingFor { number, target } => Message::PingFor(PingFor {
+                    number,
+                    target: target.to_string(),
+                }),
+            };
+            let mut envelope = self.envelope(now, next, body);
+            envelope.news = outgoing.news.iter().map(News::from_update).collect();
+            (outgoing.to, envelope)
+        };
+        out.into_iter().map(convert).collect()
+    }
+
+    /// Brings the standing on leases up to date.
+    pub(crate) fn refresh(&mut self, now: Instant, state: &State) {
+        self.standings
+            .refresh(now, state, &self.freshness, &self.listed);
+    }
+
+    /// Returns the standing on a shard; ask again immediately before each effect.
+    pub(crate) fn standing(&self, now: Instant, shard: Shard) -> Standing {
+        self.standings
+            .check(now, shard, self.view(now), self.window)
+    }
+
+    /// Returns the fence of a shard that may be acted on right now.
+    pub(crate) fn fence(&self, now: Instant, shard: Shard) -> Option<Fence> {
+        self.term(now, shard).map(|term| term.fence)
+    }
+
+    /// Returns fence and end of the term of a shard that may be acted on right now.
+    pub(crate) fn term(&self, now: Instant, shard: Shard) -> Option<HeldTerm> {
+        match self.standing(now, shard) {
+            Standing::Held { fence, until, .. } => Some(HeldTerm { fence, until }),
+            _ => None,
+        }
+    }
+
+    /// Returns how this instance came by a shard that it may act on right now.
+    pub(crate) fn tenure(&self, now: Instant, state: &State, shard: Shard) -> Option<Tenure> {
+        let Standing::Held { fence, since, .. } = self.standing(now, shard) else {
+            return None;
+        };
+        let lease = state.lease(shard)?;
+        Some(Tenure {
+            fence,
+            previous: lease.previous,
+            since,
+        })
+    }
+
+    /// Returns the shards of this instance's recorded leases.
+    pub(crate) fn own_shards(&self) -> Vec<Shard> {
+        self.standings.shards()
+    }
+
+    /// Gives up a shard before its handover is recorded.
+    pub(crate) fn release(&mut self, shard: Shard) {
+        self.standings.release(shard);
+    }
+
+    /// Takes released shards back, once the log has definitely not taken their handovers.
+    pub(crate) fn restore(&mut self) {
+        self.standings.restore();
+    }
+
+    /// Plans lease records; only with a view that the log itself confirmed.
+    pub(crate) fn plan(&self, now: Instant, state: &State) -> LeasePlan {
+        if !matches!(self.view(now), View::Fresh { .. }) {
+            return LeasePlan::default();
+        }
+        // A fleet that starts together would otherwise move most leases right after taking them.
+        if now < self.started + SETTLE_TIME && !self.has_met_all() {
+            return LeasePlan::default();
+        }
+        plan_leases(state, &self.live_members(), &self.me, self.incarnation)
+    }
+
+    fn has_met_all(&self) -> bool {
+        self.listed.iter().all(|id| {
+            let member = self.membership.get(id);
+            *id == self.me || member.is_some_and(|member| member.news.incarnation > 0)
+        })
+    }
+
+    fn live_members(&self) -> Vec<LiveMember> {
+        // A suspected member keeps its duties until it is declared dead.
+        let holds = |state| matches!(state, MemberState::Alive | MemberState::Suspect);
+        let mut live: Vec<LiveMember> = self
+            .membership
+            .members()
+            .filter(|member| holds(member.news.state) && member.news.incarnation > 0)
+            .map(|member| LiveMember {
+                id: member.news.contact.id.clone(),
+                incarnation: member.news.incarnation,
+            })
+            .collect();
+        if !self.leaving {
+            live.push(LiveMember {
+                id: self.me.clone(),
+                incarnation: self.incarnation,
+            });
+        }
+        live.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        live
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_node/src/node/serving.rs
@@ -0,0 +1,856 @@
+//! Requests: from their submission to their end.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use apricotwell_admission::{QueueFull, Waiting};
+use apricotwell_claims::Outcome;
+use apricotwell_leases::View;
+use apricotwell_messages::{Demand, DemandItem, Message};
+use apricotwell_routing::Candidate;
+use apricotwell_state::{Callable, KeyHolder, ReplicaPhase};
+use apricotwell_timeline::{Event, EventKind};
+use apricotwell_types::{
+    Ending, InstanceId, KeyDigest, ModelId, OrgId, Refusal, RefusalKind, ReplicaId, RequestId,
+    ServerId, WorkClass, shard_of,
+};
+
+use super::Node;
+use crate::claim_desk::ClaimResult;
+use crate::requests::{Request, Stage, recorded_answer};
+use crate::submission::service_pool;
+use crate::token_desk::{HolderRef, Reservation};
+use crate::{Action, AttemptEnd, Dispatch, Submission, Target};
+
+/// Pause told to callers whose request found no room.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
+/// Time in which a poll must tell whether a server crashed.
+const CRASH_CHECK: Duration = Duration::from_millis(1500);
+
+type CandidateCache = BTreeMap<ModelId, Vec<(Candidate, Option<ReplicaId>)>>;
+
+impl Node {
+    /// Returns the holder of a caller's key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key is not in force, or when this instance can't tell.
+    pub fn authenticate(&self, now: Instant, key: &KeyDigest) -> Result<KeyHolder, Refusal> {
+        self.check_view(now)?;
+        let holder = self.state.key(key).ok_or_else(|| {
+            Refusal::not_run(
+                RefusalKind::InvalidKey,
+                "the API key is unknown or withdrawn; ask your operator for a new one",
+            )
+        })?;
+        Ok(holder.clone())
+    }
+
+    /// Returns the model or adapter that an organisation's caller names.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not exist or is not granted; the two are not told apart.
+    pub fn resolve(&self, org: &str, name: &str) -> Result<Callable, Refusal> {
+        self.state.callable(org, name).ok_or_else(|| {
+            let message = "the model does not exist or your organisation may not call it; see \
+                           /v1/models";
+            Refusal::not_run(RefusalKind::ModelNotFound, message)
+        })
+    }
+
+    /// Accepts a request; its end comes as an action.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal to answer at once.
+    pub fn submit(&mut self, now: Instant, submission: Submission) -> Result<RequestId, Refusal> {
+        self.check_view(now)?;
+        self.check_submission(now, &submission)?;
+        let org = submission.org.clone();
+        let cost = submission.cost();
+        let (class, deadline) = (submission.class, submission.deadline);
+        let id = self.requests.add(submission);
+        let event = Event::new(EventKind::RequestAccepted)
+            .with_request(self.request_name(id))
+            .with_org(org.to_string());
+        self.event(now, event);
+        if org.is_empty() || cost == 0 {
+            self.enqueue_free(now, id);
+        } else if let Some(reservation) = self.tokens.take(now, &org, cost) {
+            self.enqueue(now, id, reservation);
+        } else {
+            self.tokens.wait(now, &org, id, class, deadline, cost);
+            self.run_tokens(now);
+        }
+        self.pump(now);
+        self.flush(now);
+        Ok(id)
+    }
+
+    /// Drops a request whose caller has gone and that no server was given.
+    pub fn cancel(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        if matches!(request.stage, Stage::Running { .. }) {
+            let attempt = request.attempt.clone();
+            self.on_attempt_ended(now, id, &attempt, AttemptEnd::CallerGone);
+            return;
+        }
+        self.drop_request(now, id, 0, Some(Ending::NotRun));
+        self.pump(now);
+        self.flush(now);
+    }
+
+    /// Takes the end of an attempt.
+    pub fn on_attempt_ended(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        attempt: &str,
+        end: AttemptEnd,
+    ) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let Stage::Running { server } = request.stage.clone() else {
+            return;
+        };
+        if request.attempt != attempt {
+            return;
+        }
+        self.note_attempt_end(now, id, &server, &end);
+        match end {
+            AttemptEnd::Answered { kept, used } => self.finish_answered(now, id, kept, used),
+            AttemptEnd::CallerGone => {
+                self.drop_request(now, id, u64::MAX, Some(Ending::OutcomeUnknown));
+            }
+            AttemptEnd::NotRun { .. } => self.try_again(now, id),
+            _ => self.after_failure(now, id, &server, &end),
+        }
+        self.pump(now);
+        self.flush(now);
+    }
+
+    fn check_view(&self, now: Instant) -> Result<(), Refusal> {
+        if self.caught_up && self.view(now) != View::CutOff {
+            return Ok(());
+        }
+        let message = "this instance can't confirm the keys in force; look up another address";
+        let refusal = Refusal::not_run(RefusalKind::Unavailable, message);
+        Err(refusal.with_retry_after(BUSY_RETRY))
+    }
+
+    fn check_submission(&self, now: Instant, submission: &Submission) -> Result<(), Refusal> {
+        if self.state.is_quarantined(submission.body) {
+            let message = "this body crashed backend servers and is quarantined; change it or ask \
+                           your operator to release it";
+            return Err(Refusal::not_run(RefusalKind::Quarantined, message));
+        }
+        if submission.class == WorkClass::NonIdempotent && submission.claim.is_none() {
+            let message = "a non-idempotent request needs an Idempotency-Key header";
+            return Err(Refusal::not_run(RefusalKind::BadRequest, message));
+        }
+        if submission.org.is_empty() {
+            return Ok(());
+        }
+        let Some(org) = self.state.org(&submission.org) else {
+            let message = "the organisation of this key has no settings; ask your operator";
+            return Err(Refusal::not_run(RefusalKind::InvalidKey, message));
+        };
+        if submission.cost() > org.burst {
+            let message = format!(
+                "prompt and max_tokens come to {} tokens, above your burst of {}; lower max_tokens",
+                submission.cost(),
+                org.burst
+            );
+            return Err(Refusal::not_run(RefusalKind::BadRequest, message));
+        }
+        let waiting = self.tokens.waiting(&submission.org) + self.queue.len_of(&submission.org);
+        if waiting >= org.max_waiting as usize {
+            return Err(queue_refusal(QueueFull::Organisation));
+        }
+        if self.tokens.total_waiting() + self.queue.len() >= self.settings.max_waiting {
+            return Err(queue_refusal(QueueFull::Instance));
+        }
+        self.check_wait(now, submission)
+    }
+
+    // A request that can't be started before its deadline is refused at once.
+    fn check_wait(&self, now: Instant, submission: &Submission) -> Result<(), Refusal> {
+        let name = submission.queue_name();
+        let ahead = self.queue.waiting_for(&name);
+        let estimate = self.waits.get(&name).and_then(|wait| wait.wait(ahead));
+        let left = submission.deadline.saturating_duration_since(now);
+        match estimate {
+            Some(wait) if ahead > 0 && wait > left => {
+                let message = format!(
+                    "the wait of about {} ms is beyond the deadline; come back later",
+                    wait.as_millis()
+                );
+                let refusal = Refusal::not_run(RefusalKind::Overloaded, message);
+                Err(refusal.with_retry_after(wait - left))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    pub(super) fn run_tokens(&mut self, now: Instant) {
+        let state = &self.state;
+        let shards = self.settings.genesis.shards;
+        let holder_of = |org: &str| {
+            let lease = state.lease(shard_of(org, shards))?;
+            Some(HolderRef {
+                instance: &lease.holder,
+                fence: lease.fence,
+            })
+        };
+        let asks = self.tokens.asks(now, holder_of);
+        for (to, ask) in asks {
+            self.send(now, &to, Message::TokenAsk(ask));
+        }
+    }
+
+    /// Puts a request with its tokens into the queue.
+    pub(super) fn enqueue(&mut self, now: Instant, id: RequestId, reservation: Reservation) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.reservation = Some(reservation);
+        }
+        self.enqueue_free(now, id);
+    }
+
+    fn enqueue_free(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.stage = Stage::Queued;
+        let submission = &request.submission;
+        let entry = Waiting {
+            request: id,
+            org: submission.org.clone(),
+            model: submission.queue_name(),
+            class: submission.class,
+            deadline: submission.deadline,
+            cost: submission.cost(),
+        };
+        let org = self.state.org(&submission.org);
+        let weight = org.map_or(1, |org| org.weight);
+        let limit = org.map_or(usize::MAX, |org| org.max_waiting as usize);
+        if let Err(full) = self.queue.push(entry, weight, limit) {
+            self.refuse(now, id, queue_refusal(full));
+        }
+    }
+
+    /// Gives waiting requests to servers as long as there are free slots.
+    pub(super) fn pump(&mut self, now: Instant) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut cache = CandidateCache::new();
+        loop {
+            let mut chosen = None;
+            let mut queue =
+                std::mem::replace(&mut self.queue, apricotwell_admission::FairQueue::new(0));
+            let popped = queue.pop(|entry| {
+                chosen = self.choose(now, entry, &mut cache);
+                chosen.is_some()
+            });
+            self.queue = queue;
+            let (Some(entry), Some((server, replica))) = (popped, chosen) else {
+                return;
+            };
+            let others = self.queue.waiting_for(&entry.model) > 0;
+            let wait = self.waits.entry(entry.model.clone()).or_default();
+            wait.note_start(now, others);
+            self.start(now, entry.request, server, replica);
+        }
+    }
+
+    fn choose(
+        &self,
+        now: Instant,
+        entry: &Waiting,
+        cache: &mut CandidateCache,
+    ) -> Option<(ServerId, Option<ReplicaId>)> {
+        let candidates = cache
+            .entry(entry.model.clone())
+            .or_insert_with(|| self.candidates(now, &entry.model));
+        let request = self.requests.get(entry.request)?;
+        let prefix = request.submission.prefix;
+        // A body that was running when a server crashed goes where it can do least harm.
+        let is_suspect = self.state.crashes(request.submission.body) > 0;
+        let servers: Vec<Candidate> = candidates
+            .iter()
+            .map(|(candidate, _)| candidate.clone())
+            .filter(|candidate| !is_suspect || self.router.load(now, &candidate.server) == 0.0)
+            .collect();
+        let server = self.router.choose(now, &servers, prefix)?;
+        let found = candidates
+            .iter()
+            .find(|(candidate, _)| candidate.server == server)?;
+        Some((server, found.1))
+    }
+
+    // The present version where it is loaded; an older one until then.
+    fn candidates(&self, now: Instant, queue: &str) -> Vec<(Candidate, Option<ReplicaId>)> {
+        if let Some(pool) = service_pool(queue) {
+            return self.service_candidates(now, pool);
+        }
+        let ledger = self.state.ledger();
+        let version = self.state.load_terms(queue).map(|(version, _, _)| version);
+        let loaded = ledger.replicas_of(queue).filter(|(_, replica)| {
+            replica.phase == ReplicaPhase::Loaded
+                && self.servers.is_usable(now, &self.state, &replica.server)
+        });
+        let loaded: Vec<_> = loaded.collect();
+        let has_present = loaded
+            .iter()
+            .any(|(_, replica)| Some(&replica.version) == version.as_ref());
+        loaded
+            .into_iter()
+            .filter(|(_, replica)| !has_present || Some(&replica.version) == version.as_ref())
+            .filter_map(|(id, replica)| {
+                let server = ledger.server(&replica.server)?;
+                let pool = self.state.pool(&server.pool)?;
+                let candidate = Candidate {
+                    server: replica.server.clone(),
+                    zone: server.zone.clone(),
+                    slots: pool.slots,
+                    ready: self.orders.first_seen(id).unwrap_or(now),
+                };
+                Some((candidate, Some(id)))
+            })
+            .collect()
+    }
+
+    fn service_candidates(&self, now: Instant, pool: &str) -> Vec<(Candidate, Option<ReplicaId>)> {
+        let slots = self.state.pool(pool).map_or(1, |pool| pool.slots);
+        let servers = self.servers.service_servers(now, pool).into_iter();
+        servers
+            .map(|server| {
+                let candidate = Candidate {
+                    server: server.id.clone(),
+                    zone: server.zone.clone(),
+                    slots,
+                    ready: self.started,
+                };
+                (candidate, None)
+            })
+            .collect()
+    }
+
+    fn start(&mut self, now: Instant, id: RequestId, server: ServerId, replica: Option<ReplicaId>) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        if let Some(refusal) = self.check_again(&request.submission) {
+            self.refuse(now, id, refusal);
+            return;
+        }
+        let (prefix, claim) = (request.submission.prefix, request.submission.claim);
+        let needs_claim = claim.is_some() && !request.claimed;
+        self.router.note_start(&server, prefix);
+        let base = self.request_name(id);
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        if !request.claimed {
+            request.attempt = format!("{base}/{}", request.attempts + 1);
+        }
+        if needs_claim {
+            request.stage = Stage::Claiming { server };
+            self.ask_claim(now, id);
+        } else {
+            self.dispatch(now, id, server, replica);
+        }
+    }
+
+    // Keys and quarantine may have changed while the request waited.
+    fn check_again(&self, submission: &Submission) -> Option<Refusal> {
+        let withdrawn = submission
+            .key
+            .is_some_and(|key| self.state.key(&key).is_none());
+        if withdrawn {
+            let message = "the API key was withdrawn while the request waited";
+            return Some(Refusal::not_run(RefusalKind::InvalidKey, message));
+        }
+        if self.state.is_quarantined(submission.body) {
+            let message = "this body crashed backend servers and is quarantined";
+            return Some(Refusal::not_run(RefusalKind::Quarantined, message));
+        }
+        None
+    }
+
+    fn ask_claim(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let Some(key) = request.submission.claim else {
+            return;
+        };
+        let Some(shard) = self.claim_shard(&key.0) else {
+            return;
+        };
+        let give_up = now + self.settings.claim_wait;
+        let give_up = give_up.min(request.submission.deadline);
+        let (body, attempt) = (request.submission.body, request.attempt.clone());
+        self.claims.ask(id, shard, key, body, &attempt, give_up);
+        self.run_claims(now);
+    }
+
+    pub(super) fn on_claim_result(&mut self, now: Instant, id: RequestId, result: ClaimResult) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let Stage::Claiming { server } = request.stage.clone() else {
+            return;
+        };
+        let refusal = match result {
+            ClaimResult::Granted => {
+                request.claimed = true;
+                let name = self.request_name(id);
+                let event = Event::new(EventKind::ClaimGranted).with_request(name);
+                self.event(now, event);
+                self.dispatch_claimed(now, id, server);
+                return;
+            }
+            ClaimResult::Answered(answer) => {
+                self.router.release(&server);
+                let name = self.request_name(id);
+                let event = Event::new(EventKind::AnswerReplayed).with_request(name);
+                self.event(now, event);
+                self.forget_request(id, 0);
+                let request = id;
+                self.actions.push(Action::Replay { request, answer });
+                return;
+            }
+            ClaimResult::Held => Refusal::not_run(
+                RefusalKind::KeyInUse,
+                "a request with this Idempotency-Key is under way; repeat it later for its outcome",
+            )
+            .with_ending(Ending::OutcomeUnknown)
+            .with_retry_after(BUSY_RETRY),
+            ClaimResult::Ended(ending) => Refusal::not_run(
+                RefusalKind::BackendFailed,
+                "a request with this Idempotency-Key ended without an answer and is not run again",
+            )
+            .with_ending(ending),
+            ClaimResult::OtherBody => Refusal::not_run(
+                RefusalKind::KeyReused,
+                "this Idempotency-Key came before with another body; use a new key",
+            ),
+            ClaimResult::Unavailable => {
+                let attempt = request.attempt.clone();
+                self.claims.give_up(&attempt);
+                Refusal::not_run(
+                    RefusalKind::ClaimUnavailable,
+                    "the request could not be claimed, so it was not run; repeat it with the same \
+                     Idempotency-Key",
+                )
+                .with_retry_after(BUSY_RETRY)
+            }
+        };
+        self.router.release(&server);
+        self.refuse(now, id, refusal);
+    }
+
+    // The server was chosen before the claim; it may have left since.
+    fn dispatch_claimed(&mut self, now: Instant, id: RequestId, server: ServerId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        if let Some(refusal) = self.check_again(&request.submission) {
+            self.router.release(&server);
+            self.refuse(now, id, refusal);
+            return;
+        }
+        let queue = request.submission.queue_name();
+        let candidates = self.candidates(now, &queue);
+        let found = candidates
+            .iter()
+            .find(|(candidate, _)| candidate.server == server);
+        match found {
+            Some((_, replica)) => self.dispatch(now, id, server, *replica),
+            None => {
+                self.router.release(&server);
+                self.enqueue_free(now, id);
+            }
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        server: ServerId,
+        replica: Option<ReplicaId>,
+    ) {
+        let address = match replica {
+            Some(_) => self
+                .state
+                .ledger()
+                .server(&server)
+                .map(|record| record.address.clone()),
+            None => self.service_address(now, id, &server),
+        };
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let Some(address) = address else {
+            self.router.release(&server);
+            self.enqueue_free(now, id);
+            return;
+        };
+        request.attempts += 1;
+        request.stage = Stage::Running {
+            server: server.clone(),
+        };
+        let org = request.submission.org.clone();
+        let model = request.submission.queue_name();
+        let attempt = request.attempt.clone();
+        let remaining = request.submission.deadline.saturating_duration_since(now);
+        if request.attempts == 1 {
+            let budget = self.budgets.entry((org, model.clone())).or_default();
+            budget.deposit();
+        }
+        let event = Event::new(EventKind::RequestDispatched)
+            .with_request(self.request_name(id))
+            .with_model(model.to_string())
+            .with_server(server.to_string())
+            .with_detail(attempt.clone());
+        self.event(now, event);
+        self.actions.push(Action::Dispatch(Dispatch {
+            request: id,
+            attempt,
+            server,
+            address,
+            replica,
+            model,
+            remaining,
+        }));
+    }
+
+    fn service_address(&self, now: Instant, id: RequestId, server: &str) -> Option<String> {
+        let request = self.requests.get(id)?;
+        let Target::Service { pool, .. } = &request.submission.target else {
+            return None;
+        };
+        let servers = self.servers.service_servers(now, pool);
+        let found = servers.into_iter().find(|listed| *listed.id == *server);
+        found.map(|listed| listed.address.clone())
+    }
+
+    fn note_attempt_end(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        server: &ServerId,
+        end: &AttemptEnd,
+    ) {
+        let is_fine = matches!(
+            end,
+            AttemptEnd::Answered { .. } | AttemptEnd::CallerGone | AttemptEnd::Failed
+        );
+        self.router.note_end(now, server, is_fine);
+        if let AttemptEnd::NotRun { unreachable: true } = end {
+            self.servers.avoid(now, server);
+        }
+        let detail = match end.ending() {
+            None => "answered",
+            Some(ending) => ending.as_str(),
+        };
+        let event = Event::new(EventKind::AttemptEnded)
+            .with_request(self.request_name(id))
+            .with_server(server.to_string())
+            .with_detail(detail);
+        self.event(now, event);
+    }
+
+    fn finish_answered(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        kept: crate::Kept,
+        used: Option<u64>,
+    ) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let used = used.unwrap_or(u64::MAX);
+        if request.claimed {
+            let outcome = Outcome::Answered(recorded_answer(kept));
+            self.tell_outcome(now, id, &outcome);
+        }
+        let event = Event::new(EventKind::RequestAnswered).with_request(self.request_name(id));
+        self.event(now, event);
+        self.forget_request(id, used);
+    }
+
+    fn tell_outcome(&mut self, now: Instant, id: RequestId, outcome: &Outcome) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let Some(key) = request.submission.claim else {
+            return;
+        };
+        let attempt = request.attempt.clone();
+        if let Some(shard) = self.claim_shard(&key.0) {
+            self.claims.finish(shard, key, &attempt, outcome);
+            self.run_claims(now);
+        }
+    }
+
+    // The request went to no server, so even a non-idempotent one may go to another.
+    fn try_again(&mut self, now: Instant, id: RequestId) {
+        let event = Event::new(EventKind::RequestRetried).with_request(self.request_name(id));
+        self.event(now, event);
+        let late = self
+            .requests
+            .get(id)
+            .is_some_and(|request| now >= request.submission.deadline);
+        if late {
+            self.refuse_late(now, id);
+        } else {
+            self.enqueue_free(now, id);
+        }
+    }
+
+    fn after_failure(&mut self, now: Instant, id: RequestId, server: &ServerId, end: &AttemptEnd) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let body = request.submission.body;
+        let class = request.submission.class;
+        let attempts = request.attempts;
+        let key = (
+            request.submission.org.clone(),
+            request.submission.queue_name(),
+        );
+        let broken = matches!(end, AttemptEnd::Broken { .. });
+        let is_engine = matches!(request.submission.target, Target::Model(_));
+        if broken && is_engine {
+            let incarnation = self.state.ledger().server(server);
+            let incarnation = incarnation.map(|record| record.incarnation);
+            self.servers.suspect(server, body, incarnation);
+            self.next_plan = now;
+        }
+        let may_retry = class.is_repeatable()
+            && !end.is_partial()
+            && attempts < self.settings.max_attempts
+            && self.budgets.entry(key).or_default().withdraw();
+        if !may_retry {
+            self.end_failed(now, id, end);
+            return;
+        }
+        let event = Event::new(EventKind::RequestRetried).with_request(self.request_name(id));
+        self.event(now, event);
+        if broken && is_engine {
+            let until = now + CRASH_CHECK;
+            if let Some(request) = self.requests.get_mut(id) {
+                request.stage = Stage::Cooling {
+                    server: server.clone(),
+                    until,
+                };
+            }
+        } else {
+            self.enqueue_free(now, id);
+        }
+    }
+
+    fn end_failed(&mut self, now: Instant, id: RequestId, end: &AttemptEnd) {
+        let ending = end.ending().unwrap_or(Ending::OutcomeUnknown);
+        let message = match end {
+            AttemptEnd::Failed => "the backend server ran the request and failed",
+            AttemptEnd::Silent { .. } => "the backend server made no progress in time",
+            _ => "the connection to the backend server broke while it ran the request",
+        };
+        let refusal = Refusal::not_run(RefusalKind::BackendFailed, message).with_ending(ending);
+        let refusal = match self.requests.get(id) {
+            Some(request) if request.submission.class.is_repeatable() => {
+                refusal.with_retry_after(BUSY_RETRY)
+            }
+            _ => refusal,
+        };
+        self.refuse(now, id, refusal);
+    }
+
+    /// Lets requests go on whose server's crash is confirmed or excluded.
+    pub(super) fn release_cooling(&mut self, now: Instant, checked: &ServerId) {
+        let cooled: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| matches!(&request.stage, Stage::Cooling { server, .. } if server == checked))
+            .map(|(id, _)| id)
+            .collect();
+        for id in cooled {
+            self.enqueue_free(now, id);
+        }
+    }
+
+    pub(super) fn expire_requests(&mut self, now: Instant) {
+        for entry in self.queue.expire(now) {
+            self.refuse_late(now, entry.request);
+        }
+        let late: Vec<(RequestId, bool)> = self
+            .requests
+            .iter()
+            .filter_map(|(id, request)| match request.stage {
+                Stage::Tokens if now >= request.submission.deadline => Some((id, true)),
+                Stage::Cooling { until, .. } if now >= until => Some((id, false)),
+                _ => None,
+            })
+            .collect();
+        for (id, is_late) in late {
+            if is_late {
+                self.refuse_late(now, id);
+            } else {
+                self.enqueue_free(now, id);
+            }
+        }
+    }
+
+    fn refuse_late(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let message = match request.stage {
+            Stage::Tokens => {
+                "no tokens could be had before the deadline; allow more time or come back later"
+            }
+            _ => {
+                "no backend server was free before the deadline; allow more time or come back later"
+            }
+        };
+        let refusal = Refusal::not_run(RefusalKind::DeadlineExceeded, message);
+        self.refuse(now, id, refusal.with_retry_after(BUSY_RETRY));
+    }
+
+    pub(super) fn refuse_over_rate(&mut self, now: Instant, id: RequestId, wait: Duration) {
+        let message = format!(
+            "your organisation is over its rate; the tokens are there in about {} ms",
+            wait.as_millis()
+        );
+        let refusal = Refusal::not_run(RefusalKind::OverRate, message).with_retry_after(wait);
+        self.refuse(now, id, refusal);
+    }
+
+    fn refuse(&mut self, now: Instant, id: RequestId, refusal: Refusal) {
+        let event = Event::new(EventKind::RequestRefused)
+            .with_request(self.request_name(id))
+            .with_detail(format!(
+                "{} {}",
+                refusal.kind.code(),
+                refusal.ending.as_str()
+            ));
+        self.event(now, event);
+        let used = match refusal.ending {
+            Ending::NotRun => 0,
+            Ending::FailedAfterRun | Ending::OutcomeUnknown => u64::MAX,
+        };
+        let claimed = self.requests.get(id).is_some_and(|request| request.claimed);
+        let ending = claimed.then_some(refusal.ending);
+        self.drop_request(now, id, used, ending);
+        let request = id;
+        self.actions.push(Action::Refuse { request, refusal });
+    }
+
+    // Takes a request out of wherever it waits. `used` tokens of its reservation stay spent.
+    fn drop_request(&mut self, now: Instant, id: RequestId, used: u64, ending: Option<Ending>) {
+        let Some(request) = self.requests.get(id).cloned() else {
+            return;
+        };
+        match &request.stage {
+            Stage::Tokens => self.tokens.forget(&request.submission.org, id),
+            Stage::Queued => {
+                self.queue.remove(id, request.submission.deadline);
+            }
+            Stage::Claiming { server } => {
+                self.claims.give_up(&request.attempt);
+                self.router.release(server);
+            }
+            Stage::Running { .. } | Stage::Cooling { .. } => {}
+        }
+        if let (true, Some(ending)) = (request.claimed, ending) {
+            self.tell_outcome(now, id, &Outcome::Ended(ending));
+        }
+        self.forget_request(id, used);
+    }
+
+    fn forget_request(&mut self, id: RequestId, used: u64) {
+        let Some(request) = self.requests.remove(id) else {
+            return;
+        };
+        let Request {
+            submission,
+            reservation,
+            ..
+        } = request;
+        if let Some(reservation) = reservation {
+            let used = used.min(reservation.tokens);
+            self.tokens.settle(&submission.org, reservation, used);
+        }
+    }
+
+    /// Tells the holders of models in use who waits and who runs.
+    pub(super) fn tell_demand(&mut self, now: Instant) {
+        if now < self.next_demand {
+            return;
+        }
+        self.next_demand = now + self.settings.demand_period;
+        let mut items: BTreeMap<ModelId, DemandItem> = BTreeMap::new();
+        for (_, request) in self.requests.iter() {
+            let Target::Model(callable) = &request.submission.target else {
+                continue;
+            };
+            let item = items
+                .entry(callable.model.clone())
+                .or_insert_with(|| DemandItem {
+                    model: callable.model.to_string(),
+                    slack_ms: u64::MAX / 2,
+                    ..DemandItem::default()
+                });
+            if matches!(request.stage, Stage::Running { .. }) {
+                item.running += 1;
+                continue;
+            }
+            let slack = request.submission.deadline.saturating_duration_since(now);
+            item.waiting += 1;
+            item.slack_ms = item.slack_ms.min(slack.as_millis() as u64);
+        }
+        let mut by_holder: BTreeMap<InstanceId, Demand> = BTreeMap::new();
+        for (model, item) in items {
+            let shard = self.state.model_shard(&model);
+            if let Some(lease) = self.state.lease(shard) {
+                let demand = by_holder.entry(lease.holder.clone()).or_default();
+                demand.items.push(item);
+            }
+        }
+        for (holder, demand) in by_holder {
+            self.send(now, &holder, Message::Demand(demand));
+        }
+    }
+
+    /// Returns the models that an organisation may call, in order of name.
+    pub fn models_of(&self, org: &OrgId) -> Vec<String> {
+        let mut names: Vec<String> = self
+            .state
+            .models()
+            .map(|(name, _)| name.to_owned())
+            .filter(|name| self.state.callable(org, name).is_some())
+            .collect();
+        let suffix = format!(":{org}/");
+        for (id, adapter) in self.state.adapters() {
+            if let Some((_, name)) = id.split_once(&suffix) {
+                names.push(format!("{}:{name}", adapter.base));
+            }
+        }
+        names.sort();
+        names
+    }
+}
+
+fn queue_refusal(full: QueueFull) -> Refusal {
+    let refusal = Refusal::not_run(RefusalKind::Overloaded, full.to_string());
+    refusal.with_retry_after(BUSY_RETRY)
+}
--- /dev/null
+++ b/crates/apricotwell_node/src/token_desk.rs
@@ -0,0 +1,448 @@
+//! Token rates: this instance's escrows and the buckets whose shards it holds.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use apricotwell_limits::{Bucket, BucketSnapshot, Escrow, Grant, Rate};
+use apricotwell_messages::{BucketState, TokenAsk, TokenGrant};
+use apricotwell_types::{Fence, InstanceId, Map, OrgId, RequestId, Tokens, WorkClass};
+
+/// Time after which an ask without an answer is sent again.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Least pause between two asks of one organisation.
+const ASK_PAUSE: Duration = Duration::from_millis(20);
+/// Time over which use is smoothed to size an ask.
+const USE_SPAN: Duration = Duration::from_secs(1);
+
+/// Where an ask for tokens goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HolderRef<'a> {
+    pub(crate) instance: &'a InstanceId,
+    pub(crate) fence: Fence,
+}
+
+/// Request whose tokens have been taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Reservation {
+    session: u64,
+    pub(crate) tokens: Tokens,
+}
+
+type WaitKey = (WorkClass, Instant, RequestId);
+
+#[derive(Debug)]
+struct OrgDesk {
+    current: Escrow,
+    // Grants of an earlier holder, spendable until they lapse.
+    earlier: Option<Escrow>,
+    waiting: BTreeMap<WaitKey, Tokens>,
+    asked: Option<(u64, Instant)>,
+    next_ask: Instant,
+    // Smoothed tokens used in `USE_SPAN`.
+    used: f64,
+    used_at: Instant,
+    unreported: bool,
+}
+
+/// Outcome for requests that waited for tokens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum TokenVerdict {
+    /// The request has its tokens.
+    Taken(RequestId, Reservation),
+    /// It can't have them in time; a repeat can succeed after the pause.
+    Refused(RequestId, Duration),
+}
+
+/// Escrows of all organisations and the buckets of held shards.
+#[derive(Debug)]
+pub(crate) struct TokenDesk {
+    term: Duration,
+    orgs: BTreeMap<OrgId, OrgDesk>,
+    buckets: Map<OrgId, HeldBucket>,
+    handed: Map<OrgId, (Fence, BucketSnapshot)>,
+    last_number: u64,
+}
+
+#[derive(Debug)]
+struct HeldBucket {
+    fence: Fence,
+    rate: Rate,
+    bucket: Bucket,
+}
+
+/// How the holder of a shard came by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Tenure {
+    pub(crate) fence: Fence,
+    // Fence of the lease before, 0 when nobody ever held the shard.
+    pub(crate) previous: Fence,
+    // Since when no earlier holder grants anything.
+    pub(crate) since: Instant,
+}
+
+impl TokenDesk {
+    pub(crate) fn new(term: Duration) -> Self {
+        Self {
+            term,
+            orgs: BTreeMap::new(),
+            buckets: Map::default(),
+            handed: Map::default(),
+            last_number: 0,
+        }
+    }
+
+    /// Takes tokens at once, unless earlier requests of the organisation wait for theirs.
+    pub(crate) fn take(&mut self, now: Instant, org: &OrgId, cost: Tokens) -> Option<Reservation> {
+        let desk = self.org(now, org);
+        if !desk.waiting.is_empty() {
+            return None;
+        }
+        desk.take(now, cost)
+    }
+
+    /// Lets a request wait for its tokens.
+    pub(crate) fn wait(
+        &mut self,
+        now: Instant,
+        org: &OrgId,
+        request: RequestId,
+        class: WorkClass,
+        deadline: Instant,
+        cost: Tokens,
+    ) {
+        let desk = self.org(now, org);
+        desk.waiting.insert((class, deadline, request), cost);
+    }
+
+    /// Returns how many requests of an organisation wait for tokens.
+    pub(crate) fn waiting(&self, org: &str) -> usize {
+        self.orgs.get(org).map_or(0, |desk| desk.waiting.len())
+    }
+
+    /// Returns how many requests wait for tokens.
+    pub(crate) fn total_waiting(&self) -> usize {
+        self.orgs.values().map(|desk| desk.waiting.len()).sum()
+    }
+
+    /// Takes a request off the wait.
+    pub(crate) fn forget(&mut self, org: &str, request: RequestId) {
+        if let Some(desk) = self.orgs.get_mut(org) {
+            desk.waiting
+                .retain(|(_, _, waiting), _| *waiting != request);
+        }
+    }
+
+    /// Gives back what a finished request did not use.
+    pub(crate) fn settle(&mut self, org: &str, reservation: Reservation, used: Tokens) {
+        let Some(desk) = self.orgs.get_mut(org) else {
+            return;
+        };
+        let escrows = [Some(&mut desk.current), desk.earlier.as_mut()];
+        for escrow in escrows.into_iter().flatten() {
+            if escrow.session() == reservation.session {
+                escrow.settle(reservation.tokens, used);
+                desk.unreported = true;
+            }
+        }
+    }
+
+    /// Returns the asks that are due; `holder_of` names the holder of an organisation's shard.
+    pub(crate) fn asks<'a, F>(&mut self, now: Instant, holder_of: F) -> Vec<(InstanceId, TokenAsk)>
+    where
+        F: Fn(&str) -> Option<HolderRef<'a>>,
+    {
+        let mut asks = Vec::new();
+        for (org, desk) in &mut self.orgs {
+            let Some(holder) = holder_of(org) else {
+                continue;
+            };
+            desk.follow(holder.fence);
+            let Some(want) = desk.want(now) else {
+                continue;
+            };
+            self.last_number += 1;
+            let report = desk.current.report(now);
+            desk.asked = (want > 0).then_some((self.last_number, now));
+            desk.next_ask = now + ASK_PAUSE;
+            desk.unreported = false;
+            let ask = TokenAsk::new(org, self.last_number, want, report);
+            asks.push((holder.instance.clone(), ask));
+        }
+        asks
+    }
+
+    /// Answers an ask as the holder of the organisation's shard.
+    pub(crate) fn on_ask(
+        &mut self,
+        now: Instant,
+        from: &InstanceId,
+        ask: &TokenAsk,
+        rate: Rate,
+        tenure: Tenure,
+    ) -> Option<TokenGrant> {
+        let org: OrgId = ask.org.as_str().into();
+        let held = self.bucket(now, &org, rate, tenure);
+        if ask.session == tenure.fence {
+            held.bucket.apply(now, from, &ask.report());
+        }
+        if ask.want == 0 {
+            return None;
+        }
+        let grant = held.bucket.grant(now, from, ask.want);
+        let amount = grant.map_or(0, |grant| grant.amount);
+        let wait = held.bucket.wait_for(now, ask.want - amount);
+        Some(TokenGrant {
+            org: ask.org.clone(),
+            number: ask.number,
+            session: tenure.fence,
+            grant: grant.map_or(0, |grant| grant.id),
+            amount,
+            term_ms: self.term.as_millis() as u64,
+            wait_ms: wait.map_or(u64::MAX, |wait| wait.as_millis() as u64),
+        })
+    }
+
+    /// Takes a grant and returns what becomes of the requests that wait.
+    pub(crate) fn on_grant(
+        &mut self,
+        now: Instant,
+        grant: &TokenGrant,
+        patience: Duration,
+    ) -> Vec<TokenVerdict> {
+        let Some(desk) = self.orgs.get_mut(grant.org.as_str()) else {
+            return Vec::new();
+        };
+        let Some((number, asked)) = desk.asked else {
+            return Vec::new();
+        };
+        if number != grant.number || grant.session != desk.current.session() {
+            return Vec::new();
+        }
+        desk.asked = None;
+        if grant.amount > 0 {
+            let lent = Grant {
+                id: grant.grant,
+                amount: grant.amount,
+                term: Duration::from_millis(grant.term_ms),
+            };
+            desk.current.add(asked, lent);
+        }
+        let mut verdicts = desk.serve(now);
+        if desk.waiting.is_empty() {
+            return verdicts;
+        }
+        let wait = Duration::from_millis(grant.wait_ms);
+        desk.next_ask = now + wait.clamp(ASK_PAUSE, ASK_TIMEOUT);
+        verdicts.extend(desk.refuse_late(now, wait, patience));
+        verdicts
+    }
+
+    /// Returns the buckets to hand over with a shard; nothing is granted from them afterwards.
+    pub(crate) fn hand_over<F>(&mut self, now: Instant, in_shard: F) -> Vec<BucketState>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let mut states = Vec::new();
+        self.buckets.retain(|org, held| {
+            if !in_shard(org) {
+                return true;
+            }
+            let snapshot = held.bucket.snapshot(now);
+            states.push(BucketState {
+                org: org.to_string(),
+                fence: held.fence,
+                level: snapshot.level,
+                lent: snapshot.lent,
+            });
+            false
+        });
+        states
+    }
+
+    /// Keeps a bucket that its previous holder hands over, until the lease is recorded.
+    pub(crate) fn on_bucket_state(&mut self, state: &BucketState) {
+        let snapshot = BucketSnapshot {
+            level: state.level,
+            lent: state.lent,
+        };
+        self.handed
+            .insert(state.org.as_str().into(), (state.fence, snapshot));
+    }
+
+    /// Forgets the buckets of shards that are no longer held, and escrows of unused organisations.
+    pub(crate) fn retain<F>(&mut self, now: Instant, fence_of: F)
+    where
+        F: Fn(&str) -> Option<Fence>,
+    {
+        self.buckets
+            .retain(|org, held| fence_of(org) == Some(held.fence));
+        self.orgs.retain(|_, desk| {
+            !desk.waiting.is_empty()
+                || desk.unreported
+                || desk.current.available(now) > 0
+                || now < desk.used_at + USE_SPAN * 60
+        });
+    }
+
+    fn org(&mut self, now: Instant, org: &OrgId) -> &mut OrgDesk {
+        self.orgs
+            .entry(org.clone())
+            .or_insert_with(|| OrgDesk::new(now))
+    }
+
+    fn bucket(&mut self, now: Instant, org: &OrgId, rate: Rate, tenure: Tenure) -> &mut HeldBucket {
+        let known = self.buckets.get(org).map(|held| held.fence);
+        if known != Some(tenure.fence) {
+            let handed = self.handed.remove(org);
+            let bucket = match handed {
+                Some((fence, snapshot)) if fence == tenure.previous => {
+                    Bucket::from_snapshot(now, rate, self.term, snapshot)
+                }
+                _ if tenure.previous == 0 => Bucket::full(now, rate, self.term),
+                _ => Bucket::after_takeover(tenure.since, rate, self.term),
+            };
+            let held = HeldBucket {
+                fence: tenure.fence,
+                rate,
+                bucket,
+            };
+            self.buckets.insert(org.clone(), held);
+        }
+        let held = self
+            .buckets
+            .entry(org.clone())
+            .or_insert_with(|| HeldBucket {
+                fence: tenure.fence,
+                rate,
+                bucket: Bucket::after_takeover(tenure.since, rate, self.term),
+            });
+        if held.rate != rate {
+            held.rate = rate;
+            held.bucket.set_rate(now, rate);
+        }
+        held
+    }
+}
+
+impl OrgDesk {
+    fn new(now: Instant) -> Self {
+        Self {
+            current: Escrow::new(0),
+            earlier: None,
+            waiting: BTreeMap::new(),
+            asked: None,
+            next_ask: now,
+            used: 0.0,
+            used_at: now,
+            unreported: false,
+        }
+    }
+
+    // Begins a session with a new holder; what the last one lent stays spendable.
+    fn follow(&mut self, fence: Fence) {
+        if self.current.session() == fence {
+            return;
+        }
+        let earlier = std::mem::replace(&mut self.current, Escrow::new(fence));
+        self.earlier = Some(earlier);
+        self.asked = None;
+    }
+
+    fn take(&mut self, now: Instant, cost: Tokens) -> Option<Reservation> {
+        let session = self.take_from_any(now, cost)?;
+        self.note_use(now, cost);
+        Some(Reservation {
+            session,
+            tokens: cost,
+        })
+    }
+
+    // Returns the session of the escrow that gave the tokens.
+    fn take_from_any(&mut self, now: Instant, cost: Tokens) -> Option<u64> {
+        if let Some(earlier) = &mut self.earlier
+            && earlier.take(now, cost)
+        {
+            return Some(earlier.session());
+        }
+        let current = &mut self.current;
+        current.take(now, cost).then(|| current.session())
+    }
+
+    fn note_use(&mut self, now: Instant, cost: Tokens) {
+        self.decay(now);
+        self.used += cost as f64;
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.used_at);
+        let spans = elapsed.as_secs_f64() / USE_SPAN.as_secs_f64();
+        self.used *= (-spans).exp();
+        self.used_at = self.used_at.max(now);
+    }
+
+    // Tokens to ask for now, 0 for a mere report, `None` when nothing is due.
+    fn want(&mut self, now: Instant) -> Option<Tokens> {
+        if now < self.next_ask {
+            return None;
+        }
+        if let Some((_, asked)) = self.asked
+            && now < asked + ASK_TIMEOUT
+        {
+            return None;
+        }
+        self.decay(now);
+        let available = self.current.available(now);
+        let waiting: Tokens = self.waiting.values().sum();
+        let reserve = self.used as Tokens;
+        let want = (waiting + reserve).saturating_sub(available);
+        if waiting > 0 || (reserve > 0 && available < reserve / 2) {
+            return Some(want);
+        }
+        let returns = self.current.next_return().is_some_and(|at| now >= at);
+        (returns || self.unreported).then_some(0)
+    }
+
+    // Gives tokens to those that wait, the most urgent first.
+    fn serve(&mut self, now: Instant) -> Vec<TokenVerdict> {
+        let mut verdicts = Vec::new();
+        while let Some((key, cost)) = self
+            .waiting
+            .first_key_value()
+            .map(|(key, cost)| (*key, *cost))
+        {
+            let Some(reservation) = self.take(now, cost) else {
+                break;
+            };
+            self.waiting.remove(&key);
+            verdicts.push(TokenVerdict::Taken(key.2, reservation));
+        }
+        verdicts
+    }
+
+    // `wait` is the time until all that wait can be served; each one needs its part of it.
+    fn refuse_late(
+        &mut self,
+        now: Instant,
+        wait: Duration,
+        patience: Duration,
+    ) -> Vec<TokenVerdict> {
+        let total: Tokens = self.waiting.values().sum();
+        let mut ahead = 0;
+        let mut late = Vec::new();
+        for ((class, deadline, request), cost) in &self.waiting {
+            ahead += cost;
+            let part = wait.as_secs_f64() * ahead as f64 / total.max(1) as f64;
+            let part = Duration::try_from_secs_f64(part).unwrap_or(Duration::MAX);
+            let patience = patience.min(deadline.saturating_duration_since(now));
+            if part > patience {
+                ahead -= cost;
+                late.push(((*class, *deadline, *request), part));
+            }
+        }
+        let refuse = |(key, part): (WaitKey, Duration)| {
+            self.waiting.remove(&key);
+            TokenVerdict::Refused(key.2, part)
+        };
+        late.into_iter().map(refuse).collect()
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_records/src/signature.rs
@@ -0,0 +1,97 @@
+//! Signatures of configuration changes.
+
+use std::fmt;
+
+use ed25519_dalek::{Signature, Signer, SigningKey, Verifier, VerifyingKey};
+
+use crate::Put;
+
+/// Secret key with which an operator signs changes.
+pub struct OperatorKey(SigningKey);
+
+impl OperatorKey {
+    /// Returns the key made of 32 random bytes.
+    pub fn from_seed(seed: [u8; 32]) -> Self {
+        Self(SigningKey::from_bytes(&seed))
+    }
+
+    /// Parses 64 hexadecimal digits.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is not 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Result<Self, SignatureError> {
+        let mut seed = [0; 32];
+        hex::decode_to_slice(text.trim(), &mut seed).map_err(|_| SignatureError::MalformedKey)?;
+        Ok(Self::from_seed(seed))
+    }
+
+    /// Returns the public half as 64 hexadecimal digits.
+    pub fn public_hex(&self) -> String {
+        hex::encode(self.0.verifying_key().to_bytes())
+    }
+
+    /// Signs `put` in the name of `writer`.
+    pub fn sign(&self, writer: &str, put: &mut Put) {
+        let text = signed_text(writer, put);
+        put.signature = self.0.sign(&text).to_bytes().to_vec();
+    }
+}
+
+impl fmt::Debug for OperatorKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("OperatorKey(..)")
+    }
+}
+
+/// Why a signature was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SignatureError {
+    /// The key is not 64 hexadecimal digits of a valid key.
+    MalformedKey,
+    /// The signature was not made by this key over this change.
+    WrongSignature,
+}
+
+impl fmt::Display for SignatureError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            SignatureError::MalformedKey => {
+                "the key is not 64 hexadecimal digits: make one with `apricotwell-control operator new`"
+            }
+            SignatureError::WrongSignature => {
+                "the signature does not fit: sign with the key registered for this operator"
+            }
+        })
+    }
+}
+
+impl std::error::Error for SignatureError {}
+
+/// Checks that the holder of `public_hex` signed `put` as `writer`.
+///
+/// # Errors
+///
+/// Fails when the key is malformed or the signature does not fit.
+pub fn verify_put(public_hex: &str, writer: &str, put: &Put) -> Result<(), SignatureError> {
+    let mut bytes = [0; 32];
+    hex::decode_to_slice(public_hex, &mut bytes).map_err(|_| SignatureError::MalformedKey)?;
+    let key = VerifyingKey::from_bytes(&bytes).map_err(|_| SignatureError::MalformedKey)?;
+    let signature =
+        Signature::from_slice(&put.signature).map_err(|_| SignatureError::WrongSignature)?;
+    key.verify(&signed_text(writer, put), &signature)
+        .map_err(|_| SignatureError::WrongSignature)
+}
+
+// Lengths come before each variable part, so that no two changes share a text.
+fn signed_text(writer: &str, put: &Put) -> Vec<u8> {
+    let mut text = b"apricotwell put 1".to_vec();
+    for part in [writer, &put.path, put.value.as_deref().unwrap_or("")] {
+        text.extend((part.len() as u64).to_le_bytes());
+        text.extend(part.as_bytes());
+    }
+    text.push(u8::from(put.value.is_some()));
+    text.extend(put.expected.to_le_bytes());
+    text.extend(put.change.to_le_bytes());
+    text
+}
--- /dev/null
+++ b/crates/apricotwell_state/src/config.rs
@@ -0,0 +1,119 @@
+//! Configuration tree with versions.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use apricotwell_records::{Put, verify_put};
+use apricotwell_types::Offset;
+
+use crate::Rejected;
+use crate::settings::{OperatorSettings, Setting};
+
+/// Name of the operator whose key stands in every instance's settings.
+pub(crate) const ROOT_OPERATOR: &str = "root";
+
+/// Value of one path.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigEntry {
+    /// Offset of the change that set it.
+    pub version: Offset,
+    /// Number of that change.
+    pub change: u64,
+    /// Operator that made it.
+    pub author: String,
+    /// TOML text; `None` once deleted.
+    pub value: Option<String>,
+}
+
+/// Configuration tree.
+///
+/// # Invariants
+///
+/// Versions of a path only grow: a deleted path keeps its entry, so that a late change that was
+/// decided on an older version still conflicts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ConfigTree {
+    entries: BTreeMap<String, ConfigEntry>,
+}
+
+impl ConfigTree {
+    /// Returns the entry of a path, deleted ones included.
+    pub fn get(&self, path: &str) -> Option<&ConfigEntry> {
+        self.entries.get(path)
+    }
+
+    /// Returns the text of a path that has a value.
+    pub fn value(&self, path: &str) -> Option<&str> {
+        self.entries.get(path)?.value.as_deref()
+    }
+
+    /// Returns the present values in order of path.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &ConfigEntry)> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| entry.value.is_some())
+            .map(|(path, entry)| (path.as_str(), entry))
+    }
+
+    /// Applies a change and returns its typed value, `None` for a deletion.
+    pub(crate) fn put(
+        &mut self,
+        offset: Offset,
+        writer: &str,
+        put: &Put,
+        root_key: &str,
+    ) -> Result<Option<Setting>, Rejected> {
+        self.authorise(writer, put, root_key)?;
+        let version = self.get(&put.path).map_or(0, |entry| entry.version);
+        if let Some(entry) = self.get(&put.path)
+            && entry.change == put.change
+            && entry.author == writer
+        {
+            return Err(Rejected::Repeated);
+        }
+        if version != put.expected {
+            return Err(Rejected::VersionConflict(version));
+        }
+        let setting = match &put.value {
+            Some(text) => Some(Setting::parse(&put.path, text).map_err(Rejected::Malformed)?),
+            None => None,
+        };
+        let entry = ConfigEntry {
+            version: offset,
+            change: put.change,
+            author: writer.to_owned(),
+            value: put.value.clone(),
+        };
+        self.entries.insert(put.path.clone(), entry);
+        Ok(setting)
+    }
+
+    fn authorise(&self, writer: &str, put: &Put, root_key: &str) -> Result<(), Rejected> {
+        let (key, subtree) = if writer == ROOT_OPERATOR {
+            (root_key.to_owned(), String::new())
+        } else {
+            let operator = self.operator(writer).ok_or(Rejected::UnknownOperator)?;
+            (operator.public_key, operator.subtree)
+        };
+        verify_put(&key, writer, put).map_err(|_| Rejected::WrongSignature)?;
+        let inside = put.path == subtree
+            || put
+                .path
+                .strip_prefix(&subtree)
+                .is_some_and(|rest| rest.starts_with('/'));
+        if inside {
+            Ok(())
+        } else {
+            Err(Rejected::OutsideSubtree)
+        }
+    }
+
+    fn operator(&self, name: &str) -> Option<OperatorSettings> {
+        let path = format!("/platform/operators/{name}");
+        match Setting::parse(&path, self.value(&path)?) {
+            Ok(Setting::Operator(operator)) => Some(operator),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_state/src/ledger.rs
@@ -0,0 +1,273 @@
+//! Ledger of backend servers, their replicas and their memory.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use serde::{Deserialize, Serialize};
+
+use apricotwell_records::ServerUp;
+use apricotwell_types::{Fence, Incarnation, Mebibytes, ModelId, ReplicaId, ServerId, ZoneId};
+
+use crate::Rejected;
+
+/// Backend server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Server {
+    /// Start number.
+    pub incarnation: Incarnation,
+    /// Pool that gives its kind, memory and slots.
+    pub pool: String,
+    /// Address as `ip:port`.
+    pub address: String,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// Step in the life of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReplicaPhase {
+    /// Decided; its load order may have had its effect or not.
+    Decided,
+    /// Confirmed as loaded.
+    Loaded,
+    /// To be unloaded; still counts until that is confirmed.
+    Retiring,
+}
+
+/// Replica of a model or an adapter on one server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Replica {
+    /// Model, or `model:adapter`.
+    pub model: ModelId,
+    /// Version of the weights.
+    pub version: String,
+    /// Server that loads it.
+    pub server: ServerId,
+    /// Memory that it takes.
+    pub memory: Mebibytes,
+    /// Step.
+    pub phase: ReplicaPhase,
+    /// Fence of the holder that decided it and alone may order its load.
+    pub fence: Fence,
+    /// Whether the load order is known to have taken effect.
+    pub confirmed: bool,
+}
+
+/// Ledger of servers and replicas.
+///
+/// # Invariants
+///
+/// Each replica belongs to the present incarnation of a known server, and the memory of a server's
+/// replicas never exceeds the pool's memory at the time of the decision. Memory is given back only
+/// by a confirmed unload, or by the server's restart or end.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    servers: BTreeMap<ServerId, Server>,
+    replicas: BTreeMap<ReplicaId, Replica>,
+    // Derived from `replicas`; sums per server keep a decision's cost constant.
+    #[serde(skip)]
+    used: BTreeMap<ServerId, Mebibytes>,
+    #[serde(skip)]
+    models: BTreeMap<ModelId, Vec<ReplicaId>>,
+}
+
+impl Ledger {
+    /// Returns a server.
+    pub fn server(&self, id: &str) -> Option<&Server> {
+        self.servers.get(id)
+    }
+
+    /// Returns the servers in order of id.
+    pub fn servers(&self) -> impl Iterator<Item = (&ServerId, &Server)> {
+        self.servers.iter()
+    }
+
+    /// Returns a replica.
+    pub fn replica(&self, id: ReplicaId) -> Option<&Replica> {
+        self.replicas.get(&id)
+    }
+
+    /// Returns the replicas in order of id.
+    pub fn replicas(&self) -> impl Iterator<Item = (ReplicaId, &Replica)> {
+        self.replicas.iter().map(|(id, replica)| (*id, replica))
+    }
+
+    /// Returns the replicas of a model in order of id.
+    pub fn replicas_of(&self, model: &str) -> impl Iterator<Item = (ReplicaId, &Replica)> {
+        let ids = self.models.get(model).map_or(&[][..], Vec::as_slice);
+        ids.iter()
+            .filter_map(|id| self.replicas.get(id).map(|replica| (*id, replica)))
+    }
+
+    /// Returns the memory that a server's replicas take, undetermined ones included.
+    pub fn used(&self, server: &str) -> Mebibytes {
+        self.used.get(server).copied().unwrap_or(0)
+    }
+
+    /// Returns how many loads are decided and not settled, `(models, adapters)`.
+    pub fn loads_in_flight(&self) -> (usize, usize) {
+        let waiting = self
+            .replicas
+            .values()
+            .filter(|replica| replica.phase == ReplicaPhase::Decided);
+        waiting.fold((0, 0), |(models, adapters), replica| {
+            if replica.model.contains(':') {
+                (models, adapters + 1)
+            } else {
+                (models + 1, adapters)
+            }
+        })
+    }
+
+    pub(crate) fn rebuild(&mut self) {
+        self.used.clear();
+        self.models.clear();
+        for (id, replica) in &self.replicas {
+            *self.used.entry(replica.server.clone()).or_default() += replica.memory;
+            let ids = self.models.entry(replica.model.clone()).or_default();
+            ids.push(*id);
+        }
+    }
+
+    pub(crate) fn server_up(&mut self, up: &ServerUp) -> Result<(), Rejected> {
+        let id: ServerId = up.server.as_str().into();
+        let server = Server {
+            incarnation: up.incarnation,
+            pool: up.pool.clone(),
+            address: up.address.clone(),
+            zone: up.zone.as_str().into(),
+            leaving: up.leaving,
+        };
+        match self.servers.get(&id) {
+            Some(known) if known.incarnation > up.incarnation => {
+                return Err(Rejected::UnknownTarget);
+            }
+            Some(known) if *known == server => return Err(Rejected::Repeated),
+            Some(known) if known.incarnation < up.incarnation => self.drop_replicas(&id),
+            _ => {}
+        }
+        self.servers.insert(id, server);
+        Ok(())
+    }
+
+    pub(crate) fn server_gone(
+        &mut self,
+        id: &str,
+        incarnation: Incarnation,
+    ) -> Result<(), Rejected> {
+        let known = self.servers.get(id).ok_or(Rejected::UnknownTarget)?;
+        if known.incarnation != incarnation {
+            return Err(Rejected::UnknownTarget);
+        }
+        self.drop_replicas(id);
+        self.servers.remove(id);
+        Ok(())
+    }
+
+    pub(crate) fn decide(
+        &mut self,
+        id: ReplicaId,
+        replica: Replica,
+        capacity: Mebibytes,
+        max_replicas: u32,
+    ) -> Result<(), Rejected> {
+        if self.replicas_of(&replica.model).count() >= max_replicas as usize {
+            return Err(Rejected::ReplicaLimit);
+        }
+        let twice = self
+            .replicas_of(&replica.model)
+            .any(|(_, other)| other.server == replica.server && other.version == replica.version);
+        if twice {
+            return Err(Rejected::ReplicaLimit);
+        }
+        if let Some((base, _)) = replica.model.split_once(':') {
+            let has_base = self.replicas_of(base).any(|(_, other)| {
+                other.server == replica.server && other.phase == ReplicaPhase::Loaded
+            });
+            if !has_base {
+                return Err(Rejected::UnknownTarget);
+            }
+        }
+        if self.used(&replica.server) + replica.memory > capacity {
+            return Err(Rejected::MemoryLimit);
+        }
+        *self.used.entry(replica.server.clone()).or_default() += replica.memory;
+        let ids = self.models.entry(replica.model.clone()).or_default();
+        ids.push(id);
+        self.replicas.insert(id, replica);
+        Ok(())
+    }
+
+    pub(crate) fn retire(&mut self, id: ReplicaId) -> Result<(), Rejected> {
+        let replica = self.replicas.get(&id).ok_or(Rejected::UnknownTarget)?;
+        if replica.phase == ReplicaPhase::Retiring {
+            return Err(Rejected::WrongPhase);
+        }
+        if self.has_adapters(replica) {
+            return Err(Rejected::WrongPhase);
+        }
+        if let Some(replica) = self.replicas.get_mut(&id) {
+            replica.phase = ReplicaPhase::Retiring;
+        }
+        Ok(())
+    }
+
+    pub(crate) fn settle_loaded(&mut self, id: ReplicaId) -> Result<(), Rejected> {
+        let replica = self.replicas.get_mut(&id).ok_or(Rejected::UnknownTarget)?;
+        if replica.confirmed {
+            return Err(Rejected::WrongPhase);
+        }
+        replica.confirmed = true;
+        if replica.phase == ReplicaPhase::Decided {
+            replica.phase = ReplicaPhase::Loaded;
+        }
+        Ok(())
+    }
+
+    pub(crate) fn settle_absent(&mut self, id: ReplicaId) -> Result<(), Rejected> {
+        let replica = self.replicas.get(&id).ok_or(Rejected::UnknownTarget)?;
+        if replica.phase == ReplicaPhase::Loaded {
+            return Err(Rejected::WrongPhase);
+        }
+        self.remove(id);
+        Ok(())
+    }
+
+    fn has_adapters(&self, base: &Replica) -> bool {
+        let prefix = format!("{}:", base.model);
+        self.models
+            .range::<str, _>((Bound::Included(prefix.as_str()), Bound::Unbounded))
+            .take_while(|(model, _)| model.starts_with(&prefix))
+            .flat_map(|(_, ids)| ids)
+            .filter_map(|id| self.replicas.get(id))
+            .any(|adapter| adapter.server == base.server)
+    }
+
+    fn drop_replicas(&mut self, server: &str) {
+        let gone: Vec<ReplicaId> = self
+            .replicas()
+            .filter(|(_, replica)| &*replica.server == server)
+            .map(|(id, _)| id)
+            .collect();
+        for id in gone {
+            self.remove(id);
+        }
+    }
+
+    fn remove(&mut self, id: ReplicaId) {
+        let Some(replica) = self.replicas.remove(&id) else {
+            return;
+        };
+        if let Some(used) = self.used.get_mut(&replica.server) {
+            *used -= replica.memory;
+        }
+        if let Some(ids) = self.models.get_mut(&replica.model) {
+            ids.retain(|other| *other != id);
+            if ids.is_empty() {
+                self.models.remove(&replica.model);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_state/src/state.rs
@@ -0,0 +1,583 @@
+//! The fold itself.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use apricotwell_records::{Body, Decide, Put, Record, Settle, SettleOutcome};
+use apricotwell_types::{
+    BodyDigest, Fence, Incarnation, KeyDigest, Map, Mebibytes, ModelId, Offset, OrgId, Shard,
+    shard_of,
+};
+
+use crate::config::ConfigTree;
+use crate::lease::{Lease, LeaseTable};
+use crate::ledger::{Ledger, Replica, ReplicaPhase};
+use crate::settings::{
+    AdapterSettings, ModelSettings, OrgSettings, PoolSettings, RouteSettings, Setting,
+    StoreSettings,
+};
+use crate::{Rejected, Rejection};
+
+/// Writers whose last record number is remembered.
+const MAX_WRITERS: usize = 4096;
+/// Rejections kept for operators.
+const MAX_REJECTIONS: usize = 256;
+/// Crashes after which a body is refused everywhere.
+const QUARANTINE_CRASHES: u32 = 2;
+/// Suspected bodies remembered; the least recent is forgotten first.
+const MAX_SUSPECTS: usize = 4096;
+
+/// What every instance must be set to alike.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Genesis {
+    /// Ed25519 public key of the root operator, 64 hexadecimal digits.
+    pub root_key: String,
+    /// Number of duty shards.
+    pub shards: Shard,
+}
+
+/// Organisation that holds a key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyHolder {
+    /// Organisation.
+    pub org: OrgId,
+    /// Name of the key, fit to be logged.
+    pub name: String,
+}
+
+/// Model or adapter as a caller may name it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Callable {
+    /// Id under which replicas are kept.
+    pub model: ModelId,
+    /// Version in force.
+    pub version: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+struct WriterMark {
+    incarnation: Incarnation,
+    sequence: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+struct SuspectMark {
+    crashes: u32,
+    latest: Offset,
+}
+
+/// State folded from the control stream.
+///
+/// # Invariants
+///
+/// Equal genesis and equal records up to `next` give an equal state on every instance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    genesis: Genesis,
+    // Offset of the next record to apply.
+    next: Offset,
+    config: ConfigTree,
+    leases: LeaseTable,
+    ledger: Ledger,
+    writers: BTreeMap<String, WriterMark>,
+    suspects: BTreeMap<[u8; 16], SuspectMark>,
+    #[serde(skip)]
+    index: Index,
+    #[serde(skip)]
+    rejections: VecDeque<Rejection>,
+}
+
+// Typed views of the configuration, rebuilt after a checkpoint.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Index {
+    orgs: Map<OrgId, OrgSettings>,
+    keys: Map<KeyDigest, KeyHolder>,
+    models: BTreeMap<String, ModelSettings>,
+    adapters: BTreeMap<String, AdapterSettings>,
+    pools: Map<String, PoolSettings>,
+    routes: BTreeMap<String, RouteSettings>,
+    store: StoreSettings,
+}
+
+impl State {
+    /// Returns the state before the first record.
+    pub fn new(genesis: Genesis) -> Self {
+        Self {
+            genesis,
+            next: 1,
+            config: ConfigTree::default(),
+            leases: LeaseTable::default(),
+            ledger: Ledger::default(),
+            writers: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            index: Index::default(),
+            rejections: VecDeque::new(),
+        }
+    }
+
+    /// Returns what the state was begun with.
+    pub fn genesis(&self) -> &Genesis {
+        &self.genesis
+    }
+
+    /// Returns the offset of the next record to apply.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns the configuration tree.
+    pub fn config(&self) -> &ConfigTree {
+        &self.config
+    }
+
+    /// Returns the leases.
+    pub fn leases(&self) -> &LeaseTable {
+        &self.leases
+    }
+
+    /// Returns the lease of a shard.
+    pub fn lease(&self, shard: Shard) -> Option<&Lease> {
+        self.leases.get(shard)
+    }
+
+    /// Returns servers and replicas.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns the latest rejections, oldest first.
+    pub fn rejections(&self) -> impl Iterator<Item = &Rejection> {
+        self.rejections.iter()
+    }
+
+    /// Returns the holder of a key that is in force.
+    pub fn key(&self, digest: &KeyDigest) -> Option<&KeyHolder> {
+        self.index.keys.get(digest)
+    }
+
+    /// Returns an organisation's settings.
+    pub fn org(&self, org: &str) -> Option<&OrgSettings> {
+        self.index.orgs.get(org)
+    }
+
+    /// Returns the organisations in no defined order.
+    pub fn orgs(&self) -> impl Iterator<Item = (&OrgId, &OrgSettings)> {
+        self.index.orgs.iter()
+    }
+
+    /// Returns a model's settings.
+    pub fn model(&self, model: &str) -> Option<&ModelSettings> {
+        self.index.models.get(model)
+    }
+
+    /// Returns the models in order of name.
+    pub fn models(&self) -> impl Iterator<Item = (&str, &ModelSettings)> {
+        let models = self.index.models.iter();
+        models.map(|(name, model)| (name.as_str(), model))
+    }
+
+    /// Returns the settings of an adapter by its replica id `BASE:ORG/NAME`.
+    pub fn adapter(&self, id: &str) -> Option<&AdapterSettings> {
+        self.index.adapters.get(id)
+    }
+
+    /// Returns the adapters' replica ids and settings in order of id.
+    pub fn adapters(&self) -> impl Iterator<Item = (&str, &AdapterSettings)> {
+        let adapters = self.index.adapters.iter();
+        adapters.map(|(id, adapter)| (id.as_str(), adapter))
+    }
+
+    /// Returns a pool's settings.
+    pub fn pool(&self, pool: &str) -> Option<&PoolSettings> {
+        self.index.pools.get(pool)
+    }
+
+    /// Returns the limits of the weight store.
+    pub fn store(&self) -> &StoreSettings {
+        &self.index.store
+    }
+
+    /// Returns the route with the longest prefix that fits a call.
+    pub fn route(&self, method: &str, path: &str) -> Option<(&str, &RouteSettings)> {
+        self.index
+            .routes
+            .iter()
+            .filter(|(_, route)| is_below(path, &route.prefix))
+            .filter(|(_, route)| route.methods.iter().any(|known| known == method))
+            .max_by_key(|(_, route)| route.prefix.len())
+            .map(|(name, route)| (name.as_str(), route))
+    }
+
+    /// Resolves the model that a caller of `org` names, if it is granted.
+    pub fn callable(&self, org: &str, name: &str) -> Option<Callable> {
+        let settings = self.org(org)?;
+        let base = name.split(':').next()?;
+        let granted = settings
+            .models
+            .iter()
+            .any(|model| model == "*" || model == base);
+        if !granted {
+            return None;
+        }
+        let model = self.model(base)?;
+        let Some((_, adapter)) = name.split_once(':') else {
+            return Some(Callable {
+                model: base.into(),
+                version: model.version.clone(),
+            });
+        };
+        let id = adapter_id(base, org, adapter);
+        let adapter = self.adapter(&id)?;
+        Some(Callable {
+            model: id.as_str().into(),
+            version: adapter.version.clone(),
+        })
+    }
+
+    /// Returns version, memory and replica limit of a model or adapter.
+    pub fn load_terms(&self, model: &str) -> Option<(String, Mebibytes, u32)> {
+        if model.contains(':') {
+            let adapter = self.adapter(model)?;
+            let terms = (
+                adapter.version.clone(),
+                adapter.memory_mib,
+                adapter.max_replicas,
+            );
+            return Some(terms);
+        }
+        let settings = self.model(model)?;
+        let terms = (
+            settings.version.clone(),
+            settings.memory_mib,
+            settings.max_replicas,
+        );
+        Some(terms)
+    }
+
+    /// Returns the duty shard of a model; an adapter shares its base model's shard.
+    pub fn model_shard(&self, model: &str) -> Shard {
+        let base = model.split(':').next().unwrap_or(model);
+        shard_of(base, self.genesis.shards)
+    }
+
+    /// Returns how many servers crashed on a body.
+    pub fn crashes(&self, digest: BodyDigest) -> u32 {
+        self.suspects.get(&digest.0).map_or(0, |mark| mark.crashes)
+    }
+
+    /// Returns whether a body is refused everywhere.
+    pub fn is_quarantined(&self, digest: BodyDigest) -> bool {
+        self.crashes(digest) >= QUARANTINE_CRASHES
+    }
+
+    /// Returns the suspected bodies with their crashes.
+    pub fn suspects(&self) -> impl Iterator<Item = (BodyDigest, u32)> {
+        let suspects = self.suspects.iter();
+        suspects.map(|(digest, mark)| (BodyDigest(*digest), mark.crashes))
+    }
+
+    /// Applies the record at `offset`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the record has no effect; every reader fails alike.
+    pub fn apply(&mut self, offset: Offset, record: &Record) -> Result<(), Rejected> {
+        self.next = self.next.max(offset + 1);
+        let applied = self.apply_body(offset, record);
+        if let Err(reason) = &applied {
+            self.note_rejection(offset, record, reason.clone());
+        }
+        applied
+    }
+
+    /// Applies the bytes of the record at `offset`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the record has no effect; every reader fails alike.
+    pub fn apply_bytes(&mut self, offset: Offset, bytes: &[u8]) -> Result<(), Rejected> {
+        match Record::from_bytes(bytes) {
+            Some(record) => self.apply(offset, &record),
+            None => {
+                self.next = self.next.max(offset + 1);
+                Err(Rejected::Unreadable)
+            }
+        }
+    }
+
+    fn apply_body(&mut self, offset: Offset, record: &Record) -> Result<(), Rejected> {
+        let Some(body) = &record.body else {
+            return Err(Rejected::Unreadable);
+        };
+        if let Body::Put(put) = body {
+            return self.apply_put(offset, &record.writer, put);
+        }
+        self.check_writer(record)?;
+        match body {
+            Body::Put(_) => Err(Rejected::Unreadable),
+            Body::Take(take) => {
+                let shards = self.genesis.shards;
+                let leases = &mut self.leases;
+                leases.take(offset, &record.writer, record.incarnation, take, shards)
+            }
+            Body::Decide(decide) => self.apply_decide(offset, record, decide),
+            Body::Retire(retire) => {
+                self.check_replica(record, retire.replica, retire.fence)?;
+                self.ledger.retire(retire.replica)
+            }
+            Body::Settle(settle) => self.apply_settle(record, settle),
+            Body::ServerUp(up) => self.ledger.server_up(up),
+            Body::ServerGone(gone) => self.ledger.server_gone(&gone.server, gone.incarnation),
+            Body::Suspect(suspect) => self.apply_suspect(offset, &suspect.digest),
+        }
+    }
+
+    // Drops repeats after a lost reply and late records of an ended process.
+    fn check_writer(&mut self, record: &Record) -> Result<(), Rejected> {
+        let mark = self.writers.get(&record.writer);
+        let known = mark.map_or((0, 0), |mark| (mark.incarnation, mark.sequence));
+        if (record.incarnation, record.sequence) <= known {
+            return Err(Rejected::Repeated);
+        }
+        let mark = WriterMark {
+            incarnation: record.incarnation,
+            sequence: record.sequence,
+        };
+        self.writers.insert(record.writer.clone(), mark);
+        if self.writers.len() > MAX_WRITERS {
+            let oldest = self
+                .writers
+                .iter()
+                .min_by_key(|(_, mark)| mark.incarnation)
+                .map(|(writer, _)| writer.clone());
+            if let Some(writer) = oldest {
+                self.writers.remove(&writer);
+            }
+        }
+        Ok(())
+    }
+
+    fn apply_put(&mut self, offset: Offset, writer: &str, put: &Put) -> Result<(), Rejected> {
+        self.check_digest(put)?;
+        let root_key = &self.genesis.root_key;
+        let setting = self.config.put(offset, writer, put, root_key)?;
+        match setting {
+            Some(setting) => {
+                if let (Setting::Quarantine(quarantine), Some(digest)) =
+                    (&setting, last_part(&put.path))
+                    && quarantine.released
+                    && let Some(digest) = BodyDigest::from_hex(digest)
+                {
+                    self.suspects.remove(&digest.0);
+                }
+                self.index.remove(&put.path);
+                self.index.insert(&put.path, setting);
+            }
+            None => self.index.remove(&put.path),
+        }
+        Ok(())
+    }
+
+    // A digest in force under another path stays there: no team may take over a key that it
+    // merely knows the digest of.
+    fn check_digest(&self, put: &Put) -> Result<(), Rejected> {
+        let Some(text) = &put.value else {
+            return Ok(());
+        };
+        let Ok(Setting::Key(settings)) = Setting::parse(&put.path, text) else {
+            return Ok(());
+        };
+        let digest = KeyDigest::from_hex(&settings.digest);
+        let Some(holder) = digest.and_then(|digest| self.key(&digest)) else {
+            return Ok(());
+        };
+        if put.path == format!("/teams/{}/keys/{}", holder.org, holder.name) {
+            return Ok(());
+        }
+        let fault = format!("{}: the key is in force under another path", put.path);
+        Err(Rejected::Malformed(format!("{fault}; issue a new key")))
+    }
+
+    fn apply_decide(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        decide: &Decide,
+    ) -> Result<(), Rejected> {
+        self.check_fence(record, &decide.model, decide.fence)?;
+        let terms = self.load_terms(&decide.model);
+        let (_, memory, max_replicas) = terms.ok_or(Rejected::UnknownTarget)?;
+        let server = self.ledger.server(&decide.server);
+        let server = server.ok_or(Rejected::UnknownTarget)?;
+        if server.incarnation != decide.incarnation {
+            return Err(Rejected::UnknownTarget);
+        }
+        let capacity = self.pool(&server.pool).map_or(0, |pool| pool.memory_mib);
+        let replica = Replica {
+            model: decide.model.as_str().into(),
+            version: decide.version.clone(),
+            server: decide.server.as_str().into(),
+            memory,
+            phase: ReplicaPhase::Decided,
+            fence: decide.fence,
+            confirmed: false,
+        };
+        self.ledger.decide(offset, replica, capacity, max_replicas)
+    }
+
+    fn apply_settle(&mut self, record: &Record, settle: &Settle) -> Result<(), Rejected> {
+        self.check_replica(record, settle.replica, settle.fence)?;
+        match SettleOutcome::try_from(settle.outcome) {
+            Ok(SettleOutcome::Loaded) => self.ledger.settle_loaded(settle.replica),
+            Ok(SettleOutcome::Absent) => self.ledger.settle_absent(settle.replica),
+            _ => Err(Rejected::Unreadable),
+        }
+    }
+
+    fn apply_suspect(&mut self, offset: Offset, digest: &[u8]) -> Result<(), Rejected> {
+        let digest = BodyDigest::from_slice(digest).ok_or(Rejected::Unreadable)?;
+        let mark = self.suspects.entry(digest.0).or_insert(SuspectMark {
+            crashes: 0,
+            latest: offset,
+        });
+        mark.crashes += 1;
+        mark.latest = offset;
+        if self.suspects.len() > MAX_SUSPECTS {
+            let oldest = self
+                .suspects
+                .iter()
+                .min_by_key(|(_, mark)| mark.latest)
+                .map(|(digest, _)| *digest);
+            if let Some(digest) = oldest {
+                self.suspects.remove(&digest);
+            }
+        }
+        Ok(())
+    }
+
+    fn check_replica(&self, record: &Record, id: u64, fence: Fence) -> Result<(), Rejected> {
+        let replica = self.ledger.replica(id).ok_or(Rejected::UnknownTarget)?;
+        self.check_fence(record, &replica.model.clone(), fence)
+    }
+
+    fn check_fence(&self, record: &Record, model: &str, fence: Fence) -> Result<(), Rejected> {
+        let lease = self.lease(self.model_shard(model));
+        let lease = lease.ok_or(Rejected::StaleFence)?;
+        let holds = lease.fence == fence
+            && *lease.holder == record.writer
+            && lease.incarnation == record.incarnation;
+        if holds {
+            Ok(())
+        } else {
+            Err(Rejected::StaleFence)
+        }
+    }
+
+    fn note_rejection(&mut self, offset: Offset, record: &Record, reason: Rejected) {
+        let change = match &record.body {
+            Some(Body::Put(put)) => put.change,
+            _ => 0,
+        };
+        if self.rejections.len() == MAX_REJECTIONS {
+            self.rejections.pop_front();
+        }
+        self.rejections.push_back(Rejection {
+            offset,
+            writer: record.writer.clone(),
+            change,
+            reason,
+        });
+    }
+
+    pub(crate) fn rebuild(&mut self) {
+        self.ledger.rebuild();
+        self.index = Index::default();
+        for (path, entry) in self.config.iter() {
+            let Some(text) = &entry.value else { continue };
+            if let Ok(setting) = Setting::parse(path, text) {
+                self.index.insert(path, setting);
+            }
+        }
+    }
+}
+
+impl Index {
+    fn insert(&mut self, path: &str, setting: Setting) {
+        let name = last_part(path).unwrap_or_default().to_owned();
+        let org = path.split('/').nth(2).unwrap_or_default();
+        match setting {
+            Setting::Organisation(settings) => {
+                self.orgs.insert(name.as_str().into(), settings);
+            }
+            Setting::Model(settings) => {
+                self.models.insert(name, settings);
+            }
+            Setting::Pool(settings) => {
+                self.pools.insert(name, settings);
+            }
+            Setting::Route(settings) => {
+                self.routes.insert(name, settings);
+            }
+            Setting::Store(settings) => self.store = settings,
+            Setting::Key(settings) => {
+                let digest = KeyDigest::from_hex(&settings.digest);
+                if let (Some(digest), false) = (digest, settings.withdrawn) {
+                    let holder = KeyHolder {
+                        org: org.into(),
+                        name,
+                    };
+                    self.keys.insert(digest, holder);
+                }
+            }
+            Setting::Adapter(settings) => {
+                let id = adapter_id(&settings.base, org, &name);
+                self.adapters.insert(id, settings);
+            }
+            Setting::Operator(_) | Setting::Quarantine(_) => {}
+        }
+    }
+
+    fn remove(&mut self, path: &str) {
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        match parts[..] {
+            ["platform", "organisations", name] => {
+                self.orgs.remove(name);
+            }
+            ["platform", "models", name] => {
+                self.models.remove(name);
+            }
+            ["platform", "pools", name] => {
+                self.pools.remove(name);
+            }
+            ["platform", "routes", name] => {
+                self.routes.remove(name);
+            }
+            ["platform", "store"] => self.store = StoreSettings::default(),
+            ["teams", org, "keys", name] => {
+                self.keys
+                    .retain(|_, holder| *holder.org != *org || holder.name != name);
+            }
+            ["teams", org, "adapters", name] => {
+                let suffix = format!(":{org}/{name}");
+                self.adapters.retain(|id, _| !id.ends_with(&suffix));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn adapter_id(base: &str, org: &str, name: &str) -> String {
+    format!("{base}:{org}/{name}")
+}
+
+fn last_part(path: &str) -> Option<&str> {
+    path.rsplit('/').next()
+}
+
+fn is_below(path: &str, prefix: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else {
+        return false;
+    };
+    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/') || rest.starts_with('?')
+}
--- /dev/null
+++ b/crates/apricotwell_timeline/src/lib.rs
@@ -0,0 +1,28 @@
+//! Timeline of events over all processes.
+//!
+//! Every process writes one JSON line per event; [`merge`] orders the lines of many processes, and
+//! the `apricotwell-timeline` command prints those that concern one request, model or key.
+//!
+//! # Examples
+//!
+//! ```
+//! use apricotwell_timeline::prelude::*;
+//!
+//! let event = Event::new(EventKind::RequestAccepted).with_request("entry-1/1").with_org("haneul");
+//! let line = event.stamped("entry-1", 1_000).to_line();
+//! let merged = merge(&[line]).unwrap();
+//! assert_eq!(merged[0].org.as_deref(), Some("haneul"));
+//! ```
+
+mod event;
+mod merge;
+mod page;
+
+pub use event::{Event, EventKind};
+pub use merge::{Filter, MergeError, merge, render};
+pub use page::render_svg;
+
+/// What nearly every user of the crate needs.
+pub mod prelude {
+    pub use crate::{Event, EventKind, Filter, merge, render};
+}
--- /dev/null
+++ b/crates/apricotwell_types/src/digest.rs
@@ -0,0 +1,86 @@
+//! Digests that stand for secrets and request bodies.
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// SHA-256 digest of a caller's key.
+///
+/// # Invariants
+///
+/// Holds no key material: a key is random with at least 128 bits, so its digest does not reveal it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// Returns the digest of a key as shown by a caller.
+    pub fn of_secret(secret: &str) -> Self {
+        Self(Sha256::digest(secret.as_bytes()).into())
+    }
+
+    /// Parses 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text, &mut bytes).ok()?;
+        Some(Self(bytes))
+    }
+
+    /// Returns 64 hexadecimal digits.
+    pub fn to_hex(self) -> String {
+        hex::encode(self.0)
+    }
+
+    /// Compares with a shown key in constant time.
+    pub fn matches(&self, secret: &str) -> bool {
+        self.equals(&Self::of_secret(secret))
+    }
+
+    /// Compares two digests in constant time.
+    pub fn equals(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+/// Digest of an organisation with a request body.
+///
+/// Two requests of one organisation with equal bodies share it, whatever their request ids.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct BodyDigest(pub [u8; 16]);
+
+impl BodyDigest {
+    /// Returns the digest of `body` sent by `org`.
+    pub fn of_body(org: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        hash.update((org.len() as u64).to_le_bytes());
+        hash.update(org.as_bytes());
+        hash.update(body);
+        let full: [u8; 32] = hash.finalize().into();
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&full[..16]);
+        Self(bytes)
+    }
+
+    /// Returns 32 hexadecimal digits.
+    pub fn to_hex(self) -> String {
+        hex::encode(self.0)
+    }
+
+    /// Parses 32 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let mut bytes = [0; 16];
+        hex::decode_to_slice(text, &mut bytes).ok()?;
+        Some(Self(bytes))
+    }
+
+    /// Converts from the bytes of a record; `None` when the length is not 16.
+    pub fn from_slice(bytes: &[u8]) -> Option<Self> {
+        Some(Self(bytes.try_into().ok()?))
+    }
+}
