--- /dev/null
+++ b/crates/apricotwell_entry/examples/settings_reference.rs
@@ -0,0 +1,5 @@
+//! Prints the reference of the settings, as it stands in docs/SETTINGS.md.
+
+fn main() {
+    print!("{}", apricotwell_entry::settings_reference());
+}
--- /dev/null
+++ b/crates/apricotwell_entry/src/parse_tests.rs
@@ -0,0 +1,90 @@
+use bytes::Bytes;
+use proptest::prelude::*;
+
+use super::{CompletionLimits, parse_completion};
+
+const LIMITS: CompletionLimits = CompletionLimits {
+    default_max_tokens: 50,
+    max_tokens: 1000,
+};
+
+fn fault(body: &str) -> String {
+    let result = parse_completion(&Bytes::copy_from_slice(body.as_bytes()), LIMITS);
+    result.unwrap_err().message
+}
+
+#[test]
+fn bad_bodies_name_what_is_wrong() {
+    let table = [
+        ("", "no valid JSON"),
+        ("[]", "no valid JSON"),
+        ("{\"model\":\"m\"", "no valid JSON"),
+        ("{}", "`model` is missing"),
+        (r#"{"model":""}"#, "`model` is missing"),
+        (r#"{"model":"m"}"#, "`messages` or `prompt` is missing"),
+        (
+            r#"{"model":"m","prompt":"x","max_tokens":0}"#,
+            "give 1 to 1000",
+        ),
+        (
+            r#"{"model":"m","prompt":"x","max_tokens":1001}"#,
+            "give 1 to 1000",
+        ),
+        (
+            r#"{"model":"m","prompt":"x","max_tokens":-1}"#,
+            "no valid JSON",
+        ),
+        (
+            r#"{"model":"m","prompt":"x","max_tokens":1e30}"#,
+            "no valid JSON",
+        ),
+        (
+            r#"{"model":"m","prompt":"x","max_tokens":18446744073709551615}"#,
+            "give 1 to 1000",
+        ),
+        (r#"{"model":"m","prompt":"x","n":1000}"#, "give 1 to 128"),
+    ];
+    for (body, expected) in table {
+        let found = fault(body);
+        assert!(found.contains(expected), "{body}: {found}");
+    }
+}
+
+#[test]
+fn a_limit_is_added_only_where_none_is_named() {
+    let body = Bytes::from_static(b" {\"model\":\"m\",\"prompt\":\"hello\",\"extra\":{\"a\":1}}");
+    let parsed = parse_completion(&body, LIMITS).unwrap();
+    let expected = b" {\"max_tokens\":50,\"model\":\"m\",\"prompt\":\"hello\",\"extra\":{\"a\":1}}";
+    assert_eq!(parsed.body, &expected[..]);
+    assert_eq!((parsed.prompt, parsed.max_output), (2, 50));
+
+    let body =
+        Bytes::from_static(b"{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":7,\"n\":3}");
+    let parsed = parse_completion(&body, LIMITS).unwrap();
+    assert_eq!(parsed.body, body);
+    assert_eq!(parsed.max_output, 21);
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_panic(body in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = parse_completion(&Bytes::from(body), LIMITS).is_ok();
+    }
+
+    #[test]
+    fn an_accepted_body_stays_valid_json(
+        model in "[a-z\"\\\\ ]{1,8}",
+        text in ".{0,40}",
+        limit in proptest::option::of(1_u64..1000),
+    ) {
+        let mut value = serde_json::json!({"model": model, "messages": [{"content": text}]});
+        if let Some(limit) = limit {
+            value["max_tokens"] = limit.into();
+        }
+        let body = Bytes::from(value.to_string());
+        let parsed = parse_completion(&body, LIMITS).unwrap();
+        let sent: serde_json::Value = serde_json::from_slice(&parsed.body).unwrap();
+        prop_assert_eq!(&sent["max_tokens"], &serde_json::json!(limit.unwrap_or(50)));
+        prop_assert_eq!(parsed.model, model);
+    }
+}
--- a/crates/apricotwell_messages/src/envelope.rs
+++ b/crates/apricotwell_messages/src/envelope.rs
@@ -32,6 +32,11 @@
         self.encode_to_vec()
     }
 
+    /// Returns the bytes that the envelope takes.
+    pub fn size(&self) -> usize {
+        self.encoded_len()
+    }
+
     /// Decodes an envelope; `None` when the bytes are not one.
     pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
         Self::decode(bytes).ok()
--- a/crates/apricotwell_node/src/node/serving.rs
+++ b/crates/apricotwell_node/src/node/serving.rs
@@ -133,6 +133,26 @@
         self.flush(now);
     }
 
+    /// Ends every request at once with what is known of it.
+    pub fn end_all(&mut self, now: Instant) {
+        let open: Vec<(RequestId, bool)> = self
+            .requests
+            .iter()
+            .map(|(id, request)| (id, matches!(request.stage, Stage::Running { .. })))
+            .collect();
+        for (id, running) in open {
+            let message = "the instance ends; look up another address";
+            let refusal = Refusal::not_run(RefusalKind::Unavailable, message);
+            let refusal = if running {
+                refusal.with_ending(Ending::OutcomeUnknown)
+            } else {
+                refusal.with_retry_after(BUSY_RETRY)
+            };
+            self.refuse(now, id, refusal);
+        }
+        self.flush(now);
+    }
+
     fn check_view(&self, now: Instant) -> Result<(), Refusal> {
         if self.caught_up && self.view(now) != View::CutOff {
             return Ok(());
--- a/crates/apricotwell_records/src/lib.rs
+++ b/crates/apricotwell_records/src/lib.rs
@@ -23,7 +23,7 @@
     SettleOutcome, Suspect, Take,
 };
 pub use log::{AppendError, LogBatch, ReadError};
-pub use signature::{OperatorKey, SignatureError, verify_put};
+pub use signature::{OperatorKey, OperatorToken, SignatureError, verify_put};
 
 /// What nearly every user of the crate needs.
 pub mod prelude {
--- a/crates/apricotwell_records/src/signature.rs
+++ b/crates/apricotwell_records/src/signature.rs
@@ -68,18 +68,94 @@
 
 impl std::error::Error for SignatureError {}
 
+/// Name and proof of an operator, good until it expires.
+///
+/// Its text is `NAME.EXPIRY.SIGNATURE`; it proves who asks and grants nothing by itself.
+#[derive(Clone, PartialEq, Eq)]
+pub struct OperatorToken {
+    /// Operator.
+    pub name: String,
+    /// Seconds since the Unix epoch.
+    pub expires: u64,
+    signature: Vec<u8>,
+}
+
+impl fmt::Debug for OperatorToken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OperatorToken")
+            .field("name", &self.name)
+            .finish_non_exhaustive()
+    }
+}
+
+impl OperatorToken {
+    /// Signs a token.
+    pub fn sign(key: &OperatorKey, name: &str, expires: u64) -> Self {
+        let signature = key.0.sign(&token_text(name, expires));
+        Self {
+            name: name.to_owned(),
+            expires,
+            signature: signature.to_bytes().to_vec(),
+        }
+    }
+
+    /// Returns the token's text.
+    pub fn to_text(&self) -> String {
+        format!(
+            "{}.{}.{}",
+            self.name,
+            self.expires,
+            hex::encode(&self.signature)
+        )
+    }
+
+    /// Parses [`OperatorToken::to_text`]; `None` when the text is no token.
+    pub fn from_text(text: &str) -> Option<Self> {
+        let (rest, signature) = text.rsplit_once('.')?;
+        let (name, expires) = rest.rsplit_once('.')?;
+        Some(Self {
+            name: name.to_owned(),
+            expires: expires.parse().ok()?,
+            signature: hex::decode(signature).ok()?,
+        })
+    }
+
+    /// Checks that the holder of `public_hex` signed the token and that it has not expired.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key is malformed, the signature does not fit or the token has expired.
+    pub fn verify(&self, public_hex: &str, now_s: u64) -> Result<(), SignatureError> {
+        if now_s >= self.expires {
+            return Err(SignatureError::WrongSignature);
+        }
+        verify_text(
+            public_hex,
+            &token_text(&self.name, self.expires),
+            &self.signature,
+        )
+    }
+}
+
+fn token_text(name: &str, expires: u64) -> Vec<u8> {
+    format!("apricotwell operator 1 {} {name} {expires}", name.len()).into_bytes()
+}
+
 /// Checks that the holder of `public_hex` signed `put` as `writer`.
 ///
 /// # Errors
 ///
 /// Fails when the key is malformed or the signature does not fit.
 pub fn verify_put(public_hex: &str, writer: &str, put: &Put) -> Result<(), SignatureError> {
+    verify_text(public_hex, &signed_text(writer, put), &put.signature)
+}
+
+fn verify_text(public_hex: &str, text: &[u8], signature: &[u8]) -> Result<(), SignatureError> {
     let mut bytes = [0; 32];
     hex::decode_to_slice(public_hex, &mut bytes).map_err(|_| SignatureError::MalformedKey)?;
     let key = VerifyingKey::from_bytes(&bytes).map_err(|_| SignatureError::MalformedKey)?;
-    let signature =
-        Signature::from_slice(&put.signature).map_err(|_| SignatureError::WrongSignature)?;
-    key.verify(&signed_text(writer, put), &signature)
+    let signature = Signature::from_slice(signature).map_err(|_| SignatureError::WrongSignature)?;
+    key.verify(text, &signature)
         .map_err(|_| SignatureError::WrongSignature)
 }
 
--- /dev/null
+++ b/crates/apricotwell_standins/src/service.rs
@@ -0,0 +1,134 @@
+//! Stand-in for a plain service whose calls may not be repeated.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use actix_web::web::{Bytes, Data, Json};
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use futures_util::stream;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::sleep;
+
+/// Stand-in for a plain service: counts each call that it runs.
+///
+/// Faults are set with `POST /faults`, what happened is read from `GET /audit`.
+#[derive(argh::FromArgs, Clone, Debug)]
+pub struct ServiceArgs {
+    /// address to listen on, as ip:port
+    #[argh(option)]
+    pub listen: String,
+    /// milliseconds that a call takes
+    #[argh(option, default = "5")]
+    pub call_ms: u64,
+}
+
+/// What a service ran, for tests.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceAudit {
+    /// How often each body ran.
+    pub runs: BTreeMap<String, u32>,
+    /// Calls that came with a key, a cookie or an authorisation header.
+    pub secrets_seen: u64,
+}
+
+/// Faults of a service; absent fields stay as they are.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServiceFaults {
+    /// Number of calls that run without an answer.
+    lose_replies: Option<u32>,
+    /// Milliseconds that a call takes.
+    call_ms: Option<u64>,
+}
+
+#[derive(Clone)]
+struct Service {
+    audit: Arc<Mutex<ServiceAudit>>,
+    faults: Arc<Mutex<ServiceFaults>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs the stand-in until it is stopped.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub async fn run_service(args: ServiceArgs) -> io::Result<()> {
+    let service = Service {
+        audit: Arc::default(),
+        faults: Arc::new(Mutex::new(ServiceFaults {
+            lose_replies: Some(0),
+            call_ms: Some(args.call_ms),
+        })),
+    };
+    let app = move || {
+        App::new()
+            .app_data(Data::new(service.clone()))
+            .app_data(web::PayloadConfig::new(16 << 20))
+            .route("/audit", web::get().to(audit))
+            .route("/faults", web::post().to(set_faults))
+            .default_service(web::to(call))
+    };
+    HttpServer::new(app)
+        .workers(1)
+        .keep_alive(Duration::from_secs(75))
+        .shutdown_timeout(1)
+        .bind(&args.listen)?
+        .run()
+        .await
+}
+
+async fn audit(service: Data<Service>) -> HttpResponse {
+    HttpResponse::Ok().json(&*lock(&service.audit))
+}
+
+async fn set_faults(service: Data<Service>, wanted: Json<ServiceFaults>) -> HttpResponse {
+    let mut faults = lock(&service.faults);
+    faults.lose_replies = wanted.lose_replies.or(faults.lose_replies);
+    faults.call_ms = wanted.call_ms.or(faults.call_ms);
+    HttpResponse::Ok().finish()
+}
+
+async fn call(service: Data<Service>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let run = {
+        let mut audit = lock(&service.audit);
+        let secret = [
+            "authorization",
+            "cookie",
+            "proxy-authorization",
+            "x-api-key",
+        ];
+        if secret
+            .iter()
+            .any(|name| request.headers().contains_key(*name))
+        {
+            audit.secrets_seen += 1;
+        }
+        let run = audit.runs.entry(text).or_default();
+        *run += 1;
+        *run
+    };
+    let (pause, lost) = {
+        let mut faults = lock(&service.faults);
+        let left = faults.lose_replies.unwrap_or(0);
+        faults.lose_replies = Some(left.saturating_sub(1));
+        (faults.call_ms.unwrap_or(0), left > 0)
+    };
+    sleep(Duration::from_millis(pause)).await;
+    if lost {
+        let broken = stream::once(async { Err::<Bytes, _>(io::Error::other("lost on demand")) });
+        return HttpResponse::Ok().no_chunking(64).streaming(broken);
+    }
+    let attempt = request.headers().get("x-attempt-id");
+    let attempt = attempt.and_then(|value| value.to_str().ok()).unwrap_or("");
+    HttpResponse::Ok()
+        .insert_header(("x-attempt-id", attempt))
+        .json(json!({"path": request.path(), "run": run}))
+}
--- a/crates/apricotwell_state/src/config.rs
+++ b/crates/apricotwell_state/src/config.rs
@@ -48,6 +48,12 @@
         self.entries.get(path)?.value.as_deref()
     }
 
+    /// Returns all entries in order of path, deleted ones included.
+    pub fn all(&self) -> impl Iterator<Item = (&str, &ConfigEntry)> {
+        let entries = self.entries.iter();
+        entries.map(|(path, entry)| (path.as_str(), entry))
+    }
+
     /// Returns the present values in order of path.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &ConfigEntry)> {
         self.entries
@@ -109,7 +115,7 @@
         }
     }
 
-    fn operator(&self, name: &str) -> Option<OperatorSettings> {
+    pub(crate) fn operator(&self, name: &str) -> Option<OperatorSettings> {
         let path = format!("/platform/operators/{name}");
         match Setting::parse(&path, self.value(&path)?) {
             Ok(Setting::Operator(operator)) => Some(operator),
--- a/crates/apricotwell_state/src/state.rs
+++ b/crates/apricotwell_state/src/state.rs
@@ -156,6 +156,15 @@
         self.index.keys.get(digest)
     }
 
+    /// Returns the public key of an operator, the root operator included.
+    pub fn operator_key(&self, name: &str) -> Option<String> {
+        if name == crate::config::ROOT_OPERATOR {
+            return Some(self.genesis.root_key.clone());
+        }
+        let operator = self.config.operator(name)?;
+        Some(operator.public_key)
+    }
+
     /// Returns an organisation's settings.
     pub fn org(&self, org: &str) -> Option<&OrgSettings> {
         self.index.orgs.get(org)
