Decide cold loads as soon as the first request waits

Cause: the timeline of a cold start showed 0.3 to 0.5 s between a request's acceptance and the decision: demand was told in rounds of 500 ms, and orders waited for the next 50 ms plan. Change: the first waiting request of a model tells its demand at once, also when it got its tokens late; records applied and demand received run the duties at once.

--- a/crates/apricotwell_node/src/node.rs
+++ b/crates/apricotwell_node/src/node.rs
@@ -351,6 +351,9 @@
         self.orders.retain(now, &self.state);
         self.servers.retain(&self.state);
         self.pump(now);
+        // What the records call for, such as the order that follows a decision, is done at once.
+        self.next_plan = now;
+        self.run_duties(now);
         self.flush(now);
     }
 
--- a/crates/apricotwell_node/src/node/peers.rs
+++ b/crates/apricotwell_node/src/node/peers.rs
@@ -50,6 +50,7 @@
                     self.demand.note(now, &item.model, &from, told);
                 }
                 self.next_plan = now;
+                self.run_duties(now);
             }
             Some(Message::Reclaim(reclaim)) => self.reclaim(now, reclaim.replica),
             Some(Message::ClaimAsk(ask)) => self.take_claim_ask(now, from, ask),
@@ -103,15 +104,20 @@
     fn take_grant(&mut self, now: Instant, grant: &TokenGrant) {
         let patience = self.settings.token_wait;
         let verdicts = self.tokens.on_grant(now, grant, patience);
+        let mut queued = Vec::new();
         for verdict in verdicts {
             match verdict {
                 TokenVerdict::Taken(request, reservation) => {
                     self.enqueue(now, request, reservation);
+                    queued.push(request);
                 }
                 TokenVerdict::Refused(request, wait) => self.refuse_over_rate(now, request, wait),
             }
         }
         self.pump(now);
+        for request in queued {
+            self.tell_first_demand(now, request);
+        }
     }
 
     fn reclaim(&mut self, now: Instant, replica: u64) {
--- a/crates/apricotwell_node/src/node/serving.rs
+++ b/crates/apricotwell_node/src/node/serving.rs
@@ -84,6 +84,7 @@
             self.run_tokens(now);
         }
         self.pump(now);
+        self.tell_first_demand(now, id);
         self.flush(now);
         Ok(id)
     }
@@ -812,6 +813,18 @@
         }
     }
 
+    // The first request that waits for a model must not wait for the next round of demand.
+    pub(super) fn tell_first_demand(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let waits = matches!(request.stage, Stage::Queued);
+        if waits && self.queue.waiting_for(&request.submission.queue_name()) == 1 {
+            self.next_demand = now;
+            self.tell_demand(now);
+        }
+    }
+
     /// Tells the holders of models in use who waits and who runs.
     pub(super) fn tell_demand(&mut self, now: Instant) {
         if now < self.next_demand {
