Keep holders working from the first moment of a log outage

Cause: a test that takes the log down for 60 s saw every holder stop after 2 s. A peer's statement counted towards an outage only once that peer's own contact was a full window old, and all contacts lapse together, so nobody had valid statements for a moment. Excluded: probe loss and the window's length; the gap stays with any window. Change: the age is dropped from the condition. The proof never needed it: a statement made before a takeover was applied lapses before the taker acts, one made after it names the higher offset. Keys are stricter: while some listed member can't be asked they are honoured for key_grace only.

--- a/crates/apricotwell_entry/src/settings.rs
+++ b/crates/apricotwell_entry/src/settings.rs
@@ -186,6 +186,8 @@
 pub struct CoordinationSection {
     /// How long evidence on the log counts.
     pub window_ms: u64,
+    /// How long keys are honoured while the log is out and not every instance can be asked.
+    pub key_grace_ms: u64,
     /// Term of token grants.
     pub token_term_ms: u64,
     /// Time between two probes.
@@ -213,6 +215,7 @@
         let timing = Timing::default();
         Self {
             window_ms: 3_000,
+            key_grace_ms: 30_000,
             token_term_ms: 2_000,
             probe_period_ms: timing.period.as_millis() as u64,
             probe_timeout_ms: timing.timeout.as_millis() as u64,
@@ -337,6 +340,7 @@
             },
             seed: incarnation,
             window: Duration::from_millis(times.window_ms),
+            key_grace: Duration::from_millis(times.key_grace_ms),
             token_term: Duration::from_millis(times.token_term_ms),
             token_wait: Duration::from_millis(self.requests.token_wait_ms),
             claim_wait: Duration::from_millis(self.requests.claim_wait_ms),
--- a/crates/apricotwell_entry/src/settings/reference.rs
+++ b/crates/apricotwell_entry/src/settings/reference.rs
@@ -174,6 +174,11 @@
         "ms",
         "How long evidence on the log counts: the bound for an instance that is cut off.",
     ),
+    (
+        "coordination.key_grace_ms",
+        "ms",
+        "How long keys are honoured while the log is out and not every listed instance can be asked.",
+    ),
     ("coordination.token_term_ms", "ms", "Term of token grants."),
     (
         "coordination.probe_period_ms",
--- a/crates/apricotwell_leases/src/freshness.rs
+++ b/crates/apricotwell_leases/src/freshness.rs
@@ -23,10 +23,12 @@
         /// When the confirmation lapses.
         until: Instant,
     },
-    /// Most members say that nobody reaches the log, so nothing can have changed.
+    /// Most members have applied nothing beyond this instance, so no lease has been taken over.
     Outage {
         /// When the members' statements lapse.
         until: Instant,
+        /// Whether every listed member said so: then nobody knows of any change at all.
+        complete: bool,
     },
     /// Others may know more than this instance.
     CutOff,
@@ -36,7 +38,7 @@
     /// Returns when the view lapses, or `None` when it has.
     pub fn until(self) -> Option<Instant> {
         match self {
-            View::Fresh { until } | View::Outage { until } => Some(until),
+            View::Fresh { until } | View::Outage { until, .. } => Some(until),
             View::CutOff => None,
         }
     }
@@ -138,7 +140,6 @@
         let mut asked: Vec<Instant> = self
             .recent(now)
             .filter(|(peer, _)| ***peer != *me && members.contains(peer))
-            .filter(|(_, evidence)| self.is_without_log(evidence))
             .map(|(_, evidence)| evidence.asked)
             .collect();
         let needed = majority(members.len()).saturating_sub(1);
@@ -152,6 +153,7 @@
         };
         View::Outage {
             until: weakest + self.window,
+            complete: asked.len() + 1 >= members.len(),
         }
     }
 
@@ -182,10 +184,6 @@
             .iter()
             .filter(move |(_, evidence)| now < evidence.asked + self.window)
     }
-
-    fn is_without_log(&self, evidence: &Evidence) -> bool {
-        evidence.contact_age.is_none_or(|age| age >= self.window)
-    }
 }
 
 fn majority(members: usize) -> usize {
--- a/crates/apricotwell_node/src/node.rs
+++ b/crates/apricotwell_node/src/node.rs
@@ -66,6 +66,8 @@
     recent: VecDeque<(Offset, Vec<u8>)>,
     snapshot: Assembler,
     tickets: u64,
+    // When the keys in force were last known for certain.
+    keys_known: Instant,
     // Whether the state has once reached the end of the log or a peer's snapshot.
     caught_up: bool,
     was_ready: bool,
@@ -104,6 +106,7 @@
             recent: VecDeque::new(),
             snapshot: Assembler::default(),
             tickets: 0,
+            keys_known: now,
             caught_up: false,
             was_ready: false,
             last_view: "",
@@ -140,7 +143,21 @@
 
     /// Returns whether callers may be sent here.
     pub fn is_ready(&self, now: Instant) -> bool {
-        self.caught_up && !self.fleet.is_leaving() && self.view(now) != View::CutOff
+        !self.fleet.is_leaving() && self.knows_keys(now)
+    }
+
+    /// Returns whether the keys in force are known well enough to serve callers.
+    ///
+    /// With the log out for everyone nothing can have been withdrawn. When only most members say
+    /// so, the rest may have the log, and the answer holds for a limited time.
+    pub(crate) fn knows_keys(&self, now: Instant) -> bool {
+        let grace = self.settings.key_grace;
+        self.caught_up
+            && match self.view(now) {
+                View::Fresh { .. } | View::Outage { complete: true, .. } => true,
+                View::Outage { .. } => now < self.keys_known + grace,
+                View::CutOff => false,
+            }
     }
 
     /// Returns whether the instance drains.
@@ -155,6 +172,11 @@
         self.requests.len() == 0 && self.claims.ends() == 0 && !has_duties
     }
 
+    /// Returns whether this instance may act on a duty shard right now.
+    pub fn may_act(&self, now: Instant, shard: Shard) -> bool {
+        self.fleet.fence(now, shard).is_some()
+    }
+
     /// Returns the number of accepted requests without an end.
     pub fn open_requests(&self) -> usize {
         self.requests.len()
@@ -394,7 +416,14 @@
     }
 
     fn note_views(&mut self, now: Instant) {
-        let view = self.view(now).name();
+        let view = self.view(now);
+        if matches!(
+            view,
+            View::Fresh { .. } | View::Outage { complete: true, .. }
+        ) {
+            self.keys_known = now;
+        }
+        let view = view.name();
         if view != self.last_view {
             self.last_view = view;
             self.event(now, Event::new(EventKind::ViewChanged).with_detail(view));
--- a/crates/apricotwell_node/src/node/serving.rs
+++ b/crates/apricotwell_node/src/node/serving.rs
@@ -5,7 +5,6 @@
 
 use apricotwell_admission::{QueueFull, Waiting};
 use apricotwell_claims::Outcome;
-use apricotwell_leases::View;
 use apricotwell_messages::{Demand, DemandItem, Message};
 use apricotwell_routing::Candidate;
 use apricotwell_state::{Callable, KeyHolder, ReplicaPhase};
@@ -155,7 +154,7 @@
     }
 
     fn check_view(&self, now: Instant) -> Result<(), Refusal> {
-        if self.caught_up && self.view(now) != View::CutOff {
+        if self.knows_keys(now) {
             return Ok(());
         }
         let message = "this instance can't confirm the keys in force; look up another address";
--- a/crates/apricotwell_node/src/settings.rs
+++ b/crates/apricotwell_node/src/settings.rs
@@ -27,6 +27,8 @@
     pub seed: u64,
     /// How long evidence on the log counts.
     pub window: Duration,
+    /// How long keys are honoured while the log is out and not every member can be asked.
+    pub key_grace: Duration,
     /// Term of token grants.
     pub token_term: Duration,
     /// Longest wait for tokens.
@@ -71,6 +73,7 @@
             timing: Timing::default(),
             seed: incarnation,
             window: Duration::from_secs(3),
+            key_grace: Duration::from_secs(30),
             token_term: Duration::from_secs(2),
             token_wait: Duration::from_secs(5),
             claim_wait: Duration::from_secs(3),
--- a/crates/apricotwell_standins/src/lib.rs
+++ b/crates/apricotwell_standins/src/lib.rs
@@ -7,24 +7,21 @@
 //! # Examples
 //!
 //! ```
-//! use apricotwell_standins::LogStreams;
+//! use std::time::Duration;
+//! use apricotwell_standins::WeightStore;
 //!
-//! let mut log = LogStreams::default();
-//! assert_eq!(log.append("control", vec![vec![1], vec![2]]), 1);
-//! assert_eq!(log.append("control", vec![vec![3]]), 3);
-//! assert_eq!(log.read("control", 2).unwrap().records.len(), 2);
+//! let mut store = WeightStore::new(1, Duration::from_millis(100));
+//! assert_eq!(store.begin(), Duration::from_millis(100));
+//! assert_eq!(store.begin(), Duration::from_millis(200));
 //! ```
 
 mod engine;
-mod engine_state;
-mod log_streams;
 mod platform;
 mod service;
 mod weight_store;
 
+pub use apricotwell_fakes::{EngineAudit, EngineState, LogStreams};
 pub use engine::{EngineArgs, run_engine};
-pub use engine_state::{EngineAudit, EngineState, Refused};
-pub use log_streams::LogStreams;
 pub use platform::{PlatformArgs, PlatformFaults, run_platform};
 pub use service::{ServiceArgs, ServiceAudit, run_service};
 pub use weight_store::WeightStore;
