Serve a model again after any fault during its load

Cause: a table of 8 faults at 5 moments of a first load, with and without fencing, found four faults. 1. A holder cut off the log for good but reached by peers kept its leases and could decide nothing. 2. A load decided by a holder that died before its order pinned a model with one replica for ever on engines that ignore fencing numbers. 3. An instance that had not read a decision took its replica for an orphan and unloaded it. 4. A replica that an engine dropped by itself stayed recorded as loaded. Excluded: lost replies, restarts and delayed orders, which passed. Change: 1. instances tell when they reached the log themselves; who has not for two windows counts as not live. 2. an unconfirmed load of an earlier fence keeps its memory but not its place under max_replicas; one too many is retired. 3. only replicas below the applied offset can be orphans. 4. a replica missing from a later report of the same start is retired and loaded anew.

--- a/crates/apricotwell_fakes/src/engine.rs
+++ b/crates/apricotwell_fakes/src/engine.rs
@@ -167,6 +167,11 @@
         self.replicas.iter().find(fits).map(|(id, _)| *id)
     }
 
+    /// Forgets what is loaded, as an engine does that drops replicas by itself.
+    pub fn drop_replicas(&mut self) {
+        self.replicas.clear();
+    }
+
     /// Begins a request.
     pub fn begin_request(&mut self, replica: u64) {
         if let Some(held) = self.replicas.get_mut(&replica) {
--- a/crates/apricotwell_fakes/src/world.rs
+++ b/crates/apricotwell_fakes/src/world.rs
@@ -142,7 +142,7 @@
     ReadDone(Instant, Result<LogBatch, ReadError>),
     Appended(u64, Result<u64, AppendError>),
     ClaimsRead(String, Result<LogBatch, ReadError>),
-    Deliver(Envelope),
+    Deliver(Box<Envelope>),
     SendOrder(u64, ServerId, EngineOrder, Instant),
     OrderEnded(u64, OrderOutcome),
     Report(ServerId, Option<ServerReport>),
@@ -201,6 +201,14 @@
     // Orders that it has taken and whose answers are lost.
     lose_replies: u32,
     leaving: bool,
+    // Whether it can't be reached, though it runs.
+    silent: bool,
+}
+
+impl Engine {
+    fn answers(&self) -> bool {
+        self.alive && !self.silent
+    }
 }
 
 /// Many nodes, a log, engines and a network in virtual time.
@@ -439,6 +447,7 @@
             fencing: self.options.fencing,
             lose_replies: 0,
             leaving: false,
+            silent: false,
         };
         self.engines.insert(name.to_owned(), engine);
     }
@@ -452,6 +461,20 @@
         }
     }
 
+    /// Makes an engine unreachable while it goes on, or reachable again.
+    pub fn silence_engine(&mut self, name: &str, silent: bool) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.silent = silent;
+        }
+    }
+
+    /// Makes an engine forget what it has loaded, without a restart.
+    pub fn drop_replicas(&mut self, name: &str) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.state.drop_replicas();
+        }
+    }
+
     /// Lets an engine announce that it leaves.
     pub fn retire_engine(&mut self, name: &str) {
         if let Some(engine) = self.engines.get_mut(name) {
@@ -680,7 +703,7 @@
             Step::ClaimsRead(stream, result) => {
                 self.tell(name, |node| node.on_claims_read(now, &stream, result));
             }
-            Step::Deliver(envelope) => self.tell(name, |node| node.on_message(now, envelope)),
+            Step::Deliver(envelope) => self.tell(name, |node| node.on_message(now, *envelope)),
             Step::SendOrder(ticket, server, order, valid_until) => {
                 self.send_order(name, ticket, server, order, valid_until);
             }
@@ -807,7 +830,7 @@
                 self.bytes_sent += envelope.size() as u64;
                 let pair = (name.to_owned(), to.id.to_string());
                 if !self.cuts.contains(&pair) && self.hosts.contains_key(&*to.id) {
-                    self.after(delay, &to.id, Step::Deliver(envelope));
+                    self.after(delay, &to.id, Step::Deliver(Box::new(envelope)));
                 }
             }
             Action::Order {
@@ -881,7 +904,11 @@
         let load = self.options.load;
         let delay = self.delay();
         let decided = self.is_decided(order.replica);
-        let Some(engine) = self.engines.get_mut(&*server).filter(|engine| engine.alive) else {
+        let Some(engine) = self
+            .engines
+            .get_mut(&*server)
+            .filter(|engine| engine.answers())
+        else {
             self.reply(name, life, delay, ticket, OrderOutcome::Failed);
             return;
         };
@@ -926,7 +953,7 @@
     }
 
     fn report(&self, server: &str) -> Option<ServerReport> {
-        let engine = self.engines.get(server).filter(|engine| engine.alive)?;
+        let engine = self.engines.get(server).filter(|engine| engine.answers())?;
         Some(ServerReport {
             incarnation: engine.state.incarnation(),
             replicas: engine.state.replicas(),
@@ -955,7 +982,7 @@
     fn run_call(&mut self, number: u64, call: &Call, dispatch: &Dispatch) -> AttemptEnd {
         if let Some(replica) = dispatch.replica {
             let engine = self.engines.get(&*dispatch.server);
-            let Some(engine) = engine.filter(|engine| engine.alive) else {
+            let Some(engine) = engine.filter(|engine| engine.answers()) else {
                 return AttemptEnd::NotRun { unreachable: true };
             };
             if !engine.state.is_loaded(replica) {
--- a/crates/apricotwell_messages/src/envelope.rs
+++ b/crates/apricotwell_messages/src/envelope.rs
@@ -49,9 +49,12 @@
     /// First offset of the control stream that it has not applied.
     #[prost(uint64, tag = "1")]
     pub next: u64,
-    /// Milliseconds since its last complete read began; absent when it never read.
+    /// Milliseconds since its view was last confirmed; absent when it never was.
     #[prost(uint64, optional, tag = "2")]
     pub contact_ms: Option<u64>,
+    /// Milliseconds since it last reached the log itself, not through a peer.
+    #[prost(uint64, optional, tag = "3")]
+    pub direct_ms: Option<u64>,
 }
 
 /// Kinds of messages.
--- a/crates/apricotwell_node/src/fleet.rs
+++ b/crates/apricotwell_node/src/fleet.rs
@@ -8,7 +8,7 @@
 use apricotwell_membership::{Contact, MemberState, Membership, Outgoing, Probe};
 use apricotwell_messages::{Ack, Envelope, LogEvidence, Message, News, Ping, PingFor};
 use apricotwell_state::State;
-use apricotwell_types::{Fence, InstanceId, Offset, Shard};
+use apricotwell_types::{Fence, InstanceId, Map, Offset, Shard};
 
 use crate::NodeSettings;
 use crate::order_desk::HeldTerm;
@@ -30,6 +30,10 @@
     listed: Vec<InstanceId>,
     leaving: bool,
     started: Instant,
+    // When this instance last reached the log itself.
+    direct: Option<Instant>,
+    // When each peer last reached the log itself, as far as it has told.
+    peers_direct: Map<InstanceId, Instant>,
 }
 
 impl Fleet {
@@ -52,6 +56,8 @@
             listed: vec![settings.id.clone()],
             leaving: false,
             started: now,
+            direct: None,
+            peers_direct: Map::default(),
         }
     }
 
@@ -62,9 +68,12 @@
             self.listed.push(self.me.clone());
         }
         self.freshness.retain(&self.listed);
+        let listed = &self.listed;
+        self.peers_direct.retain(|peer, _| listed.contains(peer));
     }
 
     pub(crate) fn note_log_read(&mut self, began: Instant, next: Offset, reached_end: bool) {
+        self.direct = self.direct.max(Some(began));
         if reached_end {
             self.freshness.note_log_read(began, next);
         } else {
@@ -193,12 +202,16 @@
     fn note_evidence(&mut self, number: u64, peer: &InstanceId, evidence: Option<LogEvidence>) {
         let asked = self.membership.ping_sent(number, peer);
         if let (Some(asked), Some(evidence)) = (asked, evidence) {
+            let direct = evidence.direct_ms.map(Duration::from_millis);
             let evidence = Evidence {
                 asked,
                 next: evidence.next,
                 contact_age: evidence.contact_ms.map(Duration::from_millis),
             };
             self.freshness.note_peer(peer.clone(), evidence);
+            if let Some(direct) = direct.and_then(|age| asked.checked_sub(age)) {
+                self.peers_direct.insert(peer.clone(), direct);
+            }
         }
     }
 
@@ -218,6 +231,9 @@
             next,
             // Rounded up, so that a peer never takes the contact for more recent than it was.
             contact_ms: age.map(|age| age.as_millis() as u64 + 1),
+            direct_ms: self
+                .direct
+                .map(|direct| now.saturating_duration_since(direct).as_millis() as u64 + 1),
         }
     }
 
@@ -296,16 +312,21 @@
         self.standings.restore();
     }
 
-    /// Plans lease records; only with a view that the log itself confirmed.
+    /// Returns whether this instance reaches the log itself, so that it can append.
+    pub(crate) fn reaches_log(&self, now: Instant) -> bool {
+        self.direct.is_some_and(|direct| now < direct + self.window)
+    }
+
+    /// Plans lease records; only an instance that reaches the log can append them.
     pub(crate) fn plan(&self, now: Instant, state: &State) -> LeasePlan {
-        if !matches!(self.view(now), View::Fresh { .. }) {
+        if !self.reaches_log(now) {
             return LeasePlan::default();
         }
         // A fleet that starts together would otherwise move most leases right after taking them.
         if now < self.started + SETTLE_TIME && !self.has_met_all() {
             return LeasePlan::default();
         }
-        plan_leases(state, &self.live_members(), &self.me, self.incarnation)
+        plan_leases(state, &self.live_members(now), &self.me, self.incarnation)
     }
 
     fn has_met_all(&self) -> bool {
@@ -315,13 +336,19 @@
         })
     }
 
-    fn live_members(&self) -> Vec<LiveMember> {
-        // A suspected member keeps its duties until it is declared dead.
+    // A suspected member keeps its duties until it is declared dead. One that has not reached the
+    // log for two windows, while this instance does, can decide nothing and loses them.
+    fn live_members(&self, now: Instant) -> Vec<LiveMember> {
         let holds = |state| matches!(state, MemberState::Alive | MemberState::Suspect);
+        let reaches_log = |id: &InstanceId| {
+            let direct = self.peers_direct.get(id);
+            direct.is_none_or(|direct| now < *direct + self.window * 2)
+        };
         let mut live: Vec<LiveMember> = self
             .membership
             .members()
             .filter(|member| holds(member.news.state) && member.news.incarnation > 0)
+            .filter(|member| reaches_log(&member.news.contact.id))
             .map(|member| LiveMember {
                 id: member.news.contact.id.clone(),
                 incarnation: member.news.incarnation,
--- a/crates/apricotwell_node/src/node/duties.rs
+++ b/crates/apricotwell_node/src/node/duties.rs
@@ -4,13 +4,12 @@
 
 use prost::Message as _;
 
-use apricotwell_leases::View;
 use apricotwell_messages::{Message, Reclaim};
 use apricotwell_placement::{PlacementView, Step};
 use apricotwell_records::{Body, CHECKPOINT_STREAM, Decide, Retire, Take};
 use apricotwell_state::{Replica, chunk_checkpoint};
 use apricotwell_timeline::{Event, EventKind};
-use apricotwell_types::{ServerId, shard_of};
+use apricotwell_types::{ServerId, Set, shard_of};
 
 use super::{Node, PLAN_PERIOD};
 use crate::order_desk::OrderView;
@@ -82,7 +81,7 @@
         self.hold_claims(now);
         self.poll_servers(now);
         self.order_replicas(now);
-        if self.writer.is_idle() && matches!(self.view(now), View::Fresh { .. }) {
+        if self.writer.is_idle() && self.fleet.reaches_log(now) {
             self.write_records(now);
         }
     }
@@ -153,14 +152,24 @@
             }
         }
         let servers = self.servers.views(now, state);
-        let stuck = self.orders.stuck(now, state);
+        let orders = OrderView {
+            now,
+            state,
+            servers: &self.servers,
+        };
+        let stuck = self.orders.stuck(&orders, fence_of);
         let view = PlacementView {
             state,
             demand: &self.demand,
             servers: &servers,
             stuck: &stuck,
         };
-        let steps = self.planner.plan(now, &view, fence_of);
+        let mut steps = self.planner.plan(now, &view, fence_of);
+        for replica in self.orders.lost(&orders) {
+            let record = state.ledger().replica(replica);
+            let fence = record.and_then(|record| fence_of(&record.model));
+            steps.extend(fence.map(|fence| Step::Retire { replica, fence }));
+        }
         for step in steps {
             self.take_step(now, step);
         }
@@ -205,7 +214,7 @@
 
     pub(super) fn may_reclaim(&self, now: Instant, replica: &Replica) -> bool {
         let servers = self.servers.views(now, &self.state);
-        let stuck = self.orders.stuck(now, &self.state);
+        let stuck = Set::default();
         let view = PlacementView {
             state: &self.state,
             demand: &self.demand,
--- a/crates/apricotwell_node/src/order_desk.rs
+++ b/crates/apricotwell_node/src/order_desk.rs
@@ -15,6 +15,9 @@
 /// Pause before an order whose outcome is unknown is given again.
 const ORDER_PAUSE: Duration = Duration::from_secs(1);
 
+/// Age of a decision from which on a report must show its load.
+const REPORT_GRACE: Duration = Duration::from_secs(2);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
     Sent,
@@ -178,14 +181,52 @@
     }
 
     /// Returns replicas whose load has been undetermined for too long to be counted on.
-    pub(crate) fn stuck(&self, now: Instant, state: &State) -> Set<ReplicaId> {
-        let replicas = state.ledger().replicas();
+    ///
+    /// A load that an earlier holder may have ordered, on an engine where it can't be ordered
+    /// anew, is given up as soon as a later report does not show it.
+    pub(crate) fn stuck<F>(&self, view: &OrderView<'_>, fence_of: F) -> Set<ReplicaId>
+    where
+        F: Fn(&str) -> Option<Fence>,
+    {
+        let is_stuck = |id: ReplicaId, replica: &Replica| {
+            let Some(since) = self.first_seen.get(&id) else {
+                return false;
+            };
+            let inherited = fence_of(&replica.model).is_some_and(|fence| fence > replica.fence);
+            let report = view.servers.report(&replica.server);
+            let unseen = report.is_some_and(|(at, _)| at >= *since + REPORT_GRACE)
+                && reported_loaded(view.state, view.servers, id, replica).is_none();
+            let given_up = inherited && !has_fencing(view.state, replica) && unseen;
+            given_up || view.now >= *since + self.load_timeout
+        };
+        let replicas = view.state.ledger().replicas();
         replicas
-            .filter(|(id, replica)| {
-                let since = self.first_seen.get(id);
-                replica.phase == ReplicaPhase::Decided
-                    && since.is_some_and(|since| now >= *since + self.load_timeout)
-            })
+            .filter(|(_, replica)| replica.phase == ReplicaPhase::Decided)
+            .filter(|(id, replica)| is_stuck(*id, replica))
+            .map(|(id, _)| id)
+            .collect()
+    }
+
+    /// Returns replicas recorded as loaded that their server no longer reports.
+    pub(crate) fn lost(&self, view: &OrderView<'_>) -> Vec<ReplicaId> {
+        let is_lost = |id: ReplicaId, replica: &Replica| {
+            let since = self.first_seen.get(&id);
+            let report = view.servers.report(&replica.server);
+            let server = view.state.ledger().server(&replica.server);
+            let (Some(since), Some((at, report)), Some(server)) = (since, report, server) else {
+                return false;
+            };
+            report.incarnation == server.incarnation
+                && at >= *since + REPORT_GRACE
+                && !report
+                    .replicas
+                    .iter()
+                    .any(|reported| reported.replica == id)
+        };
+        let replicas = view.state.ledger().replicas();
+        replicas
+            .filter(|(_, replica)| replica.phase == ReplicaPhase::Loaded)
+            .filter(|(id, replica)| is_lost(*id, replica))
             .map(|(id, _)| id)
             .collect()
     }
--- a/crates/apricotwell_node/src/server_desk.rs
+++ b/crates/apricotwell_node/src/server_desk.rs
@@ -245,9 +245,11 @@
             if !is_held(id) || seen.silent.is_some() {
                 continue;
             }
+            // A replica is named by the offset that decided it: one decided beyond what this
+            // instance has applied is merely news.
             let orphan = |replica: &&ReportedReplica| {
                 let record = state.ledger().replica(replica.replica);
-                record.is_none_or(|record| record.server != *id)
+                replica.replica < state.next() && record.is_none_or(|record| record.server != *id)
             };
             for replica in report.replicas.iter().filter(orphan) {
                 orphans.push((id.clone(), listed.address.clone(), replica.replica));
--- /dev/null
+++ b/crates/apricotwell_node/tests/orders.rs
@@ -0,0 +1,448 @@
+//! Loads, unloads and memory under faults, in virtual time.
+
+use std::time::Duration;
+
+use apricotwell_fakes::{Call, Finish, World, WorldOptions};
+use apricotwell_state::ReplicaPhase;
+use apricotwell_types::{Ending, RefusalKind};
+
+const SEEDS: u64 = 8;
+const NONE: Vec<String> = Vec::new();
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn world(options: WorldOptions) -> World {
+    let mut world = World::new(options);
+    world.configure();
+    world.run_for(seconds(8));
+    assert!(world.is_settled());
+    world
+}
+
+fn holder_of(world: &World, model: &str) -> String {
+    let shard = world.folded().model_shard(model);
+    world.holders(shard).first().cloned().unwrap()
+}
+
+fn answered(world: &World, call: u64) -> bool {
+    matches!(world.audit.ends.get(&call), Some((_, Finish::Answered)))
+}
+
+#[test]
+fn a_burst_of_first_requests_on_every_instance_loads_once() {
+    for seed in 1..=SEEDS {
+        let mut world = world(WorldOptions {
+            seed,
+            instances: 9,
+            engines: 3,
+            ..WorldOptions::default()
+        });
+        let mut calls = Vec::new();
+        for name in world.instances() {
+            for _ in 0..4 {
+                calls.push(world.call(&name, Call::chat("org-a", "model-a")));
+            }
+        }
+        world.run_for(seconds(9));
+        let loads: u64 = (1..=3)
+            .map(|index| world.engine(&format!("engine-{index}")).audit().loads)
+            .sum();
+        assert_eq!(loads, 1, "seed {seed}");
+        assert!(
+            calls.iter().all(|call| answered(&world, *call)),
+            "seed {seed}"
+        );
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+    }
+}
+
+type Fault = (&'static str, fn(&mut World, &str));
+
+/// Faults that strike the holder of a model while its first load is under way.
+const LOAD_FAULTS: [Fault; 8] = [
+    ("holder killed", |world, holder| world.kill(holder)),
+    ("holder paused past its term", |world, holder| {
+        world.pause(holder);
+        world.run_for(seconds(12));
+        world.resume(holder);
+    }),
+    ("holder cut off the log", |world, holder| {
+        world.cut_log(holder, true)
+    }),
+    ("log down for 5 s", |world, _| {
+        world.log.down = true;
+        world.run_for(seconds(5));
+        world.log.down = false;
+    }),
+    ("append replies lost", |world, _| world.log.lose_replies = 4),
+    ("order replies lost", |world, _| {
+        for engine in ["engine-1", "engine-2"] {
+            world.lose_order_replies(engine, 2);
+        }
+    }),
+    ("engines killed and started anew", |world, _| {
+        for engine in ["engine-1", "engine-2"] {
+            world.kill_engine(engine);
+        }
+        world.run_for(seconds(1));
+        for engine in ["engine-1", "engine-2"] {
+            world.start_engine(engine);
+        }
+    }),
+    ("order delayed and holder killed", |world, holder| {
+        world.order_delay = seconds(8);
+        world.run_for(Duration::from_millis(100));
+        world.kill(holder);
+        world.order_delay = Duration::ZERO;
+    }),
+];
+
+// Moments after the first request at which a fault strikes: before the decision, between decision
+// and order, during the load, and about its end.
+const MOMENTS_MS: [u64; 5] = [0, 4, 8, 150, 320];
+
+#[test]
+fn faults_during_a_load_break_nothing_and_the_model_is_served_again() {
+    for fencing in [true, false] {
+        for (name, fault) in LOAD_FAULTS {
+            for moment in MOMENTS_MS {
+                for seed in 1..=2 {
+                    let mut world = world(WorldOptions {
+                        seed,
+                        instances: 5,
+                        fencing,
+                        ..WorldOptions::default()
+                    });
+                    let holder = holder_of(&world, "model-a");
+                    let caller = world
+                        .instances()
+                        .into_iter()
+                        .find(|name| *name != holder)
+                        .unwrap();
+                    let first = world.call(&caller, Call::chat("org-a", "model-a"));
+                    world.run_for(Duration::from_millis(moment));
+                    fault(&mut world, &holder);
+                    world.run_for(seconds(30));
+                    let case = format!("{name} after {moment} ms, fencing {fencing}, seed {seed}");
+                    assert_eq!(world.broken(), NONE, "{case}");
+                    let end = world.audit.ends.get(&first);
+                    assert!(end.is_some(), "{case}: the first request has no end");
+                    let mut patient = Call::chat("org-a", "model-a");
+                    patient.patience = seconds(30);
+                    let second = world.call(&caller, patient);
+                    world.run_until(seconds(31), |world| world.audit.ends.contains_key(&second));
+                    let end = world.audit.ends.get(&second);
+                    assert!(answered(&world, second), "{case}: served again? {end:?}");
+                    assert_eq!(world.broken(), NONE, "{case}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_late_order_of_a_dead_holder_finds_its_memory_still_taken() {
+    // The engine ignores fencing numbers. The order arrives 40 s late, long after the lease moved
+    // and other models asked for the memory.
+    for seed in 1..=SEEDS {
+        let mut world = world(WorldOptions {
+            seed,
+            instances: 5,
+            engines: 1,
+            fencing: false,
+            ..WorldOptions::default()
+        });
+        world.put_model("model-b", 700, 1);
+        let holder = holder_of(&world, "model-a");
+        let caller = world
+            .instances()
+            .into_iter()
+            .find(|name| *name != holder)
+            .unwrap();
+        world.order_delay = seconds(40);
+        world.call(&caller, Call::chat("org-a", "model-a"));
+        world.run_for(Duration::from_millis(100));
+        world.kill(&holder);
+        world.order_delay = Duration::ZERO;
+        world.run_for(seconds(12));
+        let other = world.call(&caller, Call::chat("org-a", "model-b"));
+        world.run_for(seconds(30));
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+        assert!(
+            !answered(&world, other),
+            "seed {seed}: 400 + 700 MiB can't stand on 1000"
+        );
+        assert!(
+            world.engine("engine-1").audit().loads >= 1,
+            "seed {seed}: the late order came"
+        );
+    }
+}
+
+#[test]
+fn a_server_that_comes_back_is_emptied_before_it_is_used() {
+    let mut world = world(WorldOptions {
+        engines: 1,
+        ..WorldOptions::default()
+    });
+    let caller = world.instances()[0].clone();
+    let first = world.call(&caller, Call::chat("org-a", "model-a"));
+    world.run_for(seconds(2));
+    assert!(answered(&world, first));
+    let lost = world
+        .folded()
+        .ledger()
+        .replicas()
+        .map(|(id, _)| id)
+        .next()
+        .unwrap();
+    world.silence_engine("engine-1", true);
+    world.run_for(seconds(15));
+    assert!(world.folded().ledger().server("engine-1").is_none());
+    world.silence_engine("engine-1", false);
+    world.run_for(seconds(5));
+    assert!(world.folded().ledger().server("engine-1").is_some());
+    assert!(!world.engine("engine-1").is_loaded(lost));
+    let second = world.call(&caller, Call::chat("org-a", "model-a"));
+    world.run_for(seconds(2));
+    assert!(answered(&world, second));
+    assert_eq!(world.broken(), NONE);
+}
+
+#[test]
+fn a_replica_decided_during_an_outage_is_not_taken_for_an_orphan() {
+    // The log goes down when only the model's holder has read the decision; the server's holder
+    // sees the replica in a report first.
+    for seed in 1..=SEEDS {
+        let mut world = world(WorldOptions {
+            seed,
+            instances: 5,
+            fencing: false,
+            ..WorldOptions::default()
+        });
+        let holder = holder_of(&world, "model-a");
+        let caller = world
+            .instances()
+            .into_iter()
+            .find(|name| *name != holder)
+            .unwrap();
+        world.call(&caller, Call::chat("org-a", "model-a"));
+        world.run_until(seconds(1), |world| {
+            world.folded().ledger().replicas().count() > 0
+        });
+        world.log.down = true;
+        world.run_for(seconds(5));
+        let loaded: u64 = ["engine-1", "engine-2"]
+            .iter()
+            .map(|engine| world.engine(engine).used())
+            .sum();
+        let loads: u64 = ["engine-1", "engine-2"]
+            .iter()
+            .map(|engine| world.engine(engine).audit().loads)
+            .sum();
+        assert_eq!(
+            loaded,
+            loads * 400,
+            "seed {seed}: what was loaded stays loaded"
+        );
+        world.log.down = false;
+        world.run_for(seconds(5));
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_replica_that_its_engine_dropped_is_loaded_anew() {
+    let mut world = world(WorldOptions::default());
+    let caller = world.instances()[0].clone();
+    world.call(&caller, Call::chat("org-a", "model-a"));
+    world.run_for(seconds(3));
+    world.drop_replicas("engine-1");
+    world.drop_replicas("engine-2");
+    let call = world.call(&caller, Call::chat("org-a", "model-a"));
+    world.run_for(seconds(11));
+    assert!(answered(&world, call), "{:?}", world.audit.ends.get(&call));
+    assert_eq!(world.broken(), NONE);
+}
+
+#[test]
+fn an_idle_model_makes_room_for_a_wanted_one() {
+    for fencing in [true, false] {
+        let mut world = world(WorldOptions {
+            engines: 1,
+            fencing,
+            ..WorldOptions::default()
+        });
+        world.put_model("model-b", 700, 1);
+        world.run_for(seconds(1));
+        let caller = world.instances()[0].clone();
+        let first = world.call(&caller, Call::chat("org-a", "model-a"));
+        world.run_for(seconds(12));
+        let second = world.call(&caller, Call::chat("org-a", "model-b"));
+        world.run_for(seconds(9));
+        assert!(answered(&world, first) && answered(&world, second));
+        assert_eq!(world.broken(), NONE);
+    }
+}
+
+#[test]
+fn a_new_version_is_loaded_before_the_old_one_goes() {
+    let mut world = world(WorldOptions {
+        engines: 2,
+        ..WorldOptions::default()
+    });
+    world.put_model("model-a", 400, 2);
+    let caller = world.instances()[0].clone();
+    let mut calls = vec![world.call(&caller, Call::chat("org-a", "model-a"))];
+    world.run_for(seconds(3));
+    world.put(
+        "/platform/models/model-a",
+        "version = \"2\"\nmemory_mib = 400\npool = \"engines\"\nmax_replicas = 2\nkeep_warm_s = 3600\n",
+    );
+    for _ in 0..40 {
+        let mut call = Call::chat("org-a", "model-a");
+        call.patience = Duration::from_millis(200);
+        calls.push(world.call(&caller, call));
+        world.run_for(Duration::from_millis(100));
+    }
+    world.run_for(seconds(2));
+    assert!(calls.iter().all(|call| answered(&world, *call)));
+    let state = world.folded();
+    let versions: Vec<_> = state
+        .ledger()
+        .replicas()
+        .map(|(_, replica)| replica.version.clone())
+        .collect();
+    assert_eq!(versions, ["2"]);
+    assert_eq!(world.broken(), NONE);
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work_after_two_seconds() {
+    for seed in 1..=SEEDS {
+        let mut world = world(WorldOptions {
+            seed,
+            engines: 2,
+            ..WorldOptions::default()
+        });
+        let caller = world.instances()[0].clone();
+        world.call(&caller, Call::chat("org-a", "model-a"));
+        world.run_for(seconds(2));
+        let used = ["engine-1", "engine-2"]
+            .into_iter()
+            .find(|engine| world.engine(engine).used() > 0)
+            .unwrap();
+        world.retire_engine(used);
+        world.run_for(seconds(2));
+        let before = world.engine(used).audit().requests;
+        let mut calls = Vec::new();
+        for name in world.instances() {
+            calls.push(world.call(&name, Call::chat("org-a", "model-a")));
+        }
+        world.run_for(seconds(9));
+        assert_eq!(world.engine(used).audit().requests, before, "seed {seed}");
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_lost_server_is_replaced() {
+    for seed in 1..=SEEDS {
+        let mut world = world(WorldOptions {
+            seed,
+            engines: 2,
+            ..WorldOptions::default()
+        });
+        world.put_model("model-a", 400, 2);
+        let caller = world.instances()[0].clone();
+        world.call(&caller, Call::chat("org-a", "model-a"));
+        world.run_for(seconds(2));
+        let used = ["engine-1", "engine-2"]
+            .into_iter()
+            .find(|engine| world.engine(engine).used() > 0)
+            .unwrap();
+        world.kill_engine(used);
+        let call = world.call(&caller, Call::chat("org-a", "model-a"));
+        world.run_for(seconds(9));
+        assert!(answered(&world, call), "seed {seed}");
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_body_that_crashes_servers_does_so_at_most_twice() {
+    for seed in 1..=SEEDS {
+        let mut world = world(WorldOptions {
+            seed,
+            engines: 4,
+            ..WorldOptions::default()
+        });
+        world.put_model("model-a", 400, 4);
+        world.put("/platform/models/model-a", "version = \"1\"\nmemory_mib = 400\npool = \"engines\"\nmin_replicas = 4\nmax_replicas = 4\n");
+        world.run_for(seconds(5));
+        let mut calls = Vec::new();
+        for name in world.instances() {
+            let mut call = Call::chat("org-a", "model-a");
+            call.body = "crash me".to_owned();
+            calls.push(world.call(&name, call));
+            world.run_for(seconds(4));
+        }
+        let runs: u32 = calls
+            .iter()
+            .map(|call| world.audit.call_runs.get(call).copied().unwrap_or(0))
+            .sum();
+        assert!(runs <= 2, "seed {seed}: ran {runs} times");
+        let last = world.audit.ends.get(calls.last().unwrap());
+        let refused = matches!(last, Some((_, Finish::Refused(refusal)))
+            if refusal.kind == RefusalKind::Quarantined && refusal.ending == Ending::NotRun);
+        assert!(refused, "seed {seed}: {last:?}");
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_zone_lost_with_the_log_down_leaves_what_is_loaded_served() {
+    for seed in 1..=SEEDS {
+        let mut world = world(WorldOptions {
+            seed,
+            instances: 9,
+            ..WorldOptions::default()
+        });
+        let caller = "entry-1";
+        world.call(caller, Call::chat("org-a", "model-a"));
+        world.run_for(seconds(3));
+        world.log.down = true;
+        for name in ["entry-2", "entry-5", "entry-8"] {
+            world.kill(name);
+        }
+        world.run_for(seconds(6));
+        let call = world.call(caller, Call::chat("org-a", "model-a"));
+        world.run_for(seconds(3));
+        let end = world.audit.ends.get(&call);
+        assert!(answered(&world, call), "seed {seed}: {end:?}");
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+    }
+}
+
+#[test]
+fn memory_is_taken_from_the_decision_on() {
+    let mut world = world(WorldOptions {
+        engines: 1,
+        ..WorldOptions::default()
+    });
+    world.order_delay = seconds(3);
+    let caller = world.instances()[0].clone();
+    world.call(&caller, Call::chat("org-a", "model-a"));
+    world.run_for(Duration::from_millis(500));
+    let state = world.folded();
+    let phases: Vec<_> = state
+        .ledger()
+        .replicas()
+        .map(|(_, replica)| replica.phase)
+        .collect();
+    assert_eq!(phases, [ReplicaPhase::Decided]);
+    assert_eq!(state.ledger().used("engine-1"), 400);
+    assert_eq!(world.engine("engine-1").used(), 0);
+}
--- a/crates/apricotwell_placement/src/planner.rs
+++ b/crates/apricotwell_placement/src/planner.rs
@@ -196,7 +196,7 @@
         if present >= want {
             return;
         }
-        let all = view.state.ledger().replicas_of(model).count();
+        let all = view.state.ledger().count_towards_limit(model, fence);
         if all >= max_replicas as usize {
             self.explain_limit(view, model, &version, budget, fence);
             return;
@@ -368,7 +368,8 @@
             let Some(fence) = fence_of(&replica.model) else {
                 continue;
             };
-            if is_superseded(view, replica) || is_surplus(now, view, replica) {
+            let is_extra = is_beyond_limit(view, replica, budget);
+            if is_extra || is_superseded(view, replica) || is_surplus(now, view, replica) {
                 budget.steps.push(Step::Retire { replica: id, fence });
             }
         }
@@ -514,6 +515,22 @@
     })
 }
 
+// A load that came about after it had been given up leaves one replica too many.
+fn is_beyond_limit(view: &PlacementView<'_>, replica: &Replica, budget: &Budget) -> bool {
+    let Some((_, _, max_replicas)) = view.state.load_terms(&replica.model) else {
+        return false;
+    };
+    let ledger = view.state.ledger();
+    let goes = |id: ReplicaId| {
+        let retires = |step: &Step| matches!(step, Step::Retire { replica, .. } if *replica == id);
+        budget.steps.iter().any(retires)
+    };
+    let loaded = ledger
+        .replicas_of(&replica.model)
+        .filter(|(id, other)| other.phase == ReplicaPhase::Loaded && !goes(*id));
+    loaded.count() > max_replicas as usize
+}
+
 // An old version goes once the new one is loaded, or at once when the model is gone.
 fn is_superseded(view: &PlacementView<'_>, replica: &Replica) -> bool {
     let Some((version, _, _)) = view.state.load_terms(&replica.model) else {
--- a/crates/apricotwell_state/src/ledger.rs
+++ b/crates/apricotwell_state/src/ledger.rs
@@ -101,6 +101,18 @@
             .filter_map(|id| self.replicas.get(id).map(|replica| (*id, replica)))
     }
 
+    /// Returns how many replicas of a model count towards its limit under `fence`.
+    ///
+    /// A load that an earlier holder decided and that nobody has confirmed does not count: it may
+    /// never come about, and the model must not wait for it for ever. Its memory stays taken, and
+    /// should it come about after all, one replica is unloaded again.
+    pub fn count_towards_limit(&self, model: &str, fence: Fence) -> usize {
+        let counts =
+            |replica: &Replica| replica.phase != ReplicaPhase::Decided || replica.fence >= fence;
+        let replicas = self.replicas_of(model);
+        replicas.filter(|(_, replica)| counts(replica)).count()
+    }
+
     /// Returns the memory that a server's replicas take, undetermined ones included.
     pub fn used(&self, server: &str) -> Mebibytes {
         self.used.get(server).copied().unwrap_or(0)
@@ -173,7 +185,7 @@
         capacity: Mebibytes,
         max_replicas: u32,
     ) -> Result<(), Rejected> {
-        if self.replicas_of(&replica.model).count() >= max_replicas as usize {
+        if self.count_towards_limit(&replica.model, replica.fence) >= max_replicas as usize {
             return Err(Rejected::ReplicaLimit);
         }
         let twice = self
