Free an idempotency key whose claim was given up before it was recorded

Cause: with the log down, an order was refused as not run after 3 s; when the log returned, its claim was appended all the same and its end had been confirmed before, so the key stayed held for good and every repeat got a conflict. Change: the end of an attempt removes its waiting ask, and is confirmed only once no group under way claims its key.

--- a/crates/apricotwell_fakes/src/world.rs
+++ b/crates/apricotwell_fakes/src/world.rs
@@ -1,6 +1,6 @@
 //! Many nodes in virtual time.
 
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
@@ -54,6 +54,8 @@
     pub shards: u32,
     /// Records after which a checkpoint is written.
     pub checkpoint_records: u64,
+    /// How long the log keeps records.
+    pub retention: Duration,
 }
 
 impl Default for WorldOptions {
@@ -69,6 +71,7 @@
             run: Duration::from_millis(50),
             shards: 8,
             checkpoint_records: 1_000_000,
+            retention: Duration::from_secs(24 * 3600),
         }
     }
 }
@@ -133,6 +136,8 @@
     pub appends: u64,
     /// Bytes read by all nodes.
     pub bytes_read: u64,
+    // When which records are dropped.
+    ages: VecDeque<(Instant, String, u64)>,
 }
 
 #[derive(Debug)]
@@ -355,6 +360,7 @@
         };
         settings.seed = self.options.seed.wrapping_mul(1000) + self.last_life;
         settings.checkpoint_records = self.options.checkpoint_records;
+        settings.log_retention = self.options.retention;
         let wall = Duration::from_secs(1_000_000) + self.elapsed();
         let host = Host {
             node: Node::new(self.now, wall, settings),
@@ -634,6 +640,7 @@
         {
             if let Some(queued) = self.queue.pop() {
                 self.now = self.now.max(queued.at);
+                self.expire_log();
                 self.happen(queued.what);
                 self.check_engines();
             }
@@ -656,6 +663,19 @@
         done(self)
     }
 
+    // Configuration is appended by `put_at` and stays: these tests are about claims.
+    fn expire_log(&mut self) {
+        while let Some((at, _, _)) = self.log.ages.front()
+            && *at <= self.now
+        {
+            if let Some((_, stream, end)) = self.log.ages.pop_front()
+                && stream != CONTROL_STREAM
+            {
+                self.log.streams.expire(&stream, end);
+            }
+        }
+    }
+
     fn happen(&mut self, what: Happening) {
         match what {
             Happening::At(name, life, step) => {
@@ -865,6 +885,11 @@
         }
         self.log.appends += 1;
         let offset = self.log.streams.append(stream, records);
+        let kept_until = self.now + self.options.retention;
+        let end = self.log.streams.end(stream);
+        self.log
+            .ages
+            .push_back((kept_until, stream.to_owned(), end));
         if self.log.lose_replies > 0 {
             self.log.lose_replies -= 1;
             let result = Err(AppendError::Unknown);
--- a/crates/apricotwell_node/src/claim_holder.rs
+++ b/crates/apricotwell_node/src/claim_holder.rs
@@ -50,6 +50,8 @@
     retry: Option<Instant>,
     // Whether an earlier append of the group may still take effect.
     doubtful: bool,
+    // Attempts that the group claims keys for.
+    attempts: Vec<String>,
 }
 
 /// One claim shard held by this instance.
@@ -117,6 +119,9 @@
             return;
         };
         let held = self.shard(shard, fence);
+        // The attempt has been given up: claiming its key now would block the key for good.
+        held.asks
+            .retain(|waiting| waiting.ask.attempt != finished.attempt);
         let known = held
             .ends
             .iter()
@@ -306,8 +311,11 @@
             replies.push(reply(waiting.from.clone(), attempt, verdict, finished));
             false
         });
+        let flight = self.flight.as_ref();
         self.ends.retain(|end| {
-            let done = is_recorded(table, &end.finished);
+            let attempt = &end.finished.attempt;
+            let may_come = flight.is_some_and(|flight| flight.attempts.contains(attempt));
+            let done = !may_come && is_recorded(table, &end.finished);
             if done && !end.from.is_empty() {
                 let attempt = end.finished.attempt.clone();
                 let confirmation = Message::ClaimFinished(ClaimFinished { attempt });
@@ -338,6 +346,7 @@
             return None;
         }
         let bodies = self.next_group();
+        let attempts = claimed_attempts(&bodies);
         let record = |body| ClaimRecord {
             fence: self.fence,
             written: wall_ms,
@@ -364,6 +373,7 @@
             last: None,
             retry: None,
             doubtful: false,
+            attempts,
         };
         let action = append_action(shard, &flight);
         self.flight = Some(flight);
@@ -474,6 +484,14 @@
     !table.is_running(key, &finished.attempt)
 }
 
+fn claimed_attempts(bodies: &[ClaimBody]) -> Vec<String> {
+    let attempt = |body: &ClaimBody| match body {
+        ClaimBody::Claimed(claimed) => Some(claimed.attempt.clone()),
+        ClaimBody::Opened(_) | ClaimBody::Finished(_) => None,
+    };
+    bodies.iter().filter_map(attempt).collect()
+}
+
 fn append_action(shard: Shard, flight: &Flight) -> Action {
     Action::Append {
         stream: claim_stream(shard),
--- /dev/null
+++ b/crates/apricotwell_node/tests/claims.rs
@@ -0,0 +1,236 @@
+//! At-most-once runs under faults, in virtual time.
+
+use std::time::Duration;
+
+use apricotwell_fakes::{Call, Finish, World, WorldOptions};
+use apricotwell_types::{Ending, RefusalKind};
+
+const NONE: Vec<String> = Vec::new();
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn world(seed: u64) -> World {
+    let mut world = World::new(WorldOptions {
+        seed,
+        instances: 5,
+        services: 2,
+        ..WorldOptions::default()
+    });
+    world.configure();
+    world.run_for(seconds(8));
+    assert!(world.is_settled());
+    world
+}
+
+fn order(key: &str) -> Call {
+    Call::order("org-a", "orders", key)
+}
+
+fn finish(world: &World, call: u64) -> Finish {
+    world.audit.ends[&call].1.clone()
+}
+
+#[test]
+fn a_repeat_gets_the_recorded_answer_wherever_it_arrives() {
+    let mut world = world(1);
+    let first = world.call("entry-1", order("w1"));
+    world.run_for(seconds(1));
+    assert_eq!(finish(&world, first), Finish::Answered);
+    for name in world.instances() {
+        let repeat = world.call(&name, order("w1"));
+        world.run_for(seconds(1));
+        assert_eq!(finish(&world, repeat), Finish::Replayed, "{name}");
+    }
+    assert_eq!(world.audit.runs["w1"], 1);
+    assert_eq!(world.broken(), NONE);
+}
+
+#[test]
+fn a_key_with_another_body_is_refused() {
+    let mut world = world(1);
+    world.call("entry-1", order("w1"));
+    world.run_for(seconds(1));
+    let mut other = order("w1");
+    other.body = "another body".to_owned();
+    let other = world.call("entry-2", other);
+    world.run_for(seconds(1));
+    let Finish::Refused(refusal) = finish(&world, other) else {
+        panic!("not refused");
+    };
+    assert_eq!(
+        (refusal.kind, refusal.ending),
+        (RefusalKind::KeyReused, Ending::NotRun)
+    );
+}
+
+#[test]
+fn repeats_at_the_same_moment_run_once() {
+    for seed in 1..=20 {
+        let mut world = world(seed);
+        for round in 0..5 {
+            let key = format!("w{round}");
+            for name in world.instances() {
+                world.call(&name, order(&key));
+            }
+            world.run_for(seconds(1));
+            assert_eq!(world.audit.runs.get(&key), Some(&1), "seed {seed}");
+        }
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+    }
+}
+
+type Fault = (&'static str, fn(&mut World));
+
+const FAULTS: [Fault; 9] = [
+    ("serving instance killed", |world| {
+        world.kill("entry-1");
+    }),
+    ("serving instance killed and started anew", |world| {
+        world.kill("entry-1");
+        world.run_for(Duration::from_millis(300));
+        world.start_instance("entry-1");
+    }),
+    ("another instance killed", |world| world.kill("entry-3")),
+    ("two instances killed", |world| {
+        world.kill("entry-2");
+        world.kill("entry-4");
+    }),
+    ("all others paused past their terms", |world| {
+        for name in ["entry-2", "entry-3", "entry-4", "entry-5"] {
+            world.pause(name);
+        }
+        world.run_for(seconds(9));
+        for name in ["entry-2", "entry-3", "entry-4", "entry-5"] {
+            world.resume(name);
+        }
+    }),
+    ("log down for 6 s", |world| {
+        world.log.down = true;
+        world.run_for(seconds(6));
+        world.log.down = false;
+    }),
+    ("append replies lost", |world| world.log.lose_replies = 3),
+    ("serving instance cut off from its peers", |world| {
+        for other in ["entry-2", "entry-3", "entry-4", "entry-5"] {
+            world.cut("entry-1", other, true);
+        }
+        world.run_for(seconds(6));
+        for other in ["entry-2", "entry-3", "entry-4", "entry-5"] {
+            world.cut("entry-1", other, false);
+        }
+    }),
+    ("an instance leaves", |world| world.leave("entry-2")),
+];
+
+#[test]
+fn no_key_runs_twice_whatever_fails_and_whenever() {
+    for (name, fault) in FAULTS {
+        for moment_us in [0, 700, 1500, 3000, 5000, 20_000, 60_000] {
+            for seed in 1..=3 {
+                let case = format!("{name} after {moment_us} us, seed {seed}");
+                let mut world = world(seed);
+                let keys = ["w1", "w2", "w3", "w4"];
+                let mut calls = Vec::new();
+                for key in keys {
+                    calls.push(world.call("entry-1", order(key)));
+                }
+                world.run_for(Duration::from_micros(moment_us));
+                fault(&mut world);
+                // Callers repeat wherever they are told to, until they have an answer or the truth.
+                for _ in 0..4 {
+                    for key in keys {
+                        let target = world.instances().into_iter().next_back().unwrap();
+                        calls.push(world.call(&target, order(key)));
+                    }
+                    world.run_for(seconds(6));
+                }
+                assert_eq!(world.broken(), NONE, "{case}");
+                for key in keys {
+                    let runs = world.audit.runs.get(key).copied().unwrap_or(0);
+                    assert!(runs <= 1, "{case}: {key} ran {runs} times");
+                }
+                // With everything healed, each key has run or its claimant died with it.
+                for (index, key) in keys.iter().enumerate() {
+                    let last = calls[calls.len() - keys.len() + index];
+                    let told = match finish(&world, last) {
+                        Finish::Answered | Finish::Replayed => true,
+                        Finish::Refused(refusal) => refusal.ending == Ending::OutcomeUnknown,
+                    };
+                    assert!(told, "{case}: {key} ended {:?}", finish(&world, last));
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn with_the_log_down_an_order_is_refused_in_time_and_stays_not_run() {
+    for seed in 1..=5 {
+        let mut world = world(seed);
+        world.log.down = true;
+        world.run_for(seconds(5));
+        let call = world.call("entry-1", order("w1"));
+        world.run_for(Duration::from_millis(3500));
+        let Finish::Refused(refusal) = finish(&world, call) else {
+            panic!("seed {seed}: not refused");
+        };
+        assert_eq!(
+            (refusal.kind, refusal.ending),
+            (RefusalKind::ClaimUnavailable, Ending::NotRun)
+        );
+        assert!(refusal.retry_after.is_some());
+        world.log.down = false;
+        world.run_for(seconds(20));
+        assert_eq!(world.audit.runs.get("w1"), None, "seed {seed}");
+        let again = world.call("entry-2", order("w1"));
+        world.run_for(seconds(3));
+        assert_eq!(finish(&world, again), Finish::Answered, "seed {seed}");
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_lost_answer_is_told_as_unknown_to_the_caller_and_to_every_repeat() {
+    let mut world = world(1);
+    let mut call = order("w1");
+    call.body = "lost answer".to_owned();
+    let first = world.call("entry-1", call.clone());
+    world.run_for(seconds(1));
+    let repeat = world.call("entry-4", call);
+    world.run_for(seconds(1));
+    for call in [first, repeat] {
+        let Finish::Refused(refusal) = finish(&world, call) else {
+            panic!("not refused");
+        };
+        assert_eq!(refusal.ending, Ending::OutcomeUnknown);
+    }
+    assert_eq!(world.audit.runs["w1"], 1);
+}
+
+#[test]
+fn claims_outlive_the_instances_and_the_logs_retention() {
+    let mut world = World::new(WorldOptions {
+        instances: 3,
+        retention: seconds(40),
+        ..WorldOptions::default()
+    });
+    world.configure();
+    world.run_for(seconds(8));
+    let call = world.call("entry-1", order("w1"));
+    world.run_for(seconds(1));
+    assert_eq!(finish(&world, call), Finish::Answered);
+    for round in 0..6 {
+        world.run_for(seconds(20));
+        let name = format!("entry-{}", round % 3 + 1);
+        world.kill(&name);
+        world.run_for(seconds(8));
+        world.start_instance(&name);
+        world.run_for(seconds(8));
+    }
+    let repeat = world.call("entry-2", order("w1"));
+    world.run_for(seconds(2));
+    assert_eq!(finish(&world, repeat), Finish::Replayed);
+    assert_eq!(world.broken(), NONE);
+}
