Keep a bucket through a lapse of the view, and start from a peer's records

The holder's standing lapsed for 0.15 s between the log's last confirmation and the members' first statements; its bucket was dropped and made anew as if nothing had been granted since the lease. Excluded: grants, refunds and takeovers, which stayed within the rate in the other faults. Change: buckets live as long as the recorded lease; standing reaches to the later of confirmation and statements; records that reach what the peer has applied count as caught up.

--- a/crates/apricotwell_fakes/src/world.rs
+++ b/crates/apricotwell_fakes/src/world.rs
@@ -18,7 +18,7 @@
 };
 use apricotwell_state::{Genesis, State};
 use apricotwell_timeline::Event;
-use apricotwell_types::{BodyDigest, KeyDigest, RequestId, ServerId, Tokens, WorkClass};
+use apricotwell_types::{BodyDigest, KeyDigest, RequestId, ServerId, Tokens, WorkClass, shard_of};
 
 use crate::audit::{Audit, Finish, Spent};
 use crate::engine::EngineState;
@@ -333,6 +333,11 @@
         all.into_iter().all(|shard| self.holders(shard).len() == 1)
     }
 
+    /// Returns the shard of an organisation's bucket.
+    pub fn org_shard(&self, org: &str) -> u32 {
+        shard_of(org, self.options.shards)
+    }
+
     /// Returns the instances that would act on a shard right now.
     pub fn holders(&self, shard: u32) -> Vec<String> {
         let held = |host: &&Host| !host.paused && host.node.may_act(self.now, shard);
@@ -562,7 +567,12 @@
         });
         loop {
             let Ok(batch) = self.log.streams.read(CONTROL_STREAM, state.next()) else {
-                return state;
+                // The first records are dropped: the node that has read furthest knows the rest.
+                let states = self.hosts.values().map(|host| host.node.state());
+                return states
+                    .max_by_key(|state| state.next())
+                    .cloned()
+                    .unwrap_or(state);
             };
             if batch.records.is_empty() {
                 return state;
--- a/crates/apricotwell_leases/src/freshness.rs
+++ b/crates/apricotwell_leases/src/freshness.rs
@@ -127,15 +127,29 @@
     ///
     /// `members` are the instances on the platform's list, `me` included.
     pub fn view(&self, now: Instant, members: &[InstanceId], me: &str) -> View {
-        if let Some(contact) = self.contact
-            && now < contact + self.window
-        {
-            return View::Fresh {
-                until: contact + self.window,
-            };
+        match self.fresh_until(now) {
+            Some(until) => View::Fresh { until },
+            None => self.outage(now, members, me).unwrap_or(View::CutOff),
         }
+    }
+
+    /// Returns until when no lease can have been taken over without this instance's knowledge.
+    ///
+    /// Shortly before the log's own confirmation lapses, members' statements may already reach
+    /// further.
+    pub fn leases_until(&self, now: Instant, members: &[InstanceId], me: &str) -> Option<Instant> {
+        let outage = self.outage(now, members, me).and_then(View::until);
+        self.fresh_until(now).max(outage)
+    }
+
+    fn fresh_until(&self, now: Instant) -> Option<Instant> {
+        let until = self.contact? + self.window;
+        (now < until).then_some(until)
+    }
+
+    fn outage(&self, now: Instant, members: &[InstanceId], me: &str) -> Option<View> {
         if self.peer_ahead(now).is_some() {
-            return View::CutOff;
+            return None;
         }
         let mut asked: Vec<Instant> = self
             .recent(now)
@@ -144,17 +158,17 @@
             .collect();
         let needed = majority(members.len()).saturating_sub(1);
         if asked.len() < needed {
-            return View::CutOff;
+            return None;
         }
         asked.sort_unstable_by(|a, b| b.cmp(a));
         let weakest = match needed {
             0 => now,
             count => asked[count - 1],
         };
-        View::Outage {
+        Some(View::Outage {
             until: weakest + self.window,
             complete: asked.len() + 1 >= members.len(),
-        }
+        })
     }
 
     /// Returns whether most members have applied the record at `offset`.
--- a/crates/apricotwell_leases/src/standing.rs
+++ b/crates/apricotwell_leases/src/standing.rs
@@ -5,7 +5,7 @@
 use apricotwell_state::State;
 use apricotwell_types::{Fence, Incarnation, InstanceId, Map, Shard};
 
-use crate::{Freshness, View};
+use crate::Freshness;
 
 /// Share of the window that a holder gives up early, against clocks that run apart.
 const DRIFT_DIVISOR: u32 = 20;
@@ -94,7 +94,15 @@
     }
 
     /// Returns whether this instance may act on `shard`; ask again immediately before each effect.
-    pub fn check(&self, now: Instant, shard: Shard, view: View, window: Duration) -> Standing {
+    ///
+    /// `until` comes from [`Freshness::leases_until`].
+    pub fn check(
+        &self,
+        now: Instant,
+        shard: Shard,
+        until: Option<Instant>,
+        window: Duration,
+    ) -> Standing {
         let Some(entry) = self.effective.get(&shard) else {
             return Standing::NotHeld;
         };
@@ -104,7 +112,7 @@
         let Some(since) = entry.since else {
             return Standing::Waiting;
         };
-        let Some(until) = view.until() else {
+        let Some(until) = until else {
             return Standing::NotHeld;
         };
         let until = until - window / DRIFT_DIVISOR;
--- a/crates/apricotwell_node/src/fleet.rs
+++ b/crates/apricotwell_node/src/fleet.rs
@@ -267,8 +267,15 @@
 
     /// Returns the standing on a shard; ask again immediately before each effect.
     pub(crate) fn standing(&self, now: Instant, shard: Shard) -> Standing {
-        self.standings
-            .check(now, shard, self.view(now), self.window)
+        let until = self.freshness.leases_until(now, &self.listed, &self.me);
+        self.standings.check(now, shard, until, self.window)
+    }
+
+    /// Returns the fence of a recorded lease of this instance, effective right now or not.
+    pub(crate) fn recorded_fence(&self, state: &State, shard: Shard) -> Option<Fence> {
+        let lease = state.lease(shard)?;
+        let own = lease.holder == self.me && lease.incarnation == self.incarnation;
+        own.then_some(lease.fence)
     }
 
     /// Returns the fence of a shard that may be acted on right now.
--- a/crates/apricotwell_node/src/node/duties.rs
+++ b/crates/apricotwell_node/src/node/duties.rs
@@ -75,9 +75,11 @@
         }
         self.next_plan = now + PLAN_PERIOD;
         let fleet = &self.fleet;
+        let state = &self.state;
         let shards = self.settings.genesis.shards;
-        self.tokens
-            .retain(now, |org| fleet.fence(now, shard_of(org, shards)));
+        // A bucket outlives a lapse of the view: made anew within its term it would be too full.
+        let fence_of = |org: &str| fleet.recorded_fence(state, shard_of(org, shards));
+        self.tokens.retain(now, fence_of);
         self.hold_claims(now);
         self.poll_servers(now);
         self.order_replicas(now);
--- a/crates/apricotwell_node/src/node/peers.rs
+++ b/crates/apricotwell_node/src/node/peers.rs
@@ -66,6 +66,8 @@
             Some(Message::RecordsAsk(ask)) => self.pass_records(now, &from, ask),
             Some(Message::RecordsReply(reply)) => {
                 self.apply_records(now, reply.first, reply.records);
+                let told = envelope.evidence.map(|evidence| evidence.next);
+                self.caught_up |= told.is_some_and(|next| self.state.next() >= next);
                 self.fleet.note_applied(self.state.next());
                 self.after_apply(now);
             }
