Never run an order twice when its connection closes before the answer

Cause: a golden session with a plain service that runs an order and then drops the connection saw the order run twice. The HTTP client reports a connection that closes before the answer's head as a connect error, which was taken as proof that nothing had been sent. Excluded: the claim (granted once) and the client's own retries (it has none). Change: only errors that arise before a connection stands count as not sent, for requests, orders to engines and appends alike. Conclusion: six golden sessions and the fold's tables join the tests.

--- a/crates/apricotwell_entry/src/relay.rs
+++ b/crates/apricotwell_entry/src/relay.rs
@@ -5,7 +5,6 @@
 
 use actix_web::HttpResponse;
 use actix_web::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName};
-use awc::error::SendRequestError;
 use awc::http::{Method, StatusCode};
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
@@ -191,7 +190,9 @@
     let limit = Duration::from_millis(shell.settings().requests.first_byte_ms);
     match timeout(limit, request.send_body(outgoing.body.clone())).await {
         Ok(Ok(response)) => Ok(response),
-        Ok(Err(SendRequestError::Connect(_))) => Err(AttemptEnd::NotRun { unreachable: true }),
+        Ok(Err(error)) if apricotwell_platform::is_unsent(&error) => {
+            Err(AttemptEnd::NotRun { unreachable: true })
+        }
         Ok(Err(_)) => Err(AttemptEnd::Broken { partial: false }),
         Err(_) => Err(AttemptEnd::Silent { partial: false }),
     }
--- /dev/null
+++ b/crates/apricotwell_entry/tests/sessions.rs
@@ -0,0 +1,208 @@
+//! Golden files of whole sessions over real sockets; `UPDATE_EXPECT=1` writes them anew.
+
+use std::path::PathBuf;
+
+use apricotwell_local::{FleetOptions, LocalFleet, normalise};
+use expect_test::expect_file;
+
+const DOCUMENT: &str = r#"
+["/platform/pools/engines"]
+kind = "engine"
+memory_mib = 48000
+slots = 8
+fencing = true
+["/platform/pools/orders"]
+kind = "service"
+slots = 16
+["/platform/models/menu-writer"]
+version = "1"
+memory_mib = 16000
+pool = "engines"
+["/platform/routes/orders"]
+prefix = "/orders"
+methods = ["POST"]
+pool = "orders"
+class = "non-idempotent"
+deadline_ms = 10000
+["/platform/organisations/hadegisbru"]
+rate = 100000
+burst = 300000
+models = ["menu-writer"]
+"#;
+
+fn options(name: &str) -> FleetOptions {
+    FleetOptions {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_apricotwell-entry")),
+        name: name.to_owned(),
+        instances: 3,
+        fencing_engines: 1,
+        plain_engines: 0,
+        load_ms: 50,
+        token_ms: 2,
+        settings: "[shutdown]\nlookup_lifetime_ms = 300\n".to_owned(),
+        document: DOCUMENT.to_owned(),
+        organisations: vec!["hadegisbru".to_owned()],
+    }
+}
+
+fn chat(stream: bool) -> String {
+    format!(
+        r#"{{"model":"menu-writer","stream":{stream},"max_tokens":3,"messages":[{{"role":"user","content":"Soup?"}}]}}"#
+    )
+}
+
+fn order(fleet: &LocalFleet, index: usize, idempotency_key: &str, body: &str) -> String {
+    let key = LocalFleet::key("hadegisbru");
+    let headers = [("idempotency-key", idempotency_key)];
+    normalise(&fleet.post(index, "/orders/week", &key, &headers, body))
+}
+
+#[test]
+fn completions() {
+    let fleet = LocalFleet::start(options("completions"));
+    let key = LocalFleet::key("hadegisbru");
+    let path = "/v1/chat/completions";
+    let mut text = String::new();
+    let mut note = |name: &str, answer: String| text.push_str(&format!("== {name}\n{answer}\n"));
+    note(
+        "chat, streamed",
+        normalise(&fleet.chat(0, "hadegisbru", &chat(true))),
+    );
+    note(
+        "chat, whole",
+        normalise(&fleet.chat(0, "hadegisbru", &chat(false))),
+    );
+    let plain = r#"{"model":"menu-writer","prompt":"Soup","max_tokens":2}"#;
+    let answer = fleet.post(0, "/v1/completions", &key, &[], plain);
+    note("plain completion", normalise(&answer));
+    let usage = "\"stream\":true,\"stream_options\":{\"include_usage\":true}";
+    let usage = chat(true).replace("\"stream\":true", usage);
+    note(
+        "chat, streamed with usage",
+        normalise(&fleet.chat(0, "hadegisbru", &usage)),
+    );
+    let unknown = chat(false).replace("menu-writer", "unknown");
+    note(
+        "unknown model",
+        normalise(&fleet.chat(0, "hadegisbru", &unknown)),
+    );
+    let answer = fleet.post(0, path, "aw-wrong", &[], &chat(false));
+    note("wrong key", normalise(&answer));
+    note(
+        "unknown path",
+        normalise(&fleet.post(0, "/unknown", &key, &[], "{}")),
+    );
+    let answer = fleet.post(0, path, &key, &[("x-deadline-ms", "soon")], &chat(false));
+    note("bad deadline", normalise(&answer));
+    let large = chat(false)
+        .replace("\"max_tokens\":3", "\"max_tokens\":131000")
+        .replace("Soup?", &"Soup? ".repeat(200_000));
+    note(
+        "beyond the burst",
+        normalise(&fleet.chat(0, "hadegisbru", &large)),
+    );
+    let leak = chat(false).replace("Soup?", &key);
+    note(
+        "key in the body",
+        normalise(&fleet.chat(0, "hadegisbru", &leak)),
+    );
+    expect_file!["sessions/completions.txt"].assert_eq(&text);
+    assert_eq!(fleet.audit(fleet.engine(0))["secrets_seen"], 0);
+}
+
+#[test]
+fn withdrawn_key() {
+    let fleet = LocalFleet::start(options("withdrawn"));
+    let before = fleet.chat(1, "hadegisbru", &chat(false));
+    let took = fleet.publish("/teams/hadegisbru/keys/main", None);
+    let mut text = format!("== before\nstatus {}\n", before.status);
+    for index in 0..3 {
+        let after = normalise(&fleet.chat(index, "hadegisbru", &chat(false)));
+        text.push_str(&format!("== after, entry-{}\n{after}\n", index + 1));
+    }
+    expect_file!["sessions/withdrawn_key.txt"].assert_eq(&text);
+    assert!(took.as_secs() < 2, "{took:?}");
+}
+
+#[test]
+fn repeated_order() {
+    let fleet = LocalFleet::start(options("orders"));
+    let mut text = String::new();
+    for index in 0..3 {
+        let answer = order(&fleet, index, "week 12", "{\"lettuce\":3}");
+        text.push_str(&format!("== order at entry-{}\n{answer}\n", index + 1));
+    }
+    let other = order(&fleet, 0, "week 12", "{\"lettuce\":4}");
+    text.push_str(&format!("== same key, other body\n{other}\n"));
+    let key = LocalFleet::key("hadegisbru");
+    let without = normalise(&fleet.post(0, "/orders/week", &key, &[], "{}"));
+    text.push_str(&format!("== without a key\n{without}\n"));
+    fleet.fault(fleet.service(), r#"{"lose_replies":1}"#);
+    for index in [0, 2] {
+        let lost = order(&fleet, index, "week 13", "{\"lettuce\":5}");
+        text.push_str(&format!("== lost answer, entry-{}\n{lost}\n", index + 1));
+    }
+    expect_file!["sessions/repeated_order.txt"].assert_eq(&text);
+    let runs = &fleet.audit(fleet.service())["runs"];
+    assert_eq!(runs["{\"lettuce\":3}"], 1);
+    assert_eq!(runs["{\"lettuce\":5}"], 1);
+    assert_eq!(runs.as_object().map(serde_json::Map::len), Some(2));
+}
+
+#[test]
+fn engine_breaks_mid_stream() {
+    let fleet = LocalFleet::start(options("breaks"));
+    assert_eq!(fleet.chat(0, "hadegisbru", &chat(false)).status, 200);
+    fleet.fault(fleet.engine(0), r#"{"break_streams":1}"#);
+    let broken = normalise(&fleet.chat(0, "hadegisbru", &chat(true)));
+    expect_file!["sessions/engine_breaks_mid_stream.txt"].assert_eq(&broken);
+}
+
+#[test]
+fn shutdown_during_a_stream() {
+    let mut options = options("shutdown");
+    options.token_ms = 100;
+    let mut fleet = LocalFleet::start(options);
+    assert_eq!(fleet.chat(0, "hadegisbru", &chat(false)).status, 200);
+    let long = chat(true).replace("\"max_tokens\":3", "\"max_tokens\":15");
+    let answer = std::thread::scope(|scope| {
+        let stream = scope.spawn(|| fleet.chat(0, "hadegisbru", &long));
+        fleet.wait_until("the stream runs", |fleet| {
+            let metrics = fleet.get(0, "/metrics").body;
+            metrics.contains("apricotwell_open_requests 1")
+        });
+        fleet.signal(0, "TERM");
+        fleet.wait_until("the look-up leaves it out", |fleet| {
+            let addresses = fleet.get(1, "/v1/addresses").body;
+            !addresses.contains(fleet.address(0))
+        });
+        stream.join()
+    });
+    let answer = normalise(&answer.expect("an answer"));
+    expect_file!["sessions/shutdown_during_a_stream.txt"].assert_eq(&answer);
+    assert_eq!(fleet.wait_for_exit(0), Some(0));
+}
+
+#[test]
+fn a_second_signal_ends_requests_with_the_truth() {
+    let mut options = options("second-signal");
+    options.token_ms = 100;
+    let fleet = LocalFleet::start(options);
+    assert_eq!(fleet.chat(0, "hadegisbru", &chat(false)).status, 200);
+    let long = chat(true).replace("\"max_tokens\":3", "\"max_tokens\":2000");
+    let answer = std::thread::scope(|scope| {
+        let stream = scope.spawn(|| fleet.chat(0, "hadegisbru", &long));
+        fleet.wait_until("the stream runs", |fleet| {
+            let metrics = fleet.get(0, "/metrics").body;
+            metrics.contains("apricotwell_open_requests 1")
+        });
+        fleet.signal(0, "TERM");
+        fleet.wait_until("it leaves", |fleet| fleet.get(0, "/readyz").status == 503);
+        fleet.signal(0, "TERM");
+        stream.join()
+    });
+    let answer = answer.expect("an answer");
+    assert!(answer.torn, "half an answer must not look whole");
+    let told = answer.body.contains("\"outcome\":\"outcome_unknown\"");
+    assert!(told, "{}", answer.body);
+}
--- a/crates/apricotwell_fakes/src/world.rs
+++ b/crates/apricotwell_fakes/src/world.rs
@@ -26,6 +26,8 @@
 
 /// Time between two ticks of a node.
 const TICK: Duration = Duration::from_millis(25);
+/// Time between two looks at who would act on which shard.
+const CHECK_PERIOD: Duration = Duration::from_millis(5);
 /// Longest wait of one read of the log.
 const READ_WAIT: Duration = Duration::from_millis(500);
 /// Time after which an append without an answer counts as unknown.
@@ -132,6 +134,8 @@
     pub down: bool,
     /// Number of appends that take effect without an answer.
     pub lose_replies: u32,
+    /// Time that each append takes to reach the log, whatever becomes of its process meanwhile.
+    pub delay: Duration,
     /// Appends taken.
     pub appends: u64,
     /// Bytes read by all nodes.
@@ -162,6 +166,8 @@
     // An order reaches an engine, from a process that may be gone by then.
     Order(String, u64, ServerId, EngineOrder, u64),
     Loaded(ServerId, u64, u64),
+    // Records reach the log late.
+    Append(String, Vec<Vec<u8>>),
 }
 
 struct Queued {
@@ -232,6 +238,7 @@
     cuts: BTreeSet<(String, String)>,
     root: OperatorKey,
     listed: BTreeSet<String>,
+    next_check: Instant,
     /// Delay of each order between its last check and its arrival.
     pub order_delay: Duration,
     /// The log.
@@ -263,6 +270,7 @@
             cuts: BTreeSet::new(),
             root: OperatorKey::from_seed([7; 32]),
             listed: BTreeSet::new(),
+            next_check: start,
             order_delay: Duration::ZERO,
             log: FakeLog::default(),
             audit: Audit::default(),
@@ -704,6 +712,9 @@
             Happening::Order(name, ticket, server, order, life) => {
                 self.take_order(&name, ticket, server, order, life);
             }
+            Happening::Append(stream, records) => {
+                self.log.streams.append(&stream, records);
+            }
             Happening::Loaded(server, incarnation, replica) => {
                 if let Some(engine) = self.engines.get_mut(&*server)
                     && engine.state.incarnation() == incarnation
@@ -893,6 +904,13 @@
             self.after(delay, name, Step::Appended(ticket, result));
             return;
         }
+        if !self.log.delay.is_zero() {
+            let landing = Happening::Append(stream.to_owned(), records);
+            self.push(self.now + self.log.delay, landing);
+            let result = Err(AppendError::Unknown);
+            self.after(APPEND_TIMEOUT, name, Step::Appended(ticket, result));
+            return;
+        }
         self.log.appends += 1;
         let offset = self.log.streams.append(stream, records);
         let kept_until = self.now + self.options.retention;
@@ -1079,6 +1097,11 @@
                 self.audit.breaks(format!("{name} holds {used} MiB"));
             }
         }
+        // Leases lapse by time, so a look every few milliseconds sees each overlap.
+        if self.now < self.next_check {
+            return;
+        }
+        self.next_check = self.now + CHECK_PERIOD;
         for shard in 0..self.options.shards {
             let holders = self.holders(shard);
             if holders.len() > 1 {
--- a/crates/apricotwell_leases/src/freshness.rs
+++ b/crates/apricotwell_leases/src/freshness.rs
@@ -4,6 +4,9 @@
 
 use apricotwell_types::{InstanceId, Map, Offset};
 
+/// Part of the window for which the log's own confirmation must still hold to be relied on alone.
+const FRESH_DIVISOR: u32 = 4;
+
 /// What a peer said of its own view of the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Evidence {
@@ -138,8 +141,14 @@
     /// Shortly before the log's own confirmation lapses, members' statements may already reach
     /// further.
     pub fn leases_until(&self, now: Instant, members: &[InstanceId], me: &str) -> Option<Instant> {
+        let fresh = self.fresh_until(now);
+        if let Some(until) = fresh
+            && until.saturating_duration_since(now) > self.window / FRESH_DIVISOR
+        {
+            return Some(until);
+        }
         let outage = self.outage(now, members, me).and_then(View::until);
-        self.fresh_until(now).max(outage)
+        fresh.max(outage)
     }
 
     fn fresh_until(&self, now: Instant) -> Option<Instant> {
--- a/crates/apricotwell_leases/src/planner.rs
+++ b/crates/apricotwell_leases/src/planner.rs
@@ -16,6 +16,8 @@
     pub id: InstanceId,
     /// Start number.
     pub incarnation: Incarnation,
+    /// Whether it drains: it gets no leases and hands over those that it has.
+    pub leaving: bool,
 }
 
 /// Lease records that this instance should append.
@@ -29,14 +31,20 @@
 
 /// Plans leases from the state and the live members.
 ///
-/// `live` holds those members that are neither dead, suspected for long nor leaving; a member that
-/// leaves is absent and so hands over all that it holds.
-pub fn plan_leases(
+/// `live` holds those members that are neither dead nor suspected for long, `me` included. A member
+/// that leaves is given the time to hand over by itself, which spares the wait of a takeover.
+/// `may_hand` tells which held shards may be
+/// handed on.
+pub fn plan_leases<F>(
     state: &State,
     live: &[LiveMember],
     me: &str,
     incarnation: Incarnation,
-) -> LeasePlan {
+    may_hand: F,
+) -> LeasePlan
+where
+    F: Fn(Shard) -> bool,
+{
     let mut take = Take {
         holder: me.to_owned(),
         incarnation,
@@ -56,7 +64,7 @@
             live.iter()
                 .any(|member| member.id == lease.holder && member.incarnation == lease.incarnation)
         });
-        if held_by_me && *owner.id != *me && moves < MAX_MOVES {
+        if held_by_me && *owner.id != *me && moves < MAX_MOVES && may_hand(shard) {
             let entry = hand.entry(&*owner.id).or_insert_with(|| Take {
                 holder: owner.id.to_string(),
                 incarnation: owner.incarnation,
@@ -77,7 +85,8 @@
 }
 
 fn owner_of(shard: Shard, live: &[LiveMember]) -> Option<&LiveMember> {
-    let ids = live.iter().map(|member| &*member.id);
+    let staying = live.iter().filter(|member| !member.leaving);
+    let ids = staying.map(|member| &*member.id);
     let owner = rendezvous_owner(u64::from(shard), ids)?;
     live.iter().find(|member| *member.id == *owner)
 }
--- a/crates/apricotwell_membership/src/membership.rs
+++ b/crates/apricotwell_membership/src/membership.rs
@@ -178,10 +178,14 @@
         &self.own
     }
 
-    /// Announces that this instance drains.
-    pub fn leave(&mut self) {
+    /// Announces to every member that this instance drains.
+    pub fn leave(&mut self, now: Instant) -> Vec<Outgoing> {
         self.own.state = MemberState::Leaving;
         self.own.round += 1;
+        let ids: Vec<InstanceId> = self.members.keys().cloned().collect();
+        ids.into_iter()
+            .filter_map(|id| self.ping(now, id, None))
+            .collect()
     }
 
     /// Sends what is due.
--- a/crates/apricotwell_node/src/claim_holder.rs
+++ b/crates/apricotwell_node/src/claim_holder.rs
@@ -19,6 +19,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Time without an append's outcome after which the asks in it are turned away.
 const MAX_ASK_AGE: Duration = Duration::from_secs(2);
+/// Time that an ask waits for the end of another attempt with its key.
+const MAX_HELD_WAIT: Duration = Duration::from_millis(1000);
 /// Records in one append.
 const MAX_GROUP: usize = 64;
 /// Asks and ends that may wait on one shard.
@@ -98,12 +100,17 @@
         if held.asks.len() >= MAX_QUEUE {
             return Some(reply(from, &ask.attempt, ClaimVerdict::Unavailable, None));
         }
-        held.asks.retain(|known| known.ask.attempt != ask.attempt);
-        held.asks.push(WaitingAsk {
-            from,
-            ask,
-            since: now,
-        });
+        let known = held
+            .asks
+            .iter()
+            .any(|known| known.ask.attempt == ask.attempt);
+        if !known {
+            held.asks.push(WaitingAsk {
+                from,
+                ask,
+                since: now,
+            });
+        }
         None
     }
 
@@ -152,7 +159,7 @@
         for (shard, held) in &mut self.shards {
             held.table.forget(oldest);
             held.turn_away(now, &mut replies);
-            held.answer(&is_gone, &mut replies);
+            held.answer(now, &is_gone, &mut replies);
             actions.extend(held.append(now, *shard, wall_ms, tickets));
             actions.extend(held.read(now, *shard));
         }
@@ -294,7 +301,7 @@
         });
     }
 
-    fn answer<F>(&mut self, is_gone: &F, replies: &mut Vec<Reply>)
+    fn answer<F>(&mut self, now: Instant, is_gone: &F, replies: &mut Vec<Reply>)
     where
         F: Fn(&str) -> bool,
     {
@@ -307,6 +314,10 @@
             let Some((verdict, finished)) = judge(table, ends, &waiting.ask, is_gone) else {
                 return true;
             };
+            // The attempt that holds the key mostly ends soon, and its answer serves this ask too.
+            if verdict == ClaimVerdict::Held && now < waiting.since + MAX_HELD_WAIT {
+                return true;
+            }
             let attempt = &waiting.ask.attempt;
             replies.push(reply(waiting.from.clone(), attempt, verdict, finished));
             false
@@ -392,7 +403,9 @@
         let mut bodies: Vec<ClaimBody> = ends
             .map(|end| ClaimBody::Finished(end.finished.clone()))
             .collect();
-        for waiting in self.asks.iter().take(MAX_GROUP) {
+        let table = &self.table;
+        let is_free = |waiting: &&WaitingAsk| is_free(table, &waiting.ask);
+        for waiting in self.asks.iter().filter(is_free).take(MAX_GROUP) {
             bodies.push(ClaimBody::Claimed(Claimed {
                 key: waiting.ask.key.clone(),
                 body: waiting.ask.body.clone(),
@@ -484,6 +497,15 @@
     !table.is_running(key, &finished.attempt)
 }
 
+fn is_free(table: &ClaimTable, ask: &ClaimAsk) -> bool {
+    let key = BodyDigest::from_slice(&ask.key);
+    let body = BodyDigest::from_slice(&ask.body);
+    let verdict = key
+        .zip(body)
+        .map(|(key, body)| table.verdict(key, body, &ask.attempt));
+    verdict == Some(Verdict::Free)
+}
+
 fn claimed_attempts(bodies: &[ClaimBody]) -> Vec<String> {
     let attempt = |body: &ClaimBody| match body {
         ClaimBody::Claimed(claimed) => Some(claimed.attempt.clone()),
--- a/crates/apricotwell_node/src/fleet.rs
+++ b/crates/apricotwell_node/src/fleet.rs
@@ -17,6 +17,10 @@
 /// Time in which a new instance lets the members on the list answer before it takes leases.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which a shard is kept before it is handed on: by then its last holder's leaving is known
+/// here, and the shard is not handed back.
+const MIN_TENURE: Duration = Duration::from_secs(3);
+
 /// Members, freshness of the view, and standing on duty shards.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -154,9 +158,11 @@
         }
     }
 
-    pub(crate) fn leave(&mut self) {
+    /// Begins to drain and returns what tells the members of it.
+    pub(crate) fn leave(&mut self, now: Instant, next: Offset) -> Vec<(Contact, Envelope)> {
         self.leaving = true;
-        self.membership.leave();
+        let out = self.membership.leave(now);
+        self.envelopes(now, next, out)
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
@@ -333,7 +339,13 @@
         if now < self.started + SETTLE_TIME && !self.has_met_all() {
             return LeasePlan::default();
         }
-        plan_leases(state, &self.live_members(now), &self.me, self.incarnation)
+        let live = self.live_members(now);
+        let may_hand = |shard| {
+            self.leaving
+                || matches!(self.standing(now, shard), Standing::Held { since, .. }
+                    if now >= since + MIN_TENURE)
+        };
+        plan_leases(state, &live, &self.me, self.incarnation, may_hand)
     }
 
     fn has_met_all(&self) -> bool {
@@ -346,7 +358,6 @@
     // A suspected member keeps its duties until it is declared dead. One that has not reached the
     // log for two windows, while this instance does, can decide nothing and loses them.
     fn live_members(&self, now: Instant) -> Vec<LiveMember> {
-        let holds = |state| matches!(state, MemberState::Alive | MemberState::Suspect);
         let reaches_log = |id: &InstanceId| {
             let direct = self.peers_direct.get(id);
             direct.is_none_or(|direct| now < *direct + self.window * 2)
@@ -354,19 +365,19 @@
         let mut live: Vec<LiveMember> = self
             .membership
             .members()
-            .filter(|member| holds(member.news.state) && member.news.incarnation > 0)
+            .filter(|member| member.news.incarnation > 0)
             .filter(|member| reaches_log(&member.news.contact.id))
             .map(|member| LiveMember {
                 id: member.news.contact.id.clone(),
                 incarnation: member.news.incarnation,
+                leaving: member.news.state == MemberState::Leaving,
             })
             .collect();
-        if !self.leaving {
-            live.push(LiveMember {
-                id: self.me.clone(),
-                incarnation: self.incarnation,
-            });
-        }
+        live.push(LiveMember {
+            id: self.me.clone(),
+            incarnation: self.incarnation,
+            leaving: self.leaving,
+        });
         live.sort_unstable_by(|a, b| a.id.cmp(&b.id));
         live
     }
--- a/crates/apricotwell_node/src/node.rs
+++ b/crates/apricotwell_node/src/node.rs
@@ -201,7 +201,10 @@
     /// Begins to drain: hands over duties and takes no new ones.
     pub fn leave(&mut self, now: Instant) {
         if !self.fleet.is_leaving() {
-            self.fleet.leave();
+            let news = self.fleet.leave(now, self.state.next());
+            for (to, envelope) in news {
+                self.actions.push(Action::Send { to, envelope });
+            }
             self.event(now, Event::new(EventKind::InstanceLeaving));
         }
     }
@@ -224,11 +227,14 @@
             }
         };
         let reaches_end = batch.reaches_end();
+        let brings_news = !batch.records.is_empty();
         self.apply_records(now, batch.first, batch.records);
         let next = self.state.next();
         self.fleet.note_log_read(began, next, reaches_end);
         self.caught_up |= reaches_end;
-        self.after_apply(now);
+        if brings_news {
+            self.after_apply(now);
+        }
         false
     }
 
--- a/crates/apricotwell_node/tests/leases.rs
+++ b/crates/apricotwell_node/tests/leases.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use apricotwell_fakes::{World, WorldOptions};
+use apricotwell_records::{Body, Record};
 
 const SEEDS: u64 = 12;
 
@@ -156,6 +157,32 @@
     }
 }
 
+#[test]
+fn a_minority_with_the_log_takes_nothing_from_a_majority_without() {
+    for seed in 1..=SEEDS {
+        let mut world = world(seed, 5);
+        for one in ["entry-3", "entry-4", "entry-5"] {
+            world.cut_log(one, true);
+            for other in ["entry-1", "entry-2"] {
+                world.cut(one, other, true);
+            }
+        }
+        world.run_for(seconds(60));
+        assert_eq!(world.broken(), Vec::<String>::new(), "seed {seed}");
+        for one in ["entry-3", "entry-4", "entry-5"] {
+            world.cut_log(one, false);
+            for other in ["entry-1", "entry-2"] {
+                world.cut(one, other, false);
+            }
+        }
+        assert!(
+            world.run_until(seconds(30), World::is_settled),
+            "seed {seed}"
+        );
+        assert_eq!(world.broken(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_settled_fleet_appends_nothing() {
     let mut world = world(1, 9);
@@ -165,6 +192,29 @@
     assert_eq!(world.log.appends, before);
 }
 
+#[test]
+fn a_leaving_instance_hands_each_shard_over_once() {
+    for seed in 1..=SEEDS {
+        let mut world = world(seed, 5);
+        let held = (0..8)
+            .filter(|shard| world.holders(*shard) == ["entry-1"])
+            .count();
+        let before = world.log.streams.end("control");
+        world.leave("entry-1");
+        world.run_for(seconds(10));
+        let batch = world.log.streams.read("control", before).unwrap();
+        let records = batch
+            .records
+            .iter()
+            .filter_map(|bytes| Record::from_bytes(bytes));
+        let moved: Vec<Body> = records.filter_map(|record| record.body).collect();
+        let is_move = |body: &&Body| matches!(body, Body::Take(_));
+        let count = moved.iter().filter(is_move).count();
+        assert!(count <= held, "seed {seed}: {held} shards: {moved:?}");
+        assert!(world.is_settled(), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_joining_instance_moves_only_its_own_share() {
     let options = WorldOptions {
--- a/crates/apricotwell_node/tests/orders.rs
+++ b/crates/apricotwell_node/tests/orders.rs
@@ -4,6 +4,7 @@
 
 use apricotwell_fakes::{Call, Finish, World, WorldOptions};
 use apricotwell_state::ReplicaPhase;
+use apricotwell_timeline::EventKind;
 use apricotwell_types::{Ending, RefusalKind};
 
 const SEEDS: u64 = 8;
@@ -181,6 +182,39 @@
     }
 }
 
+#[test]
+fn a_late_decision_of_a_former_holder_has_no_effect() {
+    for seed in 1..=SEEDS {
+        let mut world = world(WorldOptions {
+            seed,
+            instances: 5,
+            ..WorldOptions::default()
+        });
+        let holder = holder_of(&world, "model-a");
+        let caller = world
+            .instances()
+            .into_iter()
+            .find(|name| *name != holder)
+            .unwrap();
+        world.log.delay = seconds(14);
+        world.call(&caller, Call::chat("org-a", "model-a"));
+        world.run_for(Duration::from_millis(50));
+        world.log.delay = Duration::ZERO;
+        world.kill(&holder);
+        world.run_for(seconds(10));
+        let call = world.call(&caller, Call::chat("org-a", "model-a"));
+        world.run_for(seconds(10));
+        assert!(answered(&world, call), "seed {seed}");
+        let decided = world.folded().ledger().replicas().count();
+        assert_eq!(decided, 1, "seed {seed}");
+        let stale = world.events().iter().any(|event| {
+            event.kind == EventKind::RecordRejected && event.detail.contains("lease has moved")
+        });
+        assert!(stale, "seed {seed}: the late decision must have come");
+        assert_eq!(world.broken(), NONE, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_server_that_comes_back_is_emptied_before_it_is_used() {
     let mut world = world(WorldOptions {
--- a/crates/apricotwell_platform/src/engine.rs
+++ b/crates/apricotwell_platform/src/engine.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use awc::Client;
-use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use serde::{Deserialize, Serialize};
 
@@ -106,7 +105,7 @@
         let sent = self.client.post(url).send_json(body).await;
         let mut response = match sent {
             Ok(response) => response,
-            Err(SendRequestError::Connect(_)) => return OrderOutcome::Failed,
+            Err(error) if crate::is_unsent(&error) => return OrderOutcome::Failed,
             Err(_) => return OrderOutcome::Unknown,
         };
         if response.status() != StatusCode::OK && !response.status().is_client_error() {
--- a/crates/apricotwell_platform/src/http.rs
+++ b/crates/apricotwell_platform/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, Connector};
 
 /// Idle time after which a connection is not used again; well below what servers allow, so that a
@@ -10,6 +11,24 @@
 /// Time in which a connection must come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Returns whether an error proves that nothing of the request was sent.
+///
+/// The client reports a connection that closes before the answer's head as a connect error too, so
+/// only those kinds count that arise before a connection stands.
+pub fn is_unsent(error: &SendRequestError) -> bool {
+    let SendRequestError::Connect(error) = error else {
+        return false;
+    };
+    matches!(
+        error,
+        ConnectError::Io(_)
+            | ConnectError::NoRecords
+            | ConnectError::Resolver(_)
+            | ConnectError::Timeout
+            | ConnectError::Unresolved
+    )
+}
+
 /// Returns the client for requests that may be repeated.
 pub fn attempt_client() -> Client {
     client(MAX_IDLE)
--- a/crates/apricotwell_platform/src/lib.rs
+++ b/crates/apricotwell_platform/src/lib.rs
@@ -19,7 +19,7 @@
 mod log_store;
 
 pub use engine::{EngineControl, HttpEngine, OrderBody, OrderReply, ReplicaBody, ReportBody};
-pub use http::{attempt_client, control_client, single_use_client};
+pub use http::{attempt_client, control_client, is_unsent, single_use_client};
 pub use instances::{HttpInstances, InstanceBody, InstanceList, Listed, listed_from_body};
 pub use log_store::{AppendReply, ExpiredReply, HttpLog, LogStore, RecordBatch, StreamSlice};
 
--- a/crates/apricotwell_platform/src/log_store.rs
+++ b/crates/apricotwell_platform/src/log_store.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use awc::Client;
-use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use prost::Message;
 use serde::{Deserialize, Serialize};
@@ -104,7 +103,7 @@
         let sent = self.client.post(self.url(stream)).send_body(body).await;
         let mut response = match sent {
             Ok(response) => response,
-            Err(SendRequestError::Connect(_)) => return Err(AppendError::NotAppended),
+            Err(error) if crate::is_unsent(&error) => return Err(AppendError::NotAppended),
             Err(_) => return Err(AppendError::Unknown),
         };
         match response.status() {
--- /dev/null
+++ b/crates/apricotwell_state/tests/fold.rs
@@ -0,0 +1,458 @@
+//! Which records have an effect.
+
+use apricotwell_records::{
+    Body, Decide, OperatorKey, Put, Record, Retire, ServerGone, ServerUp, Settle, SettleOutcome,
+    Suspect, Take,
+};
+use apricotwell_state::{
+    Assembler, CheckpointError, Genesis, Rejected, ReplicaPhase, State, chunk_checkpoint, restore,
+};
+use apricotwell_types::{BodyDigest, KeyDigest};
+use proptest::prelude::*;
+
+struct Fold {
+    state: State,
+    sequence: u64,
+    change: u64,
+}
+
+impl Fold {
+    fn new() -> Self {
+        let root = OperatorKey::from_seed([1; 32]);
+        let genesis = Genesis {
+            root_key: root.public_hex(),
+            shards: 4,
+        };
+        Self {
+            state: State::new(genesis),
+            sequence: 0,
+            change: 0,
+        }
+    }
+
+    // One engine with 100 MiB and one model of 60 MiB whose shard is held by `a`.
+    fn with_engine() -> Self {
+        let mut fold = Self::new();
+        let pool = "kind = \"engine\"\nmemory_mib = 100\nslots = 4\n";
+        assert_eq!(fold.put("/platform/pools/p", Some(pool), 0), Ok(()));
+        for name in ["m", "n"] {
+            let model = "version = \"1\"\nmemory_mib = 60\npool = \"p\"\nmax_replicas = 1\n";
+            assert_eq!(
+                fold.put(&format!("/platform/models/{name}"), Some(model), 0),
+                Ok(())
+            );
+        }
+        assert_eq!(fold.write("a", up("s", 1)), Ok(()));
+        let take = Take {
+            shards: vec![0, 1, 2, 3],
+            fences: vec![0; 4],
+            holder: "a".to_owned(),
+            incarnation: 1,
+        };
+        assert_eq!(fold.write("a", Body::Take(take)), Ok(()));
+        fold
+    }
+
+    fn apply(&mut self, record: &Record) -> Result<(), Rejected> {
+        let offset = self.state.next();
+        self.state.apply(offset, record)
+    }
+
+    fn write(&mut self, writer: &str, body: Body) -> Result<(), Rejected> {
+        self.sequence += 1;
+        let record = Record::new(writer, 1, self.sequence, body);
+        self.apply(&record)
+    }
+
+    fn put(&mut self, path: &str, value: Option<&str>, expected: u64) -> Result<(), Rejected> {
+        let root = OperatorKey::from_seed([1; 32]);
+        self.put_as("root", &root, path, value, expected)
+    }
+
+    fn put_as(
+        &mut self,
+        writer: &str,
+        key: &OperatorKey,
+        path: &str,
+        value: Option<&str>,
+        expected: u64,
+    ) -> Result<(), Rejected> {
+        self.change += 1;
+        let mut put = Put {
+            path: path.to_owned(),
+            expected,
+            value: value.map(str::to_owned),
+            change: self.change,
+            signature: Vec::new(),
+        };
+        key.sign(writer, &mut put);
+        self.apply(&Record::new(writer, 0, 0, Body::Put(put)))
+    }
+
+    fn fence(&self, model: &str) -> u64 {
+        let shard = self.state.model_shard(model);
+        self.state.lease(shard).map_or(0, |lease| lease.fence)
+    }
+
+    fn decide(&mut self, writer: &str, model: &str, fence: u64) -> Result<(), Rejected> {
+        self.decide_on(writer, model, fence, "s", 1)
+    }
+
+    fn decide_on(
+        &mut self,
+        writer: &str,
+        model: &str,
+        fence: u64,
+        server: &str,
+        incarnation: u64,
+    ) -> Result<(), Rejected> {
+        let decide = Decide {
+            model: model.to_owned(),
+            version: "1".to_owned(),
+            server: server.to_owned(),
+            incarnation,
+            fence,
+        };
+        self.write(writer, Body::Decide(decide))
+    }
+
+    fn replica(&self) -> u64 {
+        self.state
+            .ledger()
+            .replicas()
+            .map(|(id, _)| id)
+            .last()
+            .unwrap()
+    }
+}
+
+fn up(server: &str, incarnation: u64) -> Body {
+    Body::ServerUp(ServerUp {
+        server: server.to_owned(),
+        incarnation,
+        pool: "p".to_owned(),
+        address: "10.0.0.1:1".to_owned(),
+        zone: "z".to_owned(),
+        leaving: false,
+    })
+}
+
+#[test]
+fn a_repeated_record_has_no_effect() {
+    let mut fold = Fold::with_engine();
+    let record = Record::new(
+        "a",
+        1,
+        99,
+        Body::Suspect(Suspect {
+            digest: vec![1; 16],
+        }),
+    );
+    assert_eq!(fold.apply(&record), Ok(()));
+    assert_eq!(fold.apply(&record), Err(Rejected::Repeated));
+    let digest = BodyDigest([1; 16]);
+    assert_eq!(fold.state.crashes(digest), 1);
+    // A later process of the same name begins anew; the ended one's records come too late.
+    let next = Record::new(
+        "a",
+        2,
+        1,
+        Body::Suspect(Suspect {
+            digest: vec![1; 16],
+        }),
+    );
+    assert_eq!(fold.apply(&next), Ok(()));
+    let late = Record::new(
+        "a",
+        1,
+        100,
+        Body::Suspect(Suspect {
+            digest: vec![1; 16],
+        }),
+    );
+    assert_eq!(fold.apply(&late), Err(Rejected::Repeated));
+    assert!(fold.state.is_quarantined(digest));
+}
+
+#[test]
+fn only_the_holder_decides_at_the_present_fence() {
+    let mut fold = Fold::with_engine();
+    let fence = fold.fence("m");
+    assert_eq!(fold.decide("b", "m", fence), Err(Rejected::StaleFence));
+    assert_eq!(fold.decide("a", "m", fence - 1), Err(Rejected::StaleFence));
+    let shard = fold.state.model_shard("m");
+    let take = Take {
+        shards: vec![shard],
+        fences: vec![fence],
+        holder: "b".to_owned(),
+        incarnation: 1,
+    };
+    assert_eq!(fold.write("b", Body::Take(take.clone())), Ok(()));
+    assert_eq!(fold.write("c", Body::Take(take)), Err(Rejected::StaleFence));
+    assert_eq!(fold.decide("a", "m", fence), Err(Rejected::StaleFence));
+    assert_eq!(fold.decide("b", "m", fold.fence("m")), Ok(()));
+}
+
+#[test]
+fn memory_counts_from_decision_to_confirmed_unload() {
+    let mut fold = Fold::with_engine();
+    let (m, n) = (fold.fence("m"), fold.fence("n"));
+    assert_eq!(fold.decide("a", "m", m), Ok(()));
+    let replica = fold.replica();
+    let settle = |outcome: SettleOutcome| {
+        let outcome = outcome as i32;
+        Body::Settle(Settle {
+            replica,
+            fence: m,
+            outcome,
+        })
+    };
+    let full = Err(Rejected::MemoryLimit);
+    assert_eq!(fold.decide("a", "n", n), full);
+    assert_eq!(fold.write("a", settle(SettleOutcome::Loaded)), Ok(()));
+    assert_eq!(fold.decide("a", "n", n), full);
+    assert_eq!(
+        fold.write("a", settle(SettleOutcome::Absent)),
+        Err(Rejected::WrongPhase)
+    );
+    assert_eq!(
+        fold.write("a", Body::Retire(Retire { replica, fence: m })),
+        Ok(())
+    );
+    assert_eq!(fold.decide("a", "n", n), full);
+    assert_eq!(fold.write("a", settle(SettleOutcome::Absent)), Ok(()));
+    assert_eq!(fold.decide("a", "n", n), Ok(()));
+}
+
+#[test]
+fn a_restart_ends_what_was_loaded_and_late_records_of_it() {
+    let mut fold = Fold::with_engine();
+    let (m, n) = (fold.fence("m"), fold.fence("n"));
+    assert_eq!(fold.decide("a", "m", m), Ok(()));
+    assert_eq!(fold.write("b", up("s", 2)), Ok(()));
+    assert_eq!(fold.state.ledger().replicas().count(), 0);
+    assert_eq!(fold.write("b", up("s", 1)), Err(Rejected::UnknownTarget));
+    assert_eq!(fold.decide("a", "n", n), Err(Rejected::UnknownTarget));
+    assert_eq!(fold.decide_on("a", "n", n, "s", 2), Ok(()));
+    let gone = |incarnation| {
+        let server = "s".to_owned();
+        Body::ServerGone(ServerGone {
+            server,
+            incarnation,
+        })
+    };
+    assert_eq!(fold.write("b", gone(1)), Err(Rejected::UnknownTarget));
+    assert_eq!(fold.write("b", gone(2)), Ok(()));
+    assert_eq!(fold.state.ledger().used("s"), 0);
+}
+
+#[test]
+fn a_model_has_no_more_replicas_than_its_settings_allow() {
+    let mut fold = Fold::with_engine();
+    assert_eq!(fold.write("a", up("t", 1)), Ok(()));
+    let fence = fold.fence("m");
+    assert_eq!(fold.decide("a", "m", fence), Ok(()));
+    assert_eq!(
+        fold.decide_on("a", "m", fence, "t", 1),
+        Err(Rejected::ReplicaLimit)
+    );
+    // Nobody knows what became of the earlier holder's load: its memory stays taken.
+    let take = Take {
+        shards: vec![fold.state.model_shard("m")],
+        fences: vec![fence],
+        holder: "b".to_owned(),
+        incarnation: 1,
+    };
+    assert_eq!(fold.write("b", Body::Take(take)), Ok(()));
+    let fence = fold.fence("m");
+    assert_eq!(fold.decide_on("b", "m", fence, "t", 1), Ok(()));
+    assert_eq!(
+        (fold.state.ledger().used("s"), fold.state.ledger().used("t")),
+        (60, 60)
+    );
+}
+
+#[test]
+fn adapters_need_their_base_and_keep_it() {
+    let mut fold = Fold::with_engine();
+    let adapter = "base = \"m\"\nversion = \"1\"\nmemory_mib = 10\n";
+    assert_eq!(fold.put("/teams/o/adapters/x", Some(adapter), 0), Ok(()));
+    let fence = fold.fence("m");
+    assert_eq!(
+        fold.decide("a", "m:o/x", fence),
+        Err(Rejected::UnknownTarget)
+    );
+    assert_eq!(fold.decide("a", "m", fence), Ok(()));
+    let base = fold.replica();
+    let outcome = SettleOutcome::Loaded as i32;
+    let settle = Settle {
+        replica: base,
+        fence,
+        outcome,
+    };
+    assert_eq!(fold.write("a", Body::Settle(settle)), Ok(()));
+    assert_eq!(fold.decide("a", "m:o/x", fence), Ok(()));
+    let retire = Body::Retire(Retire {
+        replica: base,
+        fence,
+    });
+    assert_eq!(fold.write("a", retire), Err(Rejected::WrongPhase));
+    assert_eq!(
+        fold.state.ledger().replica(base).unwrap().phase,
+        ReplicaPhase::Loaded
+    );
+}
+
+#[test]
+fn teams_write_below_their_own_path_only() {
+    let mut fold = Fold::new();
+    let team = OperatorKey::from_seed([2; 32]);
+    let operator = format!(
+        "public_key = \"{}\"\nsubtree = \"/teams/o\"\n",
+        team.public_hex()
+    );
+    assert_eq!(
+        fold.put("/platform/operators/t", Some(&operator), 0),
+        Ok(())
+    );
+    let digest = KeyDigest::of_secret("s").to_hex();
+    let key = format!("digest = \"{digest}\"\n");
+    let table = [
+        ("/teams/o/keys/k", Ok(())),
+        ("/teams/other/keys/k", Err(Rejected::OutsideSubtree)),
+        ("/teams/org/keys/k", Err(Rejected::OutsideSubtree)),
+        ("/platform/store", Err(Rejected::OutsideSubtree)),
+    ];
+    for (path, expected) in table {
+        assert_eq!(
+            fold.put_as("t", &team, path, Some(&key), 0),
+            expected,
+            "{path}"
+        );
+    }
+    let stranger = OperatorKey::from_seed([3; 32]);
+    let forged = fold.put_as("t", &stranger, "/teams/o/keys/l", Some(&key), 0);
+    assert_eq!(forged, Err(Rejected::WrongSignature));
+    let unknown = fold.put_as("u", &stranger, "/teams/o/keys/l", Some(&key), 0);
+    assert_eq!(unknown, Err(Rejected::UnknownOperator));
+    // The digest of a key in force can't be claimed for another organisation.
+    let stolen = fold.put("/teams/other/keys/k", Some(&key), 0);
+    assert!(matches!(stolen, Err(Rejected::Malformed(_))), "{stolen:?}");
+    let holder = fold.state.key(&KeyDigest::of_secret("s")).unwrap();
+    assert_eq!(&*holder.org, "o");
+}
+
+#[test]
+fn versions_only_grow() {
+    let mut fold = Fold::new();
+    let path = "/platform/store";
+    let value = |loads: u32| format!("parallel_loads = {loads}\nparallel_adapters = 1\n");
+    assert_eq!(fold.put(path, Some(&value(1)), 0), Ok(()));
+    assert_eq!(
+        fold.put(path, Some(&value(2)), 0),
+        Err(Rejected::VersionConflict(1))
+    );
+    assert_eq!(fold.put(path, None, 1), Ok(()));
+    let version = fold.state.config().get(path).unwrap().version;
+    assert_eq!(
+        fold.put(path, Some(&value(3)), 0),
+        Err(Rejected::VersionConflict(version))
+    );
+    assert_eq!(fold.put(path, Some(&value(3)), version), Ok(()));
+    assert_eq!(fold.state.store().parallel_loads, 3);
+}
+
+#[test]
+fn bad_values_name_path_and_remedy() {
+    let mut fold = Fold::new();
+    let table = [
+        ("no/slash", "", "is not a path"),
+        ("/platform/nothing", "", "see docs/SETTINGS.md"),
+        ("/platform/models/m", "version = 1", "version"),
+        (
+            "/platform/models/m",
+            "version = \"1\"\nmemory_mib = 0\npool = \"p\"\n",
+            "above 0",
+        ),
+        (
+            "/platform/organisations/o",
+            "rate = 0\nburst = 1\n",
+            "withdraw its keys",
+        ),
+        (
+            "/platform/pools/p",
+            "kind = \"engine\"\n",
+            "above 0 for engines",
+        ),
+        ("/teams/o/keys/k", "digest = \"12\"\n", "key issue"),
+        (
+            "/platform/models/m",
+            "version = \"1\"\nunknown = 2\n",
+            "unknown",
+        ),
+    ];
+    for (path, value, expected) in table {
+        let Err(Rejected::Malformed(reason)) = fold.put(path, Some(value), 0) else {
+            panic!("{path}: accepted");
+        };
+        assert!(reason.contains(expected), "{path}: {reason}");
+    }
+}
+
+#[test]
+fn checkpoints_survive_any_order_and_tell_torn_ones() {
+    let mut fold = Fold::with_engine();
+    for index in 0..2000 {
+        let value = "version = \"1\"\nmemory_mib = 1\npool = \"p\"\n";
+        assert_eq!(
+            fold.put(&format!("/platform/models/m{index}"), Some(value), 0),
+            Ok(())
+        );
+    }
+    let genesis = fold.state.genesis().clone();
+    let mut chunks = chunk_checkpoint(&fold.state, "a", 1);
+    let others = chunk_checkpoint(&fold.state, "b", 1);
+    assert!(chunks.len() > 1);
+    chunks.reverse();
+    let mut assembler = Assembler::default();
+    let mut found = None;
+    for (chunk, other) in chunks.iter().zip(others) {
+        assert!(found.is_none());
+        let _ = assembler.push(other);
+        found = assembler.push(chunk.clone()).unwrap();
+    }
+    let state = restore(&found.unwrap(), &genesis).unwrap();
+    assert_eq!(state.next(), fold.state.next());
+    assert_eq!(state.models().count(), 2002);
+    assert_eq!(state.ledger(), fold.state.ledger());
+
+    chunks[0].bytes[7] ^= 1;
+    let mut assembler = Assembler::default();
+    let results: Vec<_> = chunks
+        .into_iter()
+        .map(|chunk| assembler.push(chunk))
+        .collect();
+    assert_eq!(results.last(), Some(&Err(CheckpointError::Corrupt)));
+
+    let other = Genesis {
+        shards: 5,
+        ..genesis
+    };
+    let bytes = Vec::new();
+    assert_eq!(restore(&bytes, &other), Err(CheckpointError::Unreadable));
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_panic_and_all_readers_agree(
+        records in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..60), 0..30),
+    ) {
+        let mut one = Fold::with_engine().state;
+        let mut other = one.clone();
+        for bytes in &records {
+            let offset = one.next();
+            prop_assert_eq!(one.apply_bytes(offset, bytes), other.apply_bytes(offset, bytes));
+        }
+        prop_assert_eq!(one, other);
+    }
+}
