Pass on what others said of the log, so that large fleets settle

Cause: the slopes showed fleets of 30 and more never settling: 9.8 appends a second and daemon at 30 members, 58.8 at 90, and no shard found a holder again within 60 s of a kill. A member probes each other one every n x 0.2 s, so beyond 15 members most statements were older than the window of 3 s and healthy members counted as cut off. Excluded: lost probes (none) and placement (no models). Change: an answer to a ping passes on up to 24 statements of others with their ages; ages count from the ping's start, so nothing is taken for newer than it was. Plans run every 0.2 s while nothing happens. Publishing a new adapter no longer looks through all of them.

--- a/crates/apricotwell_leases/src/freshness.rs
+++ b/crates/apricotwell_leases/src/freshness.rs
@@ -14,8 +14,10 @@
     pub asked: Instant,
     /// First offset that the peer has not applied.
     pub next: Offset,
-    /// Time since the peer's last complete read began; `None` when it never read.
+    /// Time since the peer's view was last confirmed; `None` when it never was.
     pub contact_age: Option<Duration>,
+    /// Time since the peer last reached the log itself; `None` when it never did.
+    pub direct_age: Option<Duration>,
 }
 
 /// How far this instance's view can be trusted.
@@ -115,7 +117,22 @@
             let contact = evidence.asked.checked_sub(age);
             self.contact = self.contact.max(contact);
         }
-        self.peers.insert(peer, evidence);
+        // What comes through others may be older than what is known.
+        let known = self.peers.get(&peer);
+        if known.is_none_or(|known| known.asked < evidence.asked) {
+            self.peers.insert(peer, evidence);
+        }
+    }
+
+    /// Returns what peers said within the window.
+    pub fn statements(&self, now: Instant) -> impl Iterator<Item = (&InstanceId, &Evidence)> {
+        self.recent(now)
+    }
+
+    /// Returns when a peer last reached the log itself, as far as is known.
+    pub fn direct_contact(&self, peer: &str) -> Option<Instant> {
+        let evidence = self.peers.get(peer)?;
+        evidence.asked.checked_sub(evidence.direct_age?)
     }
 
     /// Returns a peer that has applied records that this instance lacks.
--- a/crates/apricotwell_messages/src/envelope.rs
+++ b/crates/apricotwell_messages/src/envelope.rs
@@ -18,6 +18,9 @@
     /// What the sender has read of the log.
     #[prost(message, optional, tag = "3")]
     pub evidence: Option<LogEvidence>,
+    /// What other members said of the log, on answers to pings only.
+    #[prost(message, repeated, tag = "4")]
+    pub heard: Vec<HeardEvidence>,
     /// Message; `None` for a kind that this version does not know.
     #[prost(
         oneof = "Message",
@@ -57,6 +60,26 @@
     pub direct_ms: Option<u64>,
 }
 
+/// What another member said of the log.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HeardEvidence {
+    /// Member.
+    #[prost(string, tag = "1")]
+    pub member: String,
+    /// First offset that it has not applied.
+    #[prost(uint64, tag = "2")]
+    pub next: u64,
+    /// Milliseconds since the exchange in which it said so began.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Milliseconds between its last confirmed contact and that exchange; absent without any.
+    #[prost(uint64, optional, tag = "4")]
+    pub contact_ms: Option<u64>,
+    /// The same for its last contact with the log itself.
+    #[prost(uint64, optional, tag = "5")]
+    pub direct_ms: Option<u64>,
+}
+
 /// Kinds of messages.
 #[derive(Clone, PartialEq, Oneof)]
 pub enum Message {
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -20,8 +20,8 @@
 
 pub use claims::{ClaimAsk, ClaimFinish, ClaimFinished, ClaimReply, ClaimVerdict};
 pub use envelope::{
-    Ack, Demand, DemandItem, Envelope, LogEvidence, Message, Ping, PingFor, Reclaim, RecordsAsk,
-    RecordsReply, SnapshotAsk, SnapshotChunk,
+    Ack, Demand, DemandItem, Envelope, HeardEvidence, LogEvidence, Message, Ping, PingFor, Reclaim,
+    RecordsAsk, RecordsReply, SnapshotAsk, SnapshotChunk,
 };
 pub use news::News;
 pub use tokens::{BucketState, GrantLeft, TokenAsk, TokenGrant};
--- a/crates/apricotwell_node/src/fleet.rs
+++ b/crates/apricotwell_node/src/fleet.rs
@@ -6,9 +6,11 @@
     Evidence, Freshness, LeasePlan, LiveMember, Standing, Standings, View, plan_leases,
 };
 use apricotwell_membership::{Contact, MemberState, Membership, Outgoing, Probe};
-use apricotwell_messages::{Ack, Envelope, LogEvidence, Message, News, Ping, PingFor};
+use apricotwell_messages::{
+    Ack, Envelope, HeardEvidence, LogEvidence, Message, News, Ping, PingFor,
+};
 use apricotwell_state::State;
-use apricotwell_types::{Fence, InstanceId, Map, Offset, Shard};
+use apricotwell_types::{Fence, InstanceId, Offset, Shard};
 
 use crate::NodeSettings;
 use crate::order_desk::HeldTerm;
@@ -17,6 +19,10 @@
 /// Time in which a new instance lets the members on the list answer before it takes leases.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// Statements of others on one answer.
+const MAX_HEARD: usize = 24;
+/// Windows without contact to the log after which an instance counts as unable to decide.
+const LOST_WINDOWS: u32 = 3;
 /// Time for which a shard is kept before it is handed on: by then its last holder's leaving is known
 /// here, and the shard is not handed back.
 const MIN_TENURE: Duration = Duration::from_secs(3);
@@ -36,8 +42,8 @@
     started: Instant,
     // When this instance last reached the log itself.
     direct: Option<Instant>,
-    // When each peer last reached the log itself, as far as it has told.
-    peers_direct: Map<InstanceId, Instant>,
+    // Which statements of others the next answer passes on.
+    next_heard: usize,
 }
 
 impl Fleet {
@@ -61,7 +67,7 @@
             leaving: false,
             started: now,
             direct: None,
-            peers_direct: Map::default(),
+            next_heard: 0,
         }
     }
 
@@ -72,8 +78,6 @@
             self.listed.push(self.me.clone());
         }
         self.freshness.retain(&self.listed);
-        let listed = &self.listed;
-        self.peers_direct.retain(|peer, _| listed.contains(peer));
     }
 
     pub(crate) fn note_log_read(&mut self, began: Instant, next: Offset, reached_end: bool) {
@@ -190,7 +194,7 @@
                 number: ping.number,
             },
             Some(Message::Ack(ack)) => {
-                self.note_evidence(ack.number, &sender.contact.id, envelope.evidence);
+                self.note_evidence(ack.number, &sender.contact.id, envelope);
                 Probe::Ack { number: ack.number }
             }
             Some(Message::PingFor(ask)) => Probe::PingFor {
@@ -204,29 +208,66 @@
         self.envelopes(now, next, out)
     }
 
-    // Only an answer to an own ping counts: its beginning is known by this instance's clock.
-    fn note_evidence(&mut self, number: u64, peer: &InstanceId, evidence: Option<LogEvidence>) {
-        let asked = self.membership.ping_sent(number, peer);
-        if let (Some(asked), Some(evidence)) = (asked, evidence) {
-            let direct = evidence.direct_ms.map(Duration::from_millis);
+    // Only an answer to an own ping counts: its beginning is known by this instance's clock. The
+    // ages of what others said count from then, so that nothing is taken for newer than it was.
+    fn note_evidence(&mut self, number: u64, peer: &InstanceId, envelope: &Envelope) {
+        let Some(asked) = self.membership.ping_sent(number, peer) else {
+            return;
+        };
+        if let Some(evidence) = envelope.evidence {
             let evidence = Evidence {
                 asked,
                 next: evidence.next,
                 contact_age: evidence.contact_ms.map(Duration::from_millis),
+                direct_age: evidence.direct_ms.map(Duration::from_millis),
             };
             self.freshness.note_peer(peer.clone(), evidence);
-            if let Some(direct) = direct.and_then(|age| asked.checked_sub(age)) {
-                self.peers_direct.insert(peer.clone(), direct);
+        }
+        for heard in &envelope.heard {
+            let Some(asked) = asked.checked_sub(Duration::from_millis(heard.age_ms)) else {
+                continue;
+            };
+            if *heard.member == *self.me {
+                continue;
             }
+            let evidence = Evidence {
+                asked,
+                next: heard.next,
+                contact_age: heard.contact_ms.map(Duration::from_millis),
+                direct_age: heard.direct_ms.map(Duration::from_millis),
+            };
+            self.freshness
+                .note_peer(heard.member.as_str().into(), evidence);
         }
     }
 
+    // Some of what others said, in turn, so that a statement reaches everybody though each member
+    // probes few others.
+    fn pass_heard(&mut self, now: Instant) -> Vec<HeardEvidence> {
+        let mut statements: Vec<(&InstanceId, &Evidence)> =
+            self.freshness.statements(now).collect();
+        statements.sort_unstable_by_key(|(peer, _)| *peer);
+        let count = statements.len();
+        let first = self.next_heard;
+        self.next_heard = first.wrapping_add(MAX_HEARD);
+        let turn = (0..count.min(MAX_HEARD)).map(|index| statements[(first + index) % count]);
+        turn.map(|(peer, evidence)| HeardEvidence {
+            member: peer.to_string(),
+            next: evidence.next,
+            age_ms: now.saturating_duration_since(evidence.asked).as_millis() as u64 + 1,
+            contact_ms: evidence.contact_age.map(|age| age.as_millis() as u64),
+            direct_ms: evidence.direct_age.map(|age| age.as_millis() as u64),
+        })
+        .collect()
+    }
+
     /// Returns a message in an envelope with this instance's news.
     pub(crate) fn envelope(&self, now: Instant, next: Offset, body: Message) -> Envelope {
         Envelope {
             sender: Some(News::from_update(self.membership.own())),
             news: Vec::new(),
             evidence: Some(self.evidence(now, next)),
+            heard: Vec::new(),
             body: Some(body),
         }
     }
@@ -244,12 +285,14 @@
     }
 
     fn envelopes(
-        &self,
+        &mut self,
         now: Instant,
         next: Offset,
         out: Vec<Outgoing>,
     ) -> Vec<(Contact, Envelope)> {
-        let convert = |outgoing: Outgoing| {
+        let mut envelopes = Vec::new();
+        for outgoing in out {
+            let is_answer = matches!(outgoing.probe, Probe::Ack { .. });
             let body = match outgoing.probe {
                 Probe::Ping { number } => Message::Ping(Ping { number }),
                 Probe::Ack { number } => Message::Ack(Ack { number }),
@@ -260,9 +303,12 @@
             };
             let mut envelope = self.envelope(now, next, body);
             envelope.news = outgoing.news.iter().map(News::from_update).collect();
-            (outgoing.to, envelope)
-        };
-        out.into_iter().map(convert).collect()
+            if is_answer {
+                envelope.heard = self.pass_heard(now);
+            }
+            envelopes.push((outgoing.to, envelope));
+        }
+        envelopes
     }
 
     /// Brings the standing on leases up to date.
@@ -359,8 +405,8 @@
     // log for two windows, while this instance does, can decide nothing and loses them.
     fn live_members(&self, now: Instant) -> Vec<LiveMember> {
         let reaches_log = |id: &InstanceId| {
-            let direct = self.peers_direct.get(id);
-            direct.is_none_or(|direct| now < *direct + self.window * 2)
+            let direct = self.freshness.direct_contact(id);
+            direct.is_none_or(|direct| now < direct + self.window * LOST_WINDOWS)
         };
         let mut live: Vec<LiveMember> = self
             .membership
--- a/crates/apricotwell_node/src/node.rs
+++ b/crates/apricotwell_node/src/node.rs
@@ -33,8 +33,8 @@
 
 /// Records kept for peers that can't reach the log.
 const MAX_RECENT: usize = 4096;
-/// Least pause between two plans.
-const PLAN_PERIOD: Duration = Duration::from_millis(50);
+/// Time between two plans while nothing happens.
+const PLAN_PERIOD: Duration = Duration::from_millis(200);
 /// Time for which told demand counts, in demand periods.
 const DEMAND_LIFETIME: u32 = 8;
 
--- a/crates/apricotwell_node/tests/leases.rs
+++ b/crates/apricotwell_node/tests/leases.rs
@@ -215,6 +215,25 @@
     }
 }
 
+#[test]
+fn a_larger_fleet_settles_too_and_recovers_from_a_kill() {
+    // Each member probes a fortieth of the others per period: what they say must come through.
+    let options = WorldOptions {
+        instances: 40,
+        shards: 64,
+        ..WorldOptions::default()
+    };
+    let mut world = World::new(options);
+    world.run_for(seconds(12));
+    assert!(world.is_settled());
+    let before = world.log.appends;
+    world.run_for(seconds(10));
+    assert_eq!(world.log.appends, before);
+    world.kill("entry-2");
+    assert!(world.run_until(seconds(15), World::is_settled));
+    assert_eq!(world.broken(), Vec::<String>::new());
+}
+
 #[test]
 fn a_joining_instance_moves_only_its_own_share() {
     let options = WorldOptions {
--- a/crates/apricotwell_state/src/state.rs
+++ b/crates/apricotwell_state/src/state.rs
@@ -381,7 +381,10 @@
                 {
                     self.suspects.remove(&digest.0);
                 }
-                self.index.remove(&put.path);
+                // A path without a value has nothing in the index; looking for it costs.
+                if put.expected != 0 {
+                    self.index.remove(&put.path);
+                }
                 self.index.insert(&put.path, setting);
             }
             None => self.index.remove(&put.path),
