--- a/crates/apricotwell_entry/src/api/guard.rs
+++ b/crates/apricotwell_entry/src/api/guard.rs
@@ -57,17 +57,20 @@
     payload: Payload,
 ) -> Result<Bytes, Refusal> {
     let callers = &shell.settings().callers;
+    let announced = header(request, "content-length").and_then(|text| text.parse::<u64>().ok());
+    if announced.is_some_and(|length| length > callers.max_body_bytes as u64) {
+        return Err(too_large(callers.max_body_bytes));
+    }
     let limit = Duration::from_millis(callers.body_timeout_ms);
     let read = payload.to_bytes_limited(callers.max_body_bytes);
     let body = match timeout(limit, read).await {
         Ok(Ok(Ok(body))) => body,
         Ok(Ok(Err(_))) => return Err(bad("the body broke off before its end: send it again")),
-        Ok(Err(_)) => {
-            let most = callers.max_body_bytes;
-            let message = format!("the body is larger than {most} bytes: send a smaller one");
-            return Err(Refusal::not_run(RefusalKind::TooLarge, message));
+        Ok(Err(_)) => return Err(too_large(callers.max_body_bytes)),
+        Err(_) => {
+            let message = "the body came too slowly: send it again";
+            return Err(Refusal::not_run(RefusalKind::TooSlow, message));
         }
-        Err(_) => return Err(bad("the body came too slowly: send it again")),
     };
     if let Some(secret) = bearer(request)
         && !secret.is_empty()
@@ -127,6 +130,11 @@
     request.headers().get(name)?.to_str().ok()
 }
 
+fn too_large(most: usize) -> Refusal {
+    let message = format!("the body is larger than {most} bytes: send a smaller one");
+    Refusal::not_run(RefusalKind::TooLarge, message)
+}
+
 pub(crate) fn bad(message: impl Into<String>) -> Refusal {
     Refusal::not_run(RefusalKind::BadRequest, message)
 }
--- /dev/null
+++ b/crates/apricotwell_entry/tests/connections.rs
@@ -0,0 +1,146 @@
+//! Silent, crossed and slow connections over real sockets.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use apricotwell_local::{FleetOptions, LocalFleet};
+
+const CHAT: &str = r#"{"model":"menu-writer","max_tokens":2,"messages":[]}"#;
+
+fn fleet(name: &str) -> LocalFleet {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_apricotwell-entry"));
+    let mut options = FleetOptions::kitchen(program, name);
+    options.instances = 1;
+    options.settings = "[requests]\nfirst_byte_ms = 500\nprogress_ms = 500\n\
+                        [callers]\nstalled_caller_ms = 700\nhead_timeout_ms = 500\n\
+                        body_timeout_ms = 500\nmax_body_bytes = 100000\n"
+        .to_owned();
+    let fleet = LocalFleet::start(options);
+    // The retry budget is one in ten requests.
+    for _ in 0..12 {
+        assert_eq!(fleet.chat(0, "hadegisbru", CHAT).status, 200);
+    }
+    fleet
+}
+
+#[test]
+fn an_engine_that_goes_silent_is_given_up_and_the_request_tried_again() {
+    let fleet = fleet("silent");
+    fleet.fault(fleet.engine(0), r#"{"silent":1}"#);
+    let began = Instant::now();
+    let answer = fleet.chat(0, "hadegisbru", CHAT);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(began.elapsed() >= Duration::from_millis(500));
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn an_answer_to_another_attempt_reaches_no_caller() {
+    let fleet = fleet("crossed");
+    fleet.fault(fleet.engine(0), r#"{"cross":1}"#);
+    let answer = fleet.chat(0, "hadegisbru", CHAT);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(!answer.head.contains("of another"), "{answer:?}");
+    fleet.fault(fleet.engine(0), r#"{"cross":9}"#);
+    let answer = fleet.chat(0, "hadegisbru", CHAT);
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert!(answer.body.contains("outcome_unknown"), "{answer:?}");
+}
+
+#[test]
+fn a_caller_that_stops_reading_does_not_hold_its_server() {
+    let fleet = fleet("stalled");
+    let body = r#"{"model":"menu-writer","stream":true,"max_tokens":4096,"messages":[]}"#;
+    let long: Vec<TcpStream> = (0..3).map(|_| begin(&fleet, body)).collect();
+    fleet.wait_until("streams run", |fleet| open_requests(fleet) == 3);
+    // Small buffers fill at once; nothing is read any more.
+    fleet.wait_until("streams are given up", |fleet| open_requests(fleet) == 0);
+    drop(long);
+    assert_eq!(fleet.chat(0, "hadegisbru", CHAT).status, 200);
+}
+
+fn begin(fleet: &LocalFleet, body: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(fleet.address(0)).unwrap();
+    let key = LocalFleet::key("hadegisbru");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut first = [0; 64];
+    let _ = stream.read(&mut first).unwrap();
+    stream
+}
+
+fn open_requests(fleet: &LocalFleet) -> u32 {
+    let metrics = fleet.get(0, "/metrics").body;
+    let line = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("apricotwell_open_requests "));
+    line.and_then(|value| value.trim().parse().ok())
+        .unwrap_or(u32::MAX)
+}
+
+fn resident_kib(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
+
+#[test]
+fn bad_input_gets_its_answer_and_leaves_no_memory_behind() {
+    let fleet = fleet("bad-input");
+    let key = LocalFleet::key("hadegisbru");
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n";
+    let auth = format!("{head}authorization: Bearer {key}\r\n");
+    let flood: String = (0..400)
+        .map(|index| format!("x-{index}: {}\r\n", "a".repeat(300)))
+        .collect();
+    let large = "a".repeat(200_000);
+    let with_body = |body: &[u8]| {
+        let mut request = format!("{auth}content-length: {}\r\n\r\n", body.len()).into_bytes();
+        request.extend_from_slice(body);
+        request
+    };
+    let table: Vec<(&str, Vec<u8>, &[u16])> = vec![
+        ("oversize body", with_body(large.as_bytes()), &[413]),
+        ("oversize body announced only", format!("{auth}content-length: 999999999\r\n\r\n").into_bytes(), &[413]),
+        ("truncated body", format!("{auth}content-length: 50\r\n\r\n{{").into_bytes(), &[408]),
+        ("invalid UTF-8", with_body(b"{\"model\":\"\xff\xfe\",\"prompt\":\"x\"}"), &[400]),
+        ("invalid JSON", with_body(b"{\"model\":"), &[400]),
+        ("deep nesting", with_body("[".repeat(50_000).as_bytes()), &[400]),
+        ("absurd token count", with_body(br#"{"model":"menu-writer","prompt":"x","max_tokens":99999999999}"#), &[400]),
+        ("negative token count", with_body(br#"{"model":"menu-writer","prompt":"x","max_tokens":-5}"#), &[400]),
+        ("header flood", format!("{auth}{flood}\r\n").into_bytes(), &[400, 431]),
+        ("conflicting lengths", format!("{auth}content-length: 3\r\ncontent-length: 5\r\n\r\nabcde").into_bytes(), &[400]),
+        ("length and chunks", format!("{auth}content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n").into_bytes(), &[400]),
+        ("bad chunk size", format!("{auth}transfer-encoding: chunked\r\n\r\nzz\r\n").into_bytes(), &[400]),
+        ("slow head", format!("{auth}x-slow:").into_bytes(), &[408]),
+        ("no request", b"\x16\x03\x01\x02\x00\x01\x00".to_vec(), &[400]),
+        ("no key", format!("{head}content-length: 2\r\n\r\n{{}}").into_bytes(), &[401]),
+        ("key in the URL", format!("POST /v1/chat/completions?key={key} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nauthorization: Bearer {key}\r\ncontent-length: 2\r\n\r\n{{}}").into_bytes(), &[400]),
+    ];
+    let mut wrong = Vec::new();
+    for (name, request, expected) in &table {
+        let answer = apricotwell_local::exchange(fleet.address(0), request);
+        if !expected.contains(&answer.status) {
+            wrong.push(format!("{name}: {answer:?}"));
+        }
+    }
+    assert_eq!(wrong, Vec::<String>::new());
+    let before = resident_kib(fleet.pid(0));
+    for _ in 0..4 {
+        for (name, request, _) in &table {
+            if !name.starts_with("slow") && !name.starts_with("truncated") {
+                apricotwell_local::exchange(fleet.address(0), request);
+            }
+        }
+    }
+    let after = resident_kib(fleet.pid(0));
+    assert!(after < before + 16 * 1024, "from {before} to {after} KiB");
+    assert_eq!(fleet.chat(0, "hadegisbru", CHAT).status, 200);
+}
--- a/crates/apricotwell_entry/tests/sessions.rs
+++ b/crates/apricotwell_entry/tests/sessions.rs
@@ -5,44 +5,9 @@
 use apricotwell_local::{FleetOptions, LocalFleet, normalise};
 use expect_test::expect_file;
 
-const DOCUMENT: &str = r#"
-["/platform/pools/engines"]
-kind = "engine"
-memory_mib = 48000
-slots = 8
-fencing = true
-["/platform/pools/orders"]
-kind = "service"
-slots = 16
-["/platform/models/menu-writer"]
-version = "1"
-memory_mib = 16000
-pool = "engines"
-["/platform/routes/orders"]
-prefix = "/orders"
-methods = ["POST"]
-pool = "orders"
-class = "non-idempotent"
-deadline_ms = 10000
-["/platform/organisations/hadegisbru"]
-rate = 100000
-burst = 300000
-models = ["menu-writer"]
-"#;
-
 fn options(name: &str) -> FleetOptions {
-    FleetOptions {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_apricotwell-entry")),
-        name: name.to_owned(),
-        instances: 3,
-        fencing_engines: 1,
-        plain_engines: 0,
-        load_ms: 50,
-        token_ms: 2,
-        settings: "[shutdown]\nlookup_lifetime_ms = 300\n".to_owned(),
-        document: DOCUMENT.to_owned(),
-        organisations: vec!["hadegisbru".to_owned()],
-    }
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_apricotwell-entry"));
+    FleetOptions::kitchen(program, name)
 }
 
 fn chat(stream: bool) -> String {
--- a/crates/apricotwell_local/src/fleet.rs
+++ b/crates/apricotwell_local/src/fleet.rs
@@ -28,6 +28,32 @@
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
+/// Configuration of the fleet that most tests use.
+const KITCHEN: &str = r#"
+["/platform/pools/engines"]
+kind = "engine"
+memory_mib = 48000
+slots = 8
+fencing = true
+["/platform/pools/orders"]
+kind = "service"
+slots = 16
+["/platform/models/menu-writer"]
+version = "1"
+memory_mib = 16000
+pool = "engines"
+["/platform/routes/orders"]
+prefix = "/orders"
+methods = ["POST"]
+pool = "orders"
+class = "non-idempotent"
+deadline_ms = 10000
+["/platform/organisations/hadegisbru"]
+rate = 100000
+burst = 300000
+models = ["menu-writer"]
+"#;
+
 /// What a fleet consists of.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -53,6 +79,24 @@
     pub organisations: Vec<String>,
 }
 
+impl FleetOptions {
+    /// Returns a fleet of three instances, one engine and one service, with one organisation.
+    pub fn kitchen(program: PathBuf, name: &str) -> Self {
+        Self {
+            program,
+            name: name.to_owned(),
+            instances: 3,
+            fencing_engines: 1,
+            plain_engines: 0,
+            load_ms: 50,
+            token_ms: 2,
+            settings: "[shutdown]\nlookup_lifetime_ms = 300\n".to_owned(),
+            document: KITCHEN.to_owned(),
+            organisations: vec!["hadegisbru".to_owned()],
+        }
+    }
+}
+
 /// Instance as a process.
 #[derive(Debug)]
 struct Instance {
--- a/crates/apricotwell_standins/src/engine.rs
+++ b/crates/apricotwell_standins/src/engine.rs
@@ -56,6 +56,8 @@
     break_streams: Option<u32>,
     /// Number of requests that never make progress.
     silent: Option<u32>,
+    /// Number of answers that name another attempt.
+    cross: Option<u32>,
 }
 
 #[derive(Default)]
@@ -64,6 +66,7 @@
     leaving: bool,
     break_streams: u32,
     silent: u32,
+    cross: u32,
 }
 
 #[derive(Clone)]
@@ -250,6 +253,7 @@
     faults.leaving = wanted.leaving.unwrap_or(faults.leaving);
     faults.break_streams = wanted.break_streams.unwrap_or(faults.break_streams);
     faults.silent = wanted.silent.unwrap_or(faults.silent);
+    faults.cross = wanted.cross.unwrap_or(faults.cross);
     HttpResponse::Ok().finish()
 }
 
@@ -307,7 +311,10 @@
     }
     let breaks = take_one(&mut engine.faults().break_streams);
     let plan = make_plan(&parsed, request.path(), breaks);
-    let attempt = header(request.headers(), "x-attempt-id").unwrap_or_default();
+    let mut attempt = header(request.headers(), "x-attempt-id").unwrap_or_default();
+    if take_one(&mut engine.faults().cross) {
+        attempt.push_str(" of another");
+    }
     sleep(Duration::from_millis(engine.args.first_token_ms)).await;
     if parsed.stream {
         answer_stream(running, plan, &attempt)
--- a/crates/apricotwell_types/src/ending.rs
+++ b/crates/apricotwell_types/src/ending.rs
@@ -42,6 +42,8 @@
     BadRequest,
     /// The body is larger than the setting allows.
     TooLarge,
+    /// The body did not come in time.
+    TooSlow,
     /// No key, an unknown key or a withdrawn key.
     InvalidKey,
     /// The model is unknown or not granted to the organisation.
@@ -74,6 +76,7 @@
         match self {
             RefusalKind::BadRequest => 400,
             RefusalKind::TooLarge => 413,
+            RefusalKind::TooSlow => 408,
             RefusalKind::InvalidKey => 401,
             RefusalKind::ModelNotFound | RefusalKind::RouteNotFound => 404,
             RefusalKind::Quarantined | RefusalKind::KeyReused => 422,
@@ -92,6 +95,7 @@
         match self {
             RefusalKind::BadRequest => "bad_request",
             RefusalKind::TooLarge => "request_too_large",
+            RefusalKind::TooSlow => "request_timeout",
             RefusalKind::InvalidKey => "invalid_api_key",
             RefusalKind::ModelNotFound => "model_not_found",
             RefusalKind::RouteNotFound => "route_not_found",
