Provoke the takeover of a lease whose holder was cut off a moment ago

Cause: taking the wait after a takeover out of a scratch copy made no test fail: in every case the holder's view had lapsed before its peers declared it dead. Change: a test in which peers lose the holder first and the log loses it 2.0 to 5.0 s later. Conclusion: the wait is needed and is now proved.

--- a/crates/apricotwell_node/tests/leases.rs
+++ b/crates/apricotwell_node/tests/leases.rs
@@ -183,6 +183,23 @@
     }
 }
 
+#[test]
+fn a_taker_waits_until_a_holder_cut_off_a_moment_ago_has_stopped() {
+    // Peers lose the holder first and declare it dead about when the log loses it too: its view is
+    // good for nearly a whole window when its lease is taken over.
+    for step in 0..16 {
+        let mut world = world(step + 1, 5);
+        for other in ["entry-2", "entry-3", "entry-4", "entry-5"] {
+            world.cut("entry-1", other, true);
+        }
+        world.run_for(Duration::from_millis(2000 + 200 * step));
+        world.cut_log("entry-1", true);
+        let settled = world.run_until(seconds(20), World::is_settled);
+        assert_eq!(world.broken(), Vec::<String>::new(), "step {step}");
+        assert!(settled, "step {step}");
+    }
+}
+
 #[test]
 fn a_settled_fleet_appends_nothing() {
     let mut world = world(1, 9);
