--- a/crates/apricotwell_node/tests/orders.rs
+++ b/crates/apricotwell_node/tests/orders.rs
@@ -263,9 +263,10 @@
             .find(|name| *name != holder)
             .unwrap();
         world.call(&caller, Call::chat("org-a", "model-a"));
-        world.run_until(seconds(1), |world| {
-            world.folded().ledger().replicas().count() > 0
-        });
+        // Looked at closely: a few milliseconds later the others have read it too.
+        while world.node(&holder).state().ledger().replicas().count() == 0 {
+            world.run_for(Duration::from_micros(100));
+        }
         world.log.down = true;
         world.run_for(seconds(5));
         let loaded: u64 = ["engine-1", "engine-2"]
--- /dev/null
+++ b/crates/apricotwell_platform/tests/contracts.rs
@@ -0,0 +1,207 @@
+//! What every adapter must do, run against the stand-ins through real sockets.
+
+use std::time::Duration;
+
+use apricotwell_local::free_address;
+use apricotwell_node::{EngineOrder, OrderKind, OrderOutcome};
+use apricotwell_platform::{
+    EngineControl, HttpEngine, HttpInstances, HttpLog, InstanceList, LogStore, control_client,
+};
+use apricotwell_records::{AppendError, ReadError};
+use apricotwell_standins::{EngineArgs, PlatformArgs, run_engine, run_platform};
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+const LIST: &str = r#"
+[[instance]]
+id = "entry-1"
+role = "entry"
+address = "127.0.0.1:1"
+peer_address = "127.0.0.1:2"
+zone = "zone-a"
+[[instance]]
+id = "engine-1"
+role = "engines"
+address = "127.0.0.1:3"
+zone = "zone-b"
+"#;
+
+async fn faults(address: &str, body: &'static str) {
+    let url = format!("http://{address}/faults");
+    let request = control_client()
+        .post(url)
+        .insert_header(("content-type", "application/json"));
+    let reply = request.send_body(body).await.unwrap();
+    assert!(reply.status().is_success(), "{reply:?}");
+}
+
+async fn start_platform(name: &str) -> String {
+    let file = std::env::temp_dir().join(format!("apricotwell-{name}-{}.toml", std::process::id()));
+    std::fs::write(&file, LIST).unwrap();
+    let address = free_address();
+    actix_web::rt::spawn(run_platform(PlatformArgs {
+        listen: address.clone(),
+        instances: file,
+        parallel_loads: 4,
+        load_ms: 20,
+        parallel_adapters: 32,
+        adapter_ms: 5,
+    }));
+    wait_for(&address).await;
+    address
+}
+
+async fn wait_for(address: &str) {
+    for _ in 0..500 {
+        if tokio::net::TcpStream::connect(address).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{address} does not listen");
+}
+
+async fn log_contract<L>(log: &L, platform: &str)
+where
+    L: LogStore,
+{
+    let none = Duration::ZERO;
+    assert_eq!(log.append("s", vec![vec![1], vec![2]]).await, Ok(1));
+    assert_eq!(log.append("s", vec![vec![3]]).await, Ok(3));
+    assert_eq!(log.append("other", vec![vec![9]]).await, Ok(1));
+    let batch = log.read("s", 2, none).await.unwrap();
+    assert_eq!((batch.first, batch.end), (2, 4));
+    assert_eq!(batch.records, [vec![2], vec![3]]);
+    assert!(batch.reaches_end());
+    let empty = log.read("s", 4, Duration::from_millis(50)).await.unwrap();
+    assert!(empty.records.is_empty() && empty.reaches_end());
+
+    // A read that waits gets the record that comes meanwhile.
+    let (batch, appended) = tokio::join!(log.read("s", 4, TIMEOUT), log.append("s", vec![vec![4]]));
+    assert_eq!((batch.unwrap().records, appended), (vec![vec![4]], Ok(4)));
+
+    faults(platform, r#"{"lose_replies":1}"#).await;
+    assert_eq!(
+        log.append("s", vec![vec![5]]).await,
+        Err(AppendError::Unknown)
+    );
+    assert_eq!(log.read("s", 5, none).await.unwrap().records, [vec![5]]);
+
+    faults(platform, r#"{"expire":["s",3]}"#).await;
+    assert_eq!(log.read("s", 1, none).await, Err(ReadError::Expired(3)));
+    assert_eq!(log.read("s", 3, none).await.unwrap().records.len(), 3);
+
+    faults(platform, r#"{"log_down":true}"#).await;
+    assert_eq!(
+        log.append("s", vec![vec![6]]).await,
+        Err(AppendError::NotAppended)
+    );
+    assert_eq!(log.read("s", 3, none).await, Err(ReadError::Unreachable));
+    faults(platform, r#"{"log_down":false}"#).await;
+    assert_eq!(log.read("s", 3, none).await.unwrap().end, 6);
+}
+
+#[actix_web::test]
+async fn the_log_keeps_its_contract() {
+    let platform = start_platform("log").await;
+    log_contract(&HttpLog::new(&platform, TIMEOUT), &platform).await;
+    let nobody = HttpLog::new(&free_address(), TIMEOUT);
+    assert_eq!(
+        nobody.append("s", vec![vec![1]]).await,
+        Err(AppendError::NotAppended)
+    );
+}
+
+#[actix_web::test]
+async fn the_list_keeps_its_contract() {
+    let platform = start_platform("list").await;
+    let list = HttpInstances::new(&platform, TIMEOUT);
+    let listed = list.list().await.unwrap();
+    assert_eq!(&*listed.entries[0].id, "entry-1");
+    assert_eq!(listed.callers, ["127.0.0.1:1"]);
+    assert_eq!(
+        (&*listed.servers[0].pool, listed.servers[0].leaving),
+        ("engines", false)
+    );
+    faults(&platform, r#"{"leaving":"engine-1","remove":"entry-1"}"#).await;
+    let listed = list.list().await.unwrap();
+    assert!(listed.entries.is_empty() && listed.servers[0].leaving);
+    assert_eq!(
+        HttpInstances::new(&free_address(), TIMEOUT).list().await,
+        None
+    );
+}
+
+fn order(kind: OrderKind, replica: u64, number: u64, incarnation: u64) -> EngineOrder {
+    EngineOrder {
+        kind,
+        replica,
+        model: "m".into(),
+        version: "1".to_owned(),
+        memory: 100,
+        number,
+        incarnation,
+    }
+}
+
+async fn engine_contract<E>(engine: &E, address: &str, fencing: bool)
+where
+    E: EngineControl,
+{
+    let start = engine.report(address).await.unwrap();
+    assert!(start.replicas.is_empty() && start.incarnation > 0);
+    let incarnation = start.incarnation;
+    let load = order(OrderKind::Load, 7, 50, incarnation);
+    assert_eq!(engine.order(address, &load).await, OrderOutcome::Done);
+    // The same order again changes nothing.
+    assert_eq!(engine.order(address, &load).await, OrderOutcome::Done);
+    let report = engine.report(address).await.unwrap();
+    assert_eq!(
+        (report.replicas[0].replica, report.replicas[0].loaded),
+        (7, true)
+    );
+
+    let old = order(OrderKind::Load, 8, 49, incarnation);
+    let expected = if fencing {
+        OrderOutcome::Failed
+    } else {
+        OrderOutcome::Done
+    };
+    assert_eq!(engine.order(address, &old).await, expected);
+    let other_start = order(OrderKind::Load, 9, 60, incarnation - 1);
+    assert_eq!(engine.order(address, &other_start).await, expected);
+
+    faults(address, r#"{"lose_order_replies":1}"#).await;
+    let unload = order(OrderKind::Unload, 7, 70, incarnation);
+    assert_eq!(engine.order(address, &unload).await, OrderOutcome::Unknown);
+    let report = engine.report(address).await.unwrap();
+    assert!(report.replicas.iter().all(|reported| reported.replica != 7));
+    assert_eq!(engine.order(address, &unload).await, OrderOutcome::Done);
+    faults(address, r#"{"leaving":true}"#).await;
+    assert!(engine.report(address).await.unwrap().leaving);
+}
+
+#[actix_web::test]
+async fn engines_keep_their_contract() {
+    let platform = start_platform("engines").await;
+    for fencing in [true, false] {
+        let address = free_address();
+        actix_web::rt::spawn(run_engine(EngineArgs {
+            listen: address.clone(),
+            platform: platform.clone(),
+            memory_mib: 1000,
+            fencing,
+            first_token_ms: 0,
+            token_ms: 0,
+            crash_on: None,
+        }));
+        wait_for(&address).await;
+        let engine = HttpEngine::new(TIMEOUT, TIMEOUT);
+        engine_contract(&engine, &address, fencing).await;
+        let load = order(OrderKind::Load, 1, 1, 1);
+        assert_eq!(
+            engine.order(&free_address(), &load).await,
+            OrderOutcome::Failed
+        );
+        assert_eq!(engine.report(&free_address()).await, None);
+    }
+}
