--- /dev/null
+++ b/crates/apricotwell_claims/tests/table.rs
@@ -0,0 +1,127 @@
+//! Which claim records have an effect.
+
+use apricotwell_claims::{Answer, BodyDigest, ClaimTable, Outcome, Verdict};
+use apricotwell_records::{ClaimBody, ClaimRecord, Claimed, Finished, Opened};
+use apricotwell_types::Ending;
+
+const KEY: BodyDigest = BodyDigest([1; 16]);
+const BODY: BodyDigest = BodyDigest([2; 16]);
+
+fn opened(fence: u64) -> ClaimRecord {
+    record(fence, ClaimBody::Opened(Opened {}))
+}
+
+fn claimed(fence: u64, attempt: &str) -> ClaimRecord {
+    let claimed = Claimed {
+        key: KEY.0.to_vec(),
+        body: BODY.0.to_vec(),
+        attempt: attempt.to_owned(),
+    };
+    record(fence, ClaimBody::Claimed(claimed))
+}
+
+fn finished(fence: u64, attempt: &str, outcome: &Outcome) -> ClaimRecord {
+    record(fence, ClaimBody::Finished(outcome.to_record(KEY, attempt)))
+}
+
+fn record(fence: u64, body: ClaimBody) -> ClaimRecord {
+    ClaimRecord {
+        fence,
+        written: 5,
+        body: Some(body),
+    }
+}
+
+fn fold(records: &[ClaimRecord]) -> ClaimTable {
+    let mut table = ClaimTable::default();
+    for (offset, record) in (1..).zip(records) {
+        table.apply(offset, record);
+    }
+    table
+}
+
+#[test]
+fn a_claim_of_an_ended_term_is_void() {
+    let table = fold(&[opened(4), opened(9), claimed(4, "old")]);
+    assert_eq!(table.verdict(KEY, BODY, "old"), Verdict::Free);
+    assert_eq!(table.fence(), 9);
+    let table = fold(&[opened(4), claimed(4, "old"), opened(9), claimed(9, "new")]);
+    assert_eq!(table.verdict(KEY, BODY, "old"), Verdict::Granted);
+    assert_eq!(
+        table.verdict(KEY, BODY, "new"),
+        Verdict::Held("old".to_owned())
+    );
+}
+
+#[test]
+fn the_first_claim_wins_and_its_first_end_stays() {
+    let answer = Answer {
+        status: 200,
+        media: "text/plain".to_owned(),
+        body: b"done".to_vec(),
+    };
+    let answered = Outcome::Answered(answer.clone());
+    let unknown = Outcome::Ended(Ending::OutcomeUnknown);
+    let table = fold(&[
+        opened(1),
+        claimed(1, "a"),
+        claimed(1, "b"),
+        finished(1, "b", &unknown),
+        finished(1, "a", &answered),
+        finished(1, "a", &unknown),
+    ]);
+    assert_eq!(table.verdict(KEY, BODY, "c"), Verdict::Ended(answered));
+    assert_eq!(
+        table.verdict(KEY, BodyDigest([3; 16]), "c"),
+        Verdict::OtherBody
+    );
+}
+
+#[test]
+fn a_claim_that_ended_as_not_run_frees_its_key() {
+    let not_run = Outcome::Ended(Ending::NotRun);
+    let table = fold(&[
+        opened(1),
+        claimed(1, "a"),
+        finished(1, "a", &not_run),
+        claimed(1, "b"),
+    ]);
+    assert_eq!(table.verdict(KEY, BODY, "b"), Verdict::Granted);
+}
+
+#[test]
+fn claims_written_anew_give_the_same_table() {
+    let failed = Outcome::Ended(Ending::FailedAfterRun);
+    let mut table = fold(&[opened(1), claimed(1, "a"), finished(1, "a", &failed)]);
+    let again = table.republish(10, 100);
+    assert_eq!(again.len(), 2);
+    for (offset, record) in (20..).zip(&again) {
+        table.apply(offset, record);
+    }
+    assert!(table.republish(10, 100).is_empty());
+    let mut later = ClaimTable::default();
+    later.skip_to(20);
+    for (offset, record) in (20..).zip(&again) {
+        later.apply(offset, record);
+    }
+    assert_eq!(later.verdict(KEY, BODY, "x"), Verdict::Ended(failed));
+    assert_eq!(later.verdict(KEY, BODY, "x"), table.verdict(KEY, BODY, "x"));
+}
+
+#[test]
+fn malformed_records_have_no_effect() {
+    let short = ClaimBody::Claimed(Claimed {
+        key: vec![1],
+        body: vec![2],
+        attempt: "a".to_owned(),
+    });
+    let lost = ClaimBody::Finished(Finished::default());
+    let table = fold(&[
+        opened(1),
+        record(1, short),
+        record(1, lost),
+        ClaimRecord::default(),
+    ]);
+    assert!(table.is_empty());
+    assert_eq!(table.next(), 5);
+}
--- a/crates/apricotwell_node/src/node.rs
+++ b/crates/apricotwell_node/src/node.rs
@@ -1,6 +1,8 @@
 //! The node: routes events between the concerns and queues actions.
 
+mod claiming;
 mod duties;
+mod ending;
 mod peers;
 mod serving;
 
--- /dev/null
+++ b/crates/apricotwell_node/src/node/ending.rs
@@ -0,0 +1,192 @@
+//! Requests that fail, expire or are refused.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_claims::Outcome;
+use apricotwell_timeline::{Event, EventKind};
+use apricotwell_types::{Ending, Refusal, RefusalKind, RequestId, ServerId};
+
+use super::Node;
+use super::serving::BUSY_RETRY;
+use crate::requests::{Request, Stage};
+use crate::{Action, AttemptEnd, Target};
+
+/// Time in which a poll must tell whether a server crashed.
+const CRASH_CHECK: Duration = Duration::from_millis(1500);
+
+impl Node {
+    pub(super) fn after_failure(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        server: &ServerId,
+        end: &AttemptEnd,
+    ) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let body = request.submission.body;
+        let class = request.submission.class;
+        let attempts = request.attempts;
+        let key = (
+            request.submission.org.clone(),
+            request.submission.queue_name(),
+        );
+        let broken = matches!(end, AttemptEnd::Broken { .. });
+        let is_engine = matches!(request.submission.target, Target::Model(_));
+        if broken && is_engine {
+            let incarnation = self.state.ledger().server(server);
+            let incarnation = incarnation.map(|record| record.incarnation);
+            self.servers.suspect(server, body, incarnation);
+            self.next_plan = now;
+        }
+        let may_retry = class.is_repeatable()
+            && !end.is_partial()
+            && attempts < self.settings.max_attempts
+            && self.budgets.entry(key).or_default().withdraw();
+        if !may_retry {
+            self.end_failed(now, id, end);
+            return;
+        }
+        let event = Event::new(EventKind::RequestRetried).with_request(self.request_name(id));
+        self.event(now, event);
+        if broken && is_engine {
+            let until = now + CRASH_CHECK;
+            if let Some(request) = self.requests.get_mut(id) {
+                request.stage = Stage::Cooling {
+                    server: server.clone(),
+                    until,
+                };
+            }
+        } else {
+            self.enqueue_free(now, id);
+        }
+    }
+
+    pub(super) fn end_failed(&mut self, now: Instant, id: RequestId, end: &AttemptEnd) {
+        let ending = end.ending().unwrap_or(Ending::OutcomeUnknown);
+        let message = match end {
+            AttemptEnd::Failed => "the backend server ran the request and failed",
+            AttemptEnd::Silent { .. } => "the backend server made no progress in time",
+            _ => "the connection to the backend server broke while it ran the request",
+        };
+        let refusal = Refusal::not_run(RefusalKind::BackendFailed, message).with_ending(ending);
+        let refusal = match self.requests.get(id) {
+            Some(request) if request.submission.class.is_repeatable() => {
+                refusal.with_retry_after(BUSY_RETRY)
+            }
+            _ => refusal,
+        };
+        self.refuse(now, id, refusal);
+    }
+
+    pub(super) fn expire_requests(&mut self, now: Instant) {
+        for entry in self.queue.expire(now) {
+            self.refuse_late(now, entry.request);
+        }
+        let late: Vec<(RequestId, bool)> = self
+            .requests
+            .iter()
+            .filter_map(|(id, request)| match request.stage {
+                Stage::Tokens if now >= request.submission.deadline => Some((id, true)),
+                Stage::Cooling { until, .. } if now >= until => Some((id, false)),
+                _ => None,
+            })
+            .collect();
+        for (id, is_late) in late {
+            if is_late {
+                self.refuse_late(now, id);
+            } else {
+                self.enqueue_free(now, id);
+            }
+        }
+    }
+
+    pub(super) fn refuse_late(&mut self, now: Instant, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let message = match request.stage {
+            Stage::Tokens => {
+                "no tokens could be had before the deadline; allow more time or come back later"
+            }
+            _ => {
+                "no backend server was free before the deadline; allow more time or come back later"
+            }
+        };
+        let refusal = Refusal::not_run(RefusalKind::DeadlineExceeded, message);
+        self.refuse(now, id, refusal.with_retry_after(BUSY_RETRY));
+    }
+
+    pub(super) fn refuse_over_rate(&mut self, now: Instant, id: RequestId, wait: Duration) {
+        let message = format!(
+            "your organisation is over its rate; the tokens are there in about {} ms",
+            wait.as_millis()
+        );
+        let refusal = Refusal::not_run(RefusalKind::OverRate, message).with_retry_after(wait);
+        self.refuse(now, id, refusal);
+    }
+
+    pub(super) fn refuse(&mut self, now: Instant, id: RequestId, refusal: Refusal) {
+        let event = Event::new(EventKind::RequestRefused)
+            .with_request(self.request_name(id))
+            .with_detail(format!(
+                "{} {}",
+                refusal.kind.code(),
+                refusal.ending.as_str()
+            ));
+        self.event(now, event);
+        let used = match refusal.ending {
+            Ending::NotRun => 0,
+            Ending::FailedAfterRun | Ending::OutcomeUnknown => u64::MAX,
+        };
+        let claimed = self.requests.get(id).is_some_and(|request| request.claimed);
+        let ending = claimed.then_some(refusal.ending);
+        self.drop_request(now, id, used, ending);
+        let request = id;
+        self.actions.push(Action::Refuse { request, refusal });
+    }
+
+    // Takes a request out of wherever it waits. `used` tokens of its reservation stay spent.
+    pub(super) fn drop_request(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        used: u64,
+        ending: Option<Ending>,
+    ) {
+        let Some(request) = self.requests.get(id).cloned() else {
+            return;
+        };
+        match &request.stage {
+            Stage::Tokens => self.tokens.forget(&request.submission.org, id),
+            Stage::Queued => {
+                self.queue.remove(id, request.submission.deadline);
+            }
+            Stage::Claiming { server } => {
+                self.claims.give_up(&request.attempt);
+                self.router.release(server);
+            }
+            Stage::Running { .. } | Stage::Cooling { .. } => {}
+        }
+        if let (true, Some(ending)) = (request.claimed, ending) {
+            self.tell_outcome(now, id, &Outcome::Ended(ending));
+        }
+        self.forget_request(id, used);
+    }
+
+    pub(super) fn forget_request(&mut self, id: RequestId, used: u64) {
+        let Some(request) = self.requests.remove(id) else {
+            return;
+        };
+        let Request {
+            submission,
+            reservation,
+            ..
+        } = request;
+        if let Some(reservation) = reservation {
+            let used = used.min(reservation.tokens);
+            self.tokens.settle(&submission.org, reservation, used);
+        }
+    }
+}
--- a/crates/apricotwell_node/src/node/serving.rs
+++ b/crates/apricotwell_node/src/node/serving.rs
@@ -15,16 +15,13 @@
 };
 
 use super::Node;
-use crate::claim_desk::ClaimResult;
-use crate::requests::{Request, Stage, recorded_answer};
+use crate::requests::{Stage, recorded_answer};
 use crate::submission::service_pool;
 use crate::token_desk::{HolderRef, Reservation};
 use crate::{Action, AttemptEnd, Dispatch, Submission, Target};
 
 /// Pause told to callers whose request found no room.
-const BUSY_RETRY: Duration = Duration::from_secs(1);
-/// Time in which a poll must tell whether a server crashed.
-const CRASH_CHECK: Duration = Duration::from_millis(1500);
+pub(super) const BUSY_RETRY: Duration = Duration::from_secs(1);
 
 type CandidateCache = BTreeMap<ModelId, Vec<(Candidate, Option<ReplicaId>)>>;
 
@@ -153,7 +150,7 @@
         self.flush(now);
     }
 
-    fn check_view(&self, now: Instant) -> Result<(), Refusal> {
+    pub(super) fn check_view(&self, now: Instant) -> Result<(), Refusal> {
         if self.knows_keys(now) {
             return Ok(());
         }
@@ -162,7 +159,11 @@
         Err(refusal.with_retry_after(BUSY_RETRY))
     }
 
-    fn check_submission(&self, now: Instant, submission: &Submission) -> Result<(), Refusal> {
+    pub(super) fn check_submission(
+        &self,
+        now: Instant,
+        submission: &Submission,
+    ) -> Result<(), Refusal> {
         if self.state.is_quarantined(submission.body) {
             let message = "this body crashed backend servers and is quarantined; change it or ask \
                            your operator to release it";
@@ -198,7 +199,7 @@
     }
 
     // A request that can't be started before its deadline is refused at once.
-    fn check_wait(&self, now: Instant, submission: &Submission) -> Result<(), Refusal> {
+    pub(super) fn check_wait(&self, now: Instant, submission: &Submission) -> Result<(), Refusal> {
         let name = submission.queue_name();
         let ahead = self.queue.waiting_for(&name);
         let estimate = self.waits.get(&name).and_then(|wait| wait.wait(ahead));
@@ -240,7 +241,7 @@
         self.enqueue_free(now, id);
     }
 
-    fn enqueue_free(&mut self, now: Instant, id: RequestId) {
+    pub(super) fn enqueue_free(&mut self, now: Instant, id: RequestId) {
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
@@ -287,7 +288,7 @@
         }
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         now: Instant,
         entry: &Waiting,
@@ -313,7 +314,11 @@
     }
 
     // The present version where it is loaded; an older one until then.
-    fn candidates(&self, now: Instant, queue: &str) -> Vec<(Candidate, Option<ReplicaId>)> {
+    pub(super) fn candidates(
+        &self,
+        now: Instant,
+        queue: &str,
+    ) -> Vec<(Candidate, Option<ReplicaId>)> {
         if let Some(pool) = service_pool(queue) {
             return self.service_candidates(now, pool);
         }
@@ -344,7 +349,11 @@
             .collect()
     }
 
-    fn service_candidates(&self, now: Instant, pool: &str) -> Vec<(Candidate, Option<ReplicaId>)> {
+    pub(super) fn service_candidates(
+        &self,
+        now: Instant,
+        pool: &str,
+    ) -> Vec<(Candidate, Option<ReplicaId>)> {
         let slots = self.state.pool(pool).map_or(1, |pool| pool.slots);
         let servers = self.servers.service_servers(now, pool).into_iter();
         servers
@@ -360,7 +369,13 @@
             .collect()
     }
 
-    fn start(&mut self, now: Instant, id: RequestId, server: ServerId, replica: Option<ReplicaId>) {
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        server: ServerId,
+        replica: Option<ReplicaId>,
+    ) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
@@ -387,7 +402,7 @@
     }
 
     // Keys and quarantine may have changed while the request waited.
-    fn check_again(&self, submission: &Submission) -> Option<Refusal> {
+    pub(super) fn check_again(&self, submission: &Submission) -> Option<Refusal> {
         let withdrawn = submission
             .key
             .is_some_and(|key| self.state.key(&key).is_none());
@@ -402,104 +417,7 @@
         None
     }
 
-    fn ask_claim(&mut self, now: Instant, id: RequestId) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let Some(key) = request.submission.claim else {
-            return;
-        };
-        let Some(shard) = self.claim_shard(&key.0) else {
-            return;
-        };
-        let give_up = now + self.settings.claim_wait;
-        let give_up = give_up.min(request.submission.deadline);
-        let (body, attempt) = (request.submission.body, request.attempt.clone());
-        self.claims.ask(id, shard, key, body, &attempt, give_up);
-        self.run_claims(now);
-    }
-
-    pub(super) fn on_claim_result(&mut self, now: Instant, id: RequestId, result: ClaimResult) {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        let Stage::Claiming { server } = request.stage.clone() else {
-            return;
-        };
-        let refusal = match result {
-            ClaimResult::Granted => {
-                request.claimed = true;
-                let name = self.request_name(id);
-                let event = Event::new(EventKind::ClaimGranted).with_request(name);
-                self.event(now, event);
-                self.dispatch_claimed(now, id, server);
-                return;
-            }
-            ClaimResult::Answered(answer) => {
-                self.router.release(&server);
-                let name = self.request_name(id);
-                let event = Event::new(EventKind::AnswerReplayed).with_request(name);
-                self.event(now, event);
-                self.forget_request(id, 0);
-                let request = id;
-                self.actions.push(Action::Replay { request, answer });
-                return;
-            }
-            ClaimResult::Held => Refusal::not_run(
-                RefusalKind::KeyInUse,
-                "a request with this Idempotency-Key is under way; repeat it later for its outcome",
-            )
-            .with_ending(Ending::OutcomeUnknown)
-            .with_retry_after(BUSY_RETRY),
-            ClaimResult::Ended(ending) => Refusal::not_run(
-                RefusalKind::BackendFailed,
-                "a request with this Idempotency-Key ended without an answer and is not run again",
-            )
-            .with_ending(ending),
-            ClaimResult::OtherBody => Refusal::not_run(
-                RefusalKind::KeyReused,
-                "this Idempotency-Key came before with another body; use a new key",
-            ),
-            ClaimResult::Unavailable => {
-                let attempt = request.attempt.clone();
-                self.claims.give_up(&attempt);
-                Refusal::not_run(
-                    RefusalKind::ClaimUnavailable,
-                    "the request could not be claimed, so it was not run; repeat it with the same \
-                     Idempotency-Key",
-                )
-                .with_retry_after(BUSY_RETRY)
-            }
-        };
-        self.router.release(&server);
-        self.refuse(now, id, refusal);
-    }
-
-    // The server was chosen before the claim; it may have left since.
-    fn dispatch_claimed(&mut self, now: Instant, id: RequestId, server: ServerId) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        if let Some(refusal) = self.check_again(&request.submission) {
-            self.router.release(&server);
-            self.refuse(now, id, refusal);
-            return;
-        }
-        let queue = request.submission.queue_name();
-        let candidates = self.candidates(now, &queue);
-        let found = candidates
-            .iter()
-            .find(|(candidate, _)| candidate.server == server);
-        match found {
-            Some((_, replica)) => self.dispatch(now, id, server, *replica),
-            None => {
-                self.router.release(&server);
-                self.enqueue_free(now, id);
-            }
-        }
-    }
-
-    fn dispatch(
+    pub(super) fn dispatch(
         &mut self,
         now: Instant,
         id: RequestId,
@@ -551,7 +469,12 @@
         }));
     }
 
-    fn service_address(&self, now: Instant, id: RequestId, server: &str) -> Option<String> {
+    pub(super) fn service_address(
+        &self,
+        now: Instant,
+        id: RequestId,
+        server: &str,
+    ) -> Option<String> {
         let request = self.requests.get(id)?;
         let Target::Service { pool, .. } = &request.submission.target else {
             return None;
@@ -561,7 +484,7 @@
         found.map(|listed| listed.address.clone())
     }
 
-    fn note_attempt_end(
+    pub(super) fn note_attempt_end(
         &mut self,
         now: Instant,
         id: RequestId,
@@ -587,7 +510,7 @@
         self.event(now, event);
     }
 
-    fn finish_answered(
+    pub(super) fn finish_answered(
         &mut self,
         now: Instant,
         id: RequestId,
@@ -607,22 +530,8 @@
         self.forget_request(id, used);
     }
 
-    fn tell_outcome(&mut self, now: Instant, id: RequestId, outcome: &Outcome) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let Some(key) = request.submission.claim else {
-            return;
-        };
-        let attempt = request.attempt.clone();
-        if let Some(shard) = self.claim_shard(&key.0) {
-            self.claims.finish(shard, key, &attempt, outcome);
-            self.run_claims(now);
-        }
-    }
-
     // The request went to no server, so even a non-idempotent one may go to another.
-    fn try_again(&mut self, now: Instant, id: RequestId) {
+    pub(super) fn try_again(&mut self, now: Instant, id: RequestId) {
         let event = Event::new(EventKind::RequestRetried).with_request(self.request_name(id));
         self.event(now, event);
         let late = self
@@ -636,65 +545,6 @@
         }
     }
 
-    fn after_failure(&mut self, now: Instant, id: RequestId, server: &ServerId, end: &AttemptEnd) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let body = request.submission.body;
-        let class = request.submission.class;
-        let attempts = request.attempts;
-        let key = (
-            request.submission.org.clone(),
-            request.submission.queue_name(),
-        );
-        let broken = matches!(end, AttemptEnd::Broken { .. });
-        let is_engine = matches!(request.submission.target, Target::Model(_));
-        if broken && is_engine {
-            let incarnation = self.state.ledger().server(server);
-            let incarnation = incarnation.map(|record| record.incarnation);
-            self.servers.suspect(server, body, incarnation);
-            self.next_plan = now;
-        }
-        let may_retry = class.is_repeatable()
-            && !end.is_partial()
-            && attempts < self.settings.max_attempts
-            && self.budgets.entry(key).or_default().withdraw();
-        if !may_retry {
-            self.end_failed(now, id, end);
-            return;
-        }
-        let event = Event::new(EventKind::RequestRetried).with_request(self.request_name(id));
-        self.event(now, event);
-        if broken && is_engine {
-            let until = now + CRASH_CHECK;
-            if let Some(request) = self.requests.get_mut(id) {
-                request.stage = Stage::Cooling {
-                    server: server.clone(),
-                    until,
-                };
-            }
-        } else {
-            self.enqueue_free(now, id);
-        }
-    }
-
-    fn end_failed(&mut self, now: Instant, id: RequestId, end: &AttemptEnd) {
-        let ending = end.ending().unwrap_or(Ending::OutcomeUnknown);
-        let message = match end {
-            AttemptEnd::Failed => "the backend server ran the request and failed",
-            AttemptEnd::Silent { .. } => "the backend server made no progress in time",
-            _ => "the connection to the backend server broke while it ran the request",
-        };
-        let refusal = Refusal::not_run(RefusalKind::BackendFailed, message).with_ending(ending);
-        let refusal = match self.requests.get(id) {
-            Some(request) if request.submission.class.is_repeatable() => {
-                refusal.with_retry_after(BUSY_RETRY)
-            }
-            _ => refusal,
-        };
-        self.refuse(now, id, refusal);
-    }
-
     /// Lets requests go on whose server's crash is confirmed or excluded.
     pub(super) fn release_cooling(&mut self, now: Instant, checked: &ServerId) {
         let cooled: Vec<RequestId> = self
@@ -708,110 +558,6 @@
         }
     }
 
-    pub(super) fn expire_requests(&mut self, now: Instant) {
-        for entry in self.queue.expire(now) {
-            self.refuse_late(now, entry.request);
-        }
-        let late: Vec<(RequestId, bool)> = self
-            .requests
-            .iter()
-            .filter_map(|(id, request)| match request.stage {
-                Stage::Tokens if now >= request.submission.deadline => Some((id, true)),
-                Stage::Cooling { until, .. } if now >= until => Some((id, false)),
-                _ => None,
-            })
-            .collect();
-        for (id, is_late) in late {
-            if is_late {
-                self.refuse_late(now, id);
-            } else {
-                self.enqueue_free(now, id);
-            }
-        }
-    }
-
-    fn refuse_late(&mut self, now: Instant, id: RequestId) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        let message = match request.stage {
-            Stage::Tokens => {
-                "no tokens could be had before the deadline; allow more time or come back later"
-            }
-            _ => {
-                "no backend server was free before the deadline; allow more time or come back later"
-            }
-        };
-        let refusal = Refusal::not_run(RefusalKind::DeadlineExceeded, message);
-        self.refuse(now, id, refusal.with_retry_after(BUSY_RETRY));
-    }
-
-    pub(super) fn refuse_over_rate(&mut self, now: Instant, id: RequestId, wait: Duration) {
-        let message = format!(
-            "your organisation is over its rate; the tokens are there in about {} ms",
-            wait.as_millis()
-        );
-        let refusal = Refusal::not_run(RefusalKind::OverRate, message).with_retry_after(wait);
-        self.refuse(now, id, refusal);
-    }
-
-    fn refuse(&mut self, now: Instant, id: RequestId, refusal: Refusal) {
-        let event = Event::new(EventKind::RequestRefused)
-            .with_request(self.request_name(id))
-            .with_detail(format!(
-                "{} {}",
-                refusal.kind.code(),
-                refusal.ending.as_str()
-            ));
-        self.event(now, event);
-        let used = match refusal.ending {
-            Ending::NotRun => 0,
-            Ending::FailedAfterRun | Ending::OutcomeUnknown => u64::MAX,
-        };
-        let claimed = self.requests.get(id).is_some_and(|request| request.claimed);
-        let ending = claimed.then_some(refusal.ending);
-        self.drop_request(now, id, used, ending);
-        let request = id;
-        self.actions.push(Action::Refuse { request, refusal });
-    }
-
-    // Takes a request out of wherever it waits. `used` tokens of its reservation stay spent.
-    fn drop_request(&mut self, now: Instant, id: RequestId, used: u64, ending: Option<Ending>) {
-        let Some(request) = self.requests.get(id).cloned() else {
-            return;
-        };
-        match &request.stage {
-            Stage::Tokens => self.tokens.forget(&request.submission.org, id),
-            Stage::Queued => {
-                self.queue.remove(id, request.submission.deadline);
-            }
-            Stage::Claiming { server } => {
-                self.claims.give_up(&request.attempt);
-                self.router.release(server);
-            }
-            Stage::Running { .. } | Stage::Cooling { .. } => {}
-        }
-        if let (true, Some(ending)) = (request.claimed, ending) {
-            self.tell_outcome(now, id, &Outcome::Ended(ending));
-        }
-        self.forget_request(id, used);
-    }
-
-    fn forget_request(&mut self, id: RequestId, used: u64) {
-        let Some(request) = self.requests.remove(id) else {
-            return;
-        };
-        let Request {
-            submission,
-            reservation,
-            ..
-        } = request;
-        if let Some(reservation) = reservation {
-            let used = used.min(reservation.tokens);
-            self.tokens.settle(&submission.org, reservation, used);
-        }
-    }
-
     // The first request that waits for a model must not wait for the next round of demand.
     pub(super) fn tell_first_demand(&mut self, now: Instant, id: RequestId) {
         let Some(request) = self.requests.get(id) else {
