Close four ways past the rate that random schedules found

A bucket handed over while still closed opened at once. 2. A bucket that nobody asked while a grant was out refilled as if nothing had been lent. 3. A takeover refilled while old grants could be spent. 4. A refund could use the room of a later reservation, or of one under a grant that lapsed unreported. Excluded: lost and repeated reports by themselves. Change: 1. such a bucket hands on a full burst as lent. 2. refilling goes through the ends of grants in order. 3. it begins when the old grants have lapsed. 4. room lost at the brim is a forfeit that refunds pay first; lapsed unreported reservations get none. Properties run with fixed seeds: one verdict.

--- a/crates/apricotwell_entry/src/parse_tests.rs
+++ b/crates/apricotwell_entry/src/parse_tests.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 use super::{CompletionLimits, parse_completion};
 
@@ -66,6 +67,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn no_bytes_panic(body in proptest::collection::vec(any::<u8>(), 0..200)) {
         let _ = parse_completion(&Bytes::from(body), LIMITS).is_ok();
--- a/crates/apricotwell_limits/src/bucket.rs
+++ b/crates/apricotwell_limits/src/bucket.rs
@@ -15,9 +15,8 @@
 ///
 /// # Invariants
 ///
-/// `level` plus the tokens in grants that may still be spent plus `refundable` never exceeds the
-/// burst, and never exceeds the level of an ideal bucket that charges each request at admission
-/// with what it turns out to use.
+/// `level` plus the tokens in grants that may still be spent never exceeds the burst, nor the level
+/// of an ideal bucket that charges each request at admission with what it turns out to use.
 #[derive(Debug)]
 pub struct Bucket {
     rate: Rate,
@@ -30,9 +29,14 @@
     opens: Instant,
     grants: BTreeMap<GrantId, Lent>,
     last_id: GrantId,
-    // Reserved tokens that may still come back without overfilling the ideal bucket.
-    refundable: Tokens,
+    // Tokens reserved by requests that have been reported and have not ended.
+    reserved: Tokens,
+    // Part of them for which an ideal bucket may have had no room: refunds pay it off first.
+    forfeit: Tokens,
     progress: Map<InstanceId, Progress>,
+    // Tokens of grants that lapsed without a last report: requests may have reserved them, and
+    // what those did not use has been refilled already.
+    lapsed: Map<InstanceId, Tokens>,
 }
 
 #[derive(Debug)]
@@ -70,17 +74,21 @@
             opens: now,
             grants: BTreeMap::new(),
             last_id: 0,
-            refundable: 0,
+            reserved: 0,
+            forfeit: 0,
             progress: Map::default(),
+            lapsed: Map::default(),
         }
     }
 
     /// Returns the bucket after a holder that told nothing: empty, and closed until that holder's
-    /// grants have lapsed. Tokens refill from `now` on.
+    /// grants have lapsed. Those may take the whole burst, so nothing refills before either.
     pub fn after_takeover(now: Instant, rate: Rate, term: Duration) -> Self {
+        let opens = now + term + term / DRIFT_DIVISOR;
         Self {
             level: 0,
-            opens: now + term + term / DRIFT_DIVISOR,
+            opens,
+            refilled: opens,
             ..Self::full(now, rate, term)
         }
     }
@@ -102,6 +110,13 @@
     /// Returns what a new holder must know; grant nothing afterwards.
     pub fn snapshot(&mut self, now: Instant) -> BucketSnapshot {
         self.advance(now);
+        if now < self.opens {
+            // Grants of a still earlier holder may take the whole burst: the next one must wait too.
+            return BucketSnapshot {
+                level: 0,
+                lent: self.rate.burst,
+            };
+        }
         BucketSnapshot {
             level: self.level,
             lent: self.lent(),
@@ -140,7 +155,7 @@
         let missing = u128::from(want.saturating_sub(self.level));
         let nanos = missing * NANOS_PER_SECOND / u128::from(self.rate.per_second.max(1));
         let refill = Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX));
-        Some(refill.max(self.opens.saturating_duration_since(now)))
+        Some(refill + self.opens.saturating_duration_since(now))
     }
 
     /// Takes an instance's report of what it spent, finished and gives back.
@@ -163,7 +178,7 @@
         if *lent.instance != *instance || left >= lent.left {
             return;
         }
-        self.refundable += lent.left - left;
+        self.reserved += lent.left - left;
         lent.left = left;
     }
 
@@ -189,9 +204,15 @@
         };
         let reserved = report.finished.saturating_sub(known.reserved);
         let refunded = report.refunded.saturating_sub(known.refunded).min(reserved);
-        let credit = refunded.min(self.refundable);
-        self.refundable -= reserved.min(self.refundable);
-        self.level += credit;
+        let lapsed = self.lapsed.entry(instance.into()).or_default();
+        let uncounted = reserved.min(*lapsed);
+        *lapsed -= uncounted;
+        let counted = (reserved - uncounted).min(self.reserved);
+        let refund = refunded.min(counted);
+        let paid = refund.min(self.forfeit);
+        self.forfeit -= paid;
+        self.level += refund - paid;
+        self.reserved -= counted;
         let progress = Progress {
             session: report.session,
             reserved: known.reserved.max(report.finished),
@@ -219,8 +240,28 @@
         self.grants.values().map(|lent| lent.left).sum()
     }
 
+    // Goes through the ends of grants in order: while a grant may be spent, its tokens leave that
+    // much less room for refilling.
     fn advance(&mut self, now: Instant) {
-        self.grants.retain(|_, lent| now < lent.expires);
+        while let Some(end) = self.next_expiry().filter(|end| *end <= now) {
+            self.refill(end);
+            let lapsed = &mut self.lapsed;
+            self.grants.retain(|_, lent| {
+                let stays = end < lent.expires;
+                if !stays && lent.left > 0 {
+                    *lapsed.entry(lent.instance.clone()).or_default() += lent.left;
+                }
+                stays
+            });
+        }
+        self.refill(now);
+    }
+
+    fn next_expiry(&self) -> Option<Instant> {
+        self.grants.values().map(|lent| lent.expires).min()
+    }
+
+    fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled).as_nanos();
         self.refilled = self.refilled.max(now);
         let refill = self.fraction + elapsed * u128::from(self.rate.per_second);
@@ -233,6 +274,8 @@
     fn clip(&mut self) {
         let room = self.rate.burst.saturating_sub(self.lent());
         self.level = self.level.min(room);
-        self.refundable = self.refundable.min(room - self.level);
+        // What an ideal bucket would hold if no reservation were used, beyond its burst.
+        let lost = (self.level + self.reserved).saturating_sub(room);
+        self.forfeit = self.forfeit.max(lost).min(self.reserved);
     }
 }
--- a/crates/apricotwell_state/tests/fold.rs
+++ b/crates/apricotwell_state/tests/fold.rs
@@ -9,6 +9,7 @@
 };
 use apricotwell_types::{BodyDigest, KeyDigest};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 struct Fold {
     state: State,
@@ -443,6 +444,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn no_bytes_panic_and_all_readers_agree(
         records in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..60), 0..30),
