--- a/crates/apricotwell_platform/src/lib.rs
+++ b/crates/apricotwell_adapters/src/lib.rs
@@ -7,7 +7,7 @@
 //! # Examples
 //!
 //! ```
-//! use apricotwell_platform::prelude::*;
+//! use apricotwell_adapters::prelude::*;
 //!
 //! let log = HttpLog::new("127.0.0.1:7600", std::time::Duration::from_secs(2));
 //! assert_eq!(log.url("control"), "http://127.0.0.1:7600/log/control");
--- a/crates/apricotwell_platform/tests/contracts.rs
+++ b/crates/apricotwell_adapters/tests/contracts.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use apricotwell_local::free_address;
-use apricotwell_node::{EngineOrder, OrderKind, OrderOutcome};
-use apricotwell_platform::{
+use apricotwell_adapters::{
     EngineControl, HttpEngine, HttpInstances, HttpLog, InstanceList, LogStore, control_client,
 };
+use apricotwell_local::free_address;
+use apricotwell_node::{EngineOrder, OrderKind, OrderOutcome};
 use apricotwell_records::{AppendError, ReadError};
 use apricotwell_standins::{EngineArgs, PlatformArgs, run_engine, run_platform};
 
--- a/crates/apricotwell_control/src/command.rs
+++ b/crates/apricotwell_control/src/command.rs
@@ -5,7 +5,7 @@
 
 use rand::Rng;
 
-use apricotwell_platform::{HttpLog, LogStore};
+use apricotwell_adapters::{HttpLog, LogStore};
 use apricotwell_records::{Body, CONTROL_STREAM, OperatorKey, ReadError, Record};
 use apricotwell_types::KeyDigest;
 
--- a/crates/apricotwell_control/src/fleet.rs
+++ b/crates/apricotwell_control/src/fleet.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use apricotwell_platform::{HttpInstances, InstanceList};
+use apricotwell_adapters::{HttpInstances, InstanceList};
 
 use crate::Session;
 
@@ -65,7 +65,7 @@
     pub fn new(session: &'a Session) -> Self {
         Self {
             session,
-            client: apricotwell_platform::control_client(),
+            client: apricotwell_adapters::control_client(),
         }
     }
 
--- a/crates/apricotwell_control/src/publish.rs
+++ b/crates/apricotwell_control/src/publish.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use apricotwell_platform::{HttpLog, LogStore};
+use apricotwell_adapters::{HttpLog, LogStore};
 use apricotwell_records::{AppendError, Body, CONTROL_STREAM, Put, Record};
 
 use crate::{ConfigReply, Fleet, Session};
--- /dev/null
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -0,0 +1,264 @@
+//! Backend servers as one instance sees them.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use apricotwell_messages::ServerStock;
+use apricotwell_types::{InstanceId, Map, ServerId, ZoneId};
+
+use crate::catalog::ServiceId;
+use crate::model::{Holdings, ModelName, Wanted};
+
+/// Share of a new outcome in a server's failure rate.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// Time in which an unused failure rate halves, so that a server gets another try.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Age beyond which the lease holder's word on what servers hold is not used.
+const STOCK_LIFETIME: Duration = Duration::from_secs(3);
+/// Time for which a model that a server denied is not sent to it.
+const DENIAL_LIFETIME: Duration = Duration::from_millis(700);
+
+/// Entry of the platform's list of servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Server.
+    pub id: ServerId,
+    /// Service.
+    pub service: ServiceId,
+    /// Address for requests and orders.
+    pub address: SocketAddr,
+    /// Zone.
+    pub zone: ZoneId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Time until it is gone, if it was given notice.
+    pub remaining: Option<Duration>,
+    /// Start of its process, in milliseconds since the epoch.
+    pub born: u64,
+    /// What it holds.
+    pub holdings: Holdings,
+}
+
+/// Load that is under way on a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Loading {
+    /// Model.
+    pub model: ModelName,
+    /// When it should end.
+    pub ends: Instant,
+}
+
+/// Server with what this instance knows of it.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Newest entry.
+    pub entry: Entry,
+    /// What it holds, from the newer of the entry and the lease holder's word.
+    pub holdings: Holdings,
+    /// Load under way.
+    pub loading: Option<Loading>,
+    /// Requests of this instance in flight.
+    pub own: u32,
+    others: Map<InstanceId, u32>,
+    // When the lease holder last told of this server.
+    told: Option<Instant>,
+    denied: Option<(Wanted, Instant)>,
+    failure: f64,
+    failed: Instant,
+    /// Until when a removed entry is still used.
+    ends: Option<Instant>,
+}
+
+impl Backend {
+    fn new(now: Instant, entry: Entry) -> Self {
+        Self {
+            holdings: entry.holdings.clone(),
+            entry,
+            loading: None,
+            own: 0,
+            others: Map::default(),
+            told: None,
+            denied: None,
+            failure: 0.0,
+            failed: now,
+            ends: None,
+        }
+    }
+
+    /// Returns whether new work may be sent.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        !self.entry.leaving && self.ends.is_none_or(|ends| now < ends)
+    }
+
+    /// Returns the requests in flight from all instances.
+    pub fn in_flight(&self) -> u32 {
+        self.own + self.others.values().sum::<u32>()
+    }
+
+    /// Returns the share of recent requests that failed.
+    pub fn failure_rate(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.failed).as_secs_f64();
+        self.failure * 0.5f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Returns whether the server can run a request for `wanted` now.
+    pub fn serves(&self, now: Instant, wanted: Option<&Wanted>) -> bool {
+        let Some(wanted) = wanted else {
+            return true;
+        };
+        let denied = self.denied.as_ref().is_some_and(|(denied, at)| {
+            denied == wanted && now.saturating_duration_since(*at) < DENIAL_LIFETIME
+        });
+        !denied && self.holdings.serves(wanted)
+    }
+}
+
+/// All servers.
+#[derive(Debug, Default)]
+pub struct BackendTable {
+    servers: Map<ServerId, Backend>,
+}
+
+impl BackendTable {
+    /// Returns a server.
+    pub fn get(&self, id: &str) -> Option<&Backend> {
+        self.servers.get(id)
+    }
+
+    /// Returns all servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.servers.values()
+    }
+
+    /// Returns the servers of a service that take new work.
+    pub fn usable(&self, now: Instant, service: &str) -> impl Iterator<Item = &Backend> {
+        self.servers
+            .values()
+            .filter(move |server| *server.entry.service == *service && server.is_usable(now))
+    }
+
+    /// Applies an entry of the list.
+    pub fn note_entry(&mut self, now: Instant, entry: Entry) {
+        let Some(server) = self.servers.get_mut(&entry.id) else {
+            self.servers
+                .insert(entry.id.clone(), Backend::new(now, entry));
+            return;
+        };
+        if entry.born < server.entry.born {
+            return;
+        }
+        let restarted = entry.born > server.entry.born;
+        if restarted {
+            let own = server.own;
+            *server = Backend::new(now, entry);
+            server.own = own;
+            return;
+        }
+        server.ends = None;
+        let told = server
+            .told
+            .is_some_and(|told| now.saturating_duration_since(told) < STOCK_LIFETIME);
+        if !told || entry.holdings.orders > server.holdings.orders {
+            server.holdings = entry.holdings.clone();
+            server.loading = None;
+        } else {
+            server.holdings.in_memory = entry.holdings.in_memory.clone();
+            server.holdings.on_disk = entry.holdings.on_disk.clone();
+        }
+        server.entry = entry;
+    }
+
+    /// Notes that a server left the list; `keep` bounds how long it is still used.
+    pub fn note_removed(&mut self, now: Instant, id: &str, keep: Option<Duration>) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.ends = Some(now + keep.unwrap_or_default());
+        }
+    }
+
+    /// Forgets servers that left and have nothing in flight.
+    pub fn expire(&mut self, now: Instant) {
+        self.servers
+            .retain(|_, server| server.own > 0 || server.ends.is_none_or(|ends| now < ends));
+    }
+
+    /// Returns the ids of all servers in the list.
+    pub fn listed(&self) -> Vec<ServerId> {
+        let listed = self.servers.values().filter(|server| server.ends.is_none());
+        listed.map(|server| server.entry.id.clone()).collect()
+    }
+
+    /// Applies the lease holder's word on what a server holds.
+    pub fn note_stock(&mut self, now: Instant, stock: &ServerStock) {
+        let Some(server) = self.servers.get_mut(stock.server.as_str()) else {
+            return;
+        };
+        if stock.born != server.entry.born || stock.orders < server.holdings.orders {
+            return;
+        }
+        server.told = Some(now);
+        server.holdings.orders = stock.orders;
+        server.holdings.models = stock
+            .models
+            .iter()
+            .map(|held| {
+                let adapters = held.adapters.iter().map(|name| name.as_str().into());
+                (held.model.as_str().into(), adapters.collect())
+            })
+            .collect();
+        server.loading = (!stock.loading.is_empty()).then(|| Loading {
+            model: stock.loading.as_str().into(),
+            ends: now + Duration::from_millis(u64::from(stock.remaining)),
+        });
+    }
+
+    /// Applies what another instance has in flight.
+    pub fn note_use(&mut self, instance: &InstanceId, requests: &Map<&str, u32>) {
+        for (id, server) in &mut self.servers {
+            match requests.get(&**id) {
+                Some(count) => server.others.insert(instance.clone(), *count),
+                None => server.others.remove(instance),
+            };
+        }
+    }
+
+    /// Forgets what an instance that is gone had in flight.
+    pub fn forget_instance(&mut self, instance: &str) {
+        for server in self.servers.values_mut() {
+            server.others.remove(instance);
+        }
+    }
+
+    /// Notes a request given to a server.
+    pub fn note_start(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own += 1;
+        }
+    }
+
+    /// Notes the end of a request on a server.
+    pub fn note_end(&mut self, id: &str) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own = server.own.saturating_sub(1);
+        }
+    }
+
+    /// Notes whether a server answered as it should.
+    pub fn note_outcome(&mut self, now: Instant, id: &str, failed: bool) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let outcome = if failed { 1.0 } else { 0.0 };
+        let before = server.failure_rate(now);
+        server.failure = before + (outcome - before) * FAILURE_WEIGHT;
+        server.failed = now;
+    }
+
+    /// Notes that a server denied to hold what was wanted.
+    pub fn note_denied(&mut self, now: Instant, id: &str, wanted: &Wanted) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.denied = Some((wanted.clone(), now));
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -0,0 +1,51 @@
+//! Decisions of an instance that shares a fleet through the platform's store.
+//!
+//! Everything here is a state machine that is told the time and what happened; sockets and timers
+//! stand around it in `apricotwell_gateway`. Instants come from a clock that counts the time in which
+//! the machine was suspended. See `docs/design/platform.md`.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use apricotwell_dispatch::prelude::*;
+//!
+//! let now = Instant::now();
+//! let mut freshness = Freshness::new(Duration::from_secs(5));
+//! assert!(!freshness.is_usable(now));
+//! freshness.note_current(now);
+//! assert!(freshness.is_usable(now + Duration::from_secs(3)));
+//! assert!(!freshness.is_usable(now + Duration::from_secs(5)));
+//! ```
+
+pub mod backends;
+pub mod call;
+pub mod catalog;
+pub mod demand;
+pub mod dispatcher;
+pub mod freshness;
+pub mod lease;
+pub mod model;
+pub mod orders;
+pub mod peers;
+pub mod prompts;
+pub mod quota;
+pub mod retries;
+pub mod stock;
+
+/// What nearly every user of the crate needs.
+pub mod prelude {
+    pub use crate::backends::{BackendTable, Entry};
+    pub use crate::call::{AttemptId, Call, PromptPart};
+    pub use crate::catalog::{
+        CallerLimits, Catalog, EngineSpec, ModelSpec, Organisation, Route, RouteKind, Service,
+        ServiceId,
+    };
+    pub use crate::dispatcher::{Admission, Choice, Dispatcher, InstanceFacts};
+    pub use crate::freshness::Freshness;
+    pub use crate::lease::{Lease, LeaseStep, LeaseTerms, Previous};
+    pub use crate::model::{AdapterName, Holdings, ModelName, Wanted};
+    pub use crate::orders::{Operation, OrderReply, Report};
+    pub use crate::quota::QuotaBounds;
+    pub use crate::retries::RetryBounds;
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/src/orders.rs
@@ -0,0 +1,328 @@
+//! Orders to one backend server: what it holds, what was ordered and what is not known yet.
+//!
+//! Every order names the count of orders that the server had accepted when the order was decided,
+//! and the server refuses it at any other count. So of two orders decided at one count at most one
+//! takes effect, however late either arrives, and each may be decided as if the other never was.
+
+use std::time::{Duration, Instant};
+
+use crate::model::{AdapterName, Holdings, ModelName};
+
+/// Time after an order without an answer, or a refused one, before the server is asked for its
+/// state: reports lag by some hundred milliseconds.
+const REPORT_LAG: Duration = Duration::from_millis(350);
+/// Pause between reports of a server whose load should have ended.
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before a server that gave no report is asked again.
+const REPORT_RETRY: Duration = Duration::from_millis(700);
+/// Time after its acceptance within which an adapter is counted on.
+const ADAPTER_LOAD: Duration = Duration::from_millis(40);
+/// Share of an expected load after which the server is first asked whether it is done.
+const FIRST_REPORT_SHARE: f64 = 0.97;
+
+/// What a server is ordered to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Load a model.
+    LoadModel(ModelName),
+    /// Unload a model with its adapters.
+    UnloadModel(ModelName),
+    /// Load an adapter of a model that is held.
+    LoadAdapter(ModelName, AdapterName),
+    /// Unload an adapter.
+    UnloadAdapter(ModelName, AdapterName),
+}
+
+impl Operation {
+    /// Returns the operation's name, for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::LoadModel(_) => "load_model",
+            Self::UnloadModel(_) => "unload_model",
+            Self::LoadAdapter(..) => "load_adapter",
+            Self::UnloadAdapter(..) => "unload_adapter",
+        }
+    }
+
+    /// Returns the model concerned.
+    pub fn model(&self) -> &ModelName {
+        match self {
+            Self::LoadModel(model)
+            | Self::UnloadModel(model)
+            | Self::LoadAdapter(model, _)
+            | Self::UnloadAdapter(model, _) => model,
+        }
+    }
+
+    /// Returns the adapter concerned.
+    pub fn adapter(&self) -> Option<&AdapterName> {
+        match self {
+            Self::LoadAdapter(_, adapter) | Self::UnloadAdapter(_, adapter) => Some(adapter),
+            Self::LoadModel(_) | Self::UnloadModel(_) => None,
+        }
+    }
+}
+
+/// Answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// The server carries it out.
+    Accepted,
+    /// What was ordered holds already.
+    Holds,
+    /// Another order is under way, or the count of accepted orders differs.
+    Conflict,
+    /// The server has seen a higher fence.
+    Fenced,
+    /// Another server has this address, or the order makes no sense to this one.
+    Refused,
+    /// No answer: it may take effect later.
+    Unknown,
+}
+
+/// State of a server as it reports it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Whether an order is under way.
+    pub busy: bool,
+    /// What it holds.
+    pub holdings: Holdings,
+    /// Adapters on their way to it.
+    pub incoming: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    operation: Operation,
+    sent: Instant,
+    // Expected end; unknown until the server has accepted.
+    ends: Option<Instant>,
+    // Whether a load that fetches from the weight store.
+    fetches: bool,
+}
+
+/// Orders and state of one server.
+///
+/// # Invariants
+///
+/// At most one order is pending. `holdings` counts what the server holds for certain; a pending
+/// load takes memory besides it, and a pending unload frees none before the server reports it.
+#[derive(Clone, Debug)]
+pub struct ServerOrders {
+    born: u64,
+    holdings: Option<Holdings>,
+    pending: Option<Pending>,
+    // When to ask for the next report; `None` while one is under way or nothing is open.
+    report_due: Option<Instant>,
+    reporting: bool,
+    // Adapters whose load was accepted, with the time from which they are counted on.
+    adapters_from: Vec<(ModelName, AdapterName, Instant)>,
+}
+
+impl ServerOrders {
+    /// Returns the orders of a server of which nothing is known yet.
+    pub fn new(now: Instant, born: u64) -> Self {
+        Self {
+            born,
+            holdings: None,
+            pending: None,
+            report_due: Some(now),
+            reporting: false,
+            adapters_from: Vec::new(),
+        }
+    }
+
+    /// Returns the start of the server's process.
+    pub fn born(&self) -> u64 {
+        self.born
+    }
+
+    /// Returns what the server holds, `None` before its first report.
+    pub fn holdings(&self) -> Option<&Holdings> {
+        self.holdings.as_ref()
+    }
+
+    /// Returns what requests can be sent for now: without adapters that are still on their way and
+    /// a model that is being unloaded.
+    pub fn servable(&self, now: Instant) -> Option<Holdings> {
+        let mut holdings = self.holdings.clone()?;
+        for (model, adapter, from) in &self.adapters_from {
+            if now < *from {
+                remove_adapter(&mut holdings, model, adapter);
+            }
+        }
+        if let Some(Operation::UnloadModel(model)) = self.operation() {
+            holdings.models.retain(|(name, _)| name != model);
+        }
+        Some(holdings)
+    }
+
+    /// Returns the pending operation.
+    pub fn operation(&self) -> Option<&Operation> {
+        self.pending.as_ref().map(|pending| &pending.operation)
+    }
+
+    /// Returns the model that is being loaded and when that should end.
+    pub fn loading(&self) -> Option<(&ModelName, Instant)> {
+        let pending = self.pending.as_ref()?;
+        let Operation::LoadModel(model) = &pending.operation else {
+            return None;
+        };
+        Some((model, pending.ends.unwrap_or(pending.sent)))
+    }
+
+    /// Returns whether a load from the weight store is pending.
+    pub fn is_fetching(&self) -> bool {
+        self.pending.as_ref().is_some_and(|pending| pending.fetches)
+    }
+
+    /// Returns whether an order can be given.
+    pub fn is_free(&self) -> bool {
+        self.pending.is_none() && self.holdings.is_some()
+    }
+
+    /// Returns the count of accepted orders that an order names.
+    pub fn expected_orders(&self) -> u64 {
+        self.holdings.as_ref().map_or(0, |holdings| holdings.orders)
+    }
+
+    /// Notes an order that is being sent.
+    pub fn note_sent(&mut self, now: Instant, operation: Operation, fetches: bool) {
+        self.pending = Some(Pending {
+            operation,
+            sent: now,
+            ends: None,
+            fetches,
+        });
+    }
+
+    /// Notes the answer to the pending order; `duration` is the time that it should take.
+    pub fn note_reply(&mut self, now: Instant, reply: OrderReply, duration: Duration) {
+        let Some(pending) = &mut self.pending else {
+            return;
+        };
+        match reply {
+            OrderReply::Accepted => {
+                pending.ends = Some(now + duration);
+                let operation = pending.operation.clone();
+                if let Some(holdings) = &mut self.holdings {
+                    holdings.orders += 1;
+                }
+                self.note_accepted(now, operation, duration);
+            }
+            OrderReply::Holds => self.note_holds(now),
+            OrderReply::Conflict
+            | OrderReply::Fenced
+            | OrderReply::Refused
+            | OrderReply::Unknown => {
+                self.report_due = Some(now + REPORT_LAG);
+            }
+        }
+    }
+
+    fn note_accepted(&mut self, now: Instant, operation: Operation, duration: Duration) {
+        let Some(holdings) = &mut self.holdings else {
+            return;
+        };
+        match operation {
+            Operation::LoadModel(_) => {
+                self.report_due = Some(now + duration.mul_f64(FIRST_REPORT_SHARE));
+            }
+            Operation::UnloadModel(_) => self.report_due = Some(now + duration),
+            Operation::LoadAdapter(model, adapter) => {
+                add_adapter(holdings, &model, &adapter);
+                let from = now + ADAPTER_LOAD;
+                self.adapters_from.retain(|(_, _, at)| now < *at);
+                self.adapters_from.push((model, adapter, from));
+                self.pending = None;
+            }
+            Operation::UnloadAdapter(model, adapter) => {
+                remove_adapter(holdings, &model, &adapter);
+                self.pending = None;
+            }
+        }
+    }
+
+    fn note_holds(&mut self, now: Instant) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        let Some(holdings) = &mut self.holdings else {
+            return;
+        };
+        match pending.operation {
+            Operation::UnloadAdapter(model, adapter) => {
+                // The unload takes effect with the answer and counts as accepted.
+                remove_adapter(holdings, &model, &adapter);
+                holdings.orders += 1;
+            }
+            Operation::LoadAdapter(model, adapter) => add_adapter(holdings, &model, &adapter),
+            Operation::LoadModel(_) | Operation::UnloadModel(_) => {
+                self.pending = Some(pending);
+                self.report_due = Some(now + REPORT_LAG);
+            }
+        }
+    }
+
+    /// Takes the due report, if one is due.
+    pub fn take_due_report(&mut self, now: Instant) -> bool {
+        let due = !self.reporting && self.report_due.is_some_and(|due| due <= now);
+        if due {
+            self.report_due = None;
+            self.reporting = true;
+        }
+        due
+    }
+
+    /// Asks for a report soon, after a sign that the server's state is not what is known.
+    pub fn request_report(&mut self, now: Instant) {
+        if !self.reporting && self.report_due.is_none() {
+            self.report_due = Some(now);
+        }
+    }
+
+    /// Applies a report, `None` if the server gave none.
+    pub fn note_report(&mut self, now: Instant, report: Option<Report>) {
+        self.reporting = false;
+        let Some(report) = report else {
+            self.report_due = Some(now + REPORT_RETRY);
+            return;
+        };
+        let known = self.expected_orders();
+        let is_old = self.holdings.is_some() && report.holdings.orders < known;
+        if report.busy || is_old {
+            self.note_busy(now, report);
+            return;
+        }
+        self.holdings = Some(report.holdings);
+        self.pending = None;
+        self.adapters_from.retain(|(_, _, from)| now < *from);
+    }
+
+    fn note_busy(&mut self, now: Instant, report: Report) {
+        self.report_due = Some(now + REPORT_PAUSE);
+        let Some(holdings) = &mut self.holdings else {
+            // Nothing may be ordered before the order under way has ended.
+            return;
+        };
+        if report.holdings.orders > holdings.orders {
+            *holdings = report.holdings;
+        }
+    }
+}
+
+fn add_adapter(holdings: &mut Holdings, model: &ModelName, adapter: &AdapterName) {
+    for (name, adapters) in &mut holdings.models {
+        if name == model && !adapters.contains(adapter) {
+            adapters.push(adapter.clone());
+        }
+    }
+}
+
+fn remove_adapter(holdings: &mut Holdings, model: &ModelName, adapter: &AdapterName) {
+    for (name, adapters) in &mut holdings.models {
+        if name == model {
+            adapters.retain(|held| held != adapter);
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -0,0 +1,130 @@
+//! Other instances of the fleet.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_messages::{Heartbeat, ModelUse};
+use apricotwell_types::{InstanceId, Map};
+
+/// Silence after which callers are no longer sent to an instance.
+const SILENCE: Duration = Duration::from_millis(1600);
+/// Time for which an instance that fell silent may still serve on what it knows.
+const MEMORY: Duration = Duration::from_secs(5);
+
+#[derive(Debug)]
+struct Peer {
+    incarnation: u64,
+    number: u64,
+    address: String,
+    ready: bool,
+    heard: Instant,
+    models: Vec<ModelUse>,
+}
+
+/// Instances that this one has heard of, without itself.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: Map<InstanceId, Peer>,
+    // Members by the store's group, with the time at which they were last listed.
+    members: Map<InstanceId, Instant>,
+}
+
+impl PeerTable {
+    /// Applies a heartbeat; returns whether it is newer than what was known.
+    pub fn note_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> bool {
+        let order = (heartbeat.incarnation, heartbeat.number);
+        let known = self.peers.get(heartbeat.instance.as_str());
+        if known.is_some_and(|peer| (peer.incarnation, peer.number) >= order) {
+            return false;
+        }
+        let peer = Peer {
+            incarnation: heartbeat.incarnation,
+            number: heartbeat.number,
+            address: heartbeat.address.clone(),
+            ready: heartbeat.ready,
+            heard: now,
+            models: heartbeat.models.clone(),
+        };
+        self.peers.insert(heartbeat.instance.as_str().into(), peer);
+        true
+    }
+
+    /// Applies the store's list of members.
+    pub fn note_members<I>(&mut self, now: Instant, members: I)
+    where
+        I: IntoIterator<Item = InstanceId>,
+    {
+        self.members
+            .extend(members.into_iter().map(|member| (member, now)));
+    }
+
+    /// Keeps the members that were last listed, after a renewal that showed no change.
+    pub fn note_unchanged(&mut self, now: Instant) {
+        let newest = self.members.values().max().copied();
+        for listed in self.members.values_mut() {
+            if Some(*listed) == newest {
+                *listed = now;
+            }
+        }
+    }
+
+    /// Forgets instances that can no longer be serving; returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<InstanceId> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < MEMORY;
+        self.members.retain(|_, listed| is_recent(*listed));
+        let gone: Vec<InstanceId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !is_recent(peer.heard))
+            .map(|(id, _)| id.clone())
+            .collect();
+        self.peers.retain(|_, peer| is_recent(peer.heard));
+        gone
+    }
+
+    /// Returns whom heartbeats go to.
+    pub fn targets(&self) -> Vec<InstanceId> {
+        let mut targets: Vec<InstanceId> = self
+            .members
+            .keys()
+            .chain(self.peers.keys())
+            .cloned()
+            .collect();
+        targets.sort();
+        targets.dedup();
+        targets
+    }
+
+    /// Returns the addresses of other instances to which callers should be sent.
+    pub fn ready_addresses(&self, now: Instant) -> impl Iterator<Item = &str> {
+        self.peers
+            .values()
+            .filter(move |peer| peer.ready && is_heard(now, peer))
+            .map(|peer| peer.address.as_str())
+    }
+
+    /// Returns the number of instances that tell what they do, this one included.
+    pub fn heard(&self, now: Instant) -> usize {
+        1 + self
+            .peers
+            .values()
+            .filter(|peer| is_heard(now, peer))
+            .count()
+    }
+
+    /// Returns the number of instances that may be serving, this one included.
+    pub fn possible(&self) -> usize {
+        1 + self.targets().len()
+    }
+
+    /// Returns the demand for models at all other instances that are heard.
+    pub fn model_uses(&self, now: Instant) -> impl Iterator<Item = &ModelUse> {
+        self.peers
+            .values()
+            .filter(move |peer| is_heard(now, peer))
+            .flat_map(|peer| &peer.models)
+    }
+}
+
+fn is_heard(now: Instant, peer: &Peer) -> bool {
+    now.saturating_duration_since(peer.heard) < SILENCE
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/src/prompts.rs
@@ -0,0 +1,60 @@
+//! Which servers have read which parts of prompts.
+
+use std::collections::VecDeque;
+
+use apricotwell_types::{Map, ServerId};
+
+use crate::call::PromptPart;
+use crate::model::Wanted;
+
+/// Parts remembered for one server.
+const PARTS_PER_SERVER: usize = 512;
+
+/// Parts of prompts that servers have likely cached; a wrong entry costs speed only.
+#[derive(Debug, Default)]
+pub struct PromptTable {
+    servers: Map<ServerId, ServerPrompts>,
+}
+
+#[derive(Debug, Default)]
+struct ServerPrompts {
+    parts: Map<(Wanted, u64), ()>,
+    ages: VecDeque<(Wanted, u64)>,
+}
+
+impl PromptTable {
+    /// Notes that a server reads a prompt.
+    pub fn note_sent(&mut self, server: &ServerId, wanted: &Wanted, prompt: &[PromptPart]) {
+        let known = self.servers.entry(server.clone()).or_default();
+        for part in prompt {
+            let key = (wanted.clone(), part.id);
+            if known.parts.insert(key.clone(), ()).is_none() {
+                known.ages.push_back(key);
+            }
+            if known.ages.len() > PARTS_PER_SERVER
+                && let Some(oldest) = known.ages.pop_front()
+            {
+                known.parts.remove(&oldest);
+            }
+        }
+    }
+
+    /// Returns the share of a prompt, by tokens, that a server need not read again.
+    pub fn cached_share(&self, server: &str, wanted: &Wanted, prompt: &[PromptPart]) -> f64 {
+        let Some(known) = self.servers.get(server) else {
+            return 0.0;
+        };
+        let total: u64 = prompt.iter().map(|part| part.tokens).sum();
+        let cached: u64 = prompt
+            .iter()
+            .take_while(|part| known.parts.contains_key(&(wanted.clone(), part.id)))
+            .map(|part| part.tokens)
+            .sum();
+        cached as f64 / total.max(1) as f64
+    }
+
+    /// Forgets a server that left.
+    pub fn forget(&mut self, server: &str) {
+        self.servers.remove(server);
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -0,0 +1,697 @@
+//! Which server holds which models.
+//!
+//! The holder of the placement lease decides here what to load and what to drop. It answers the
+//! load of many models that are asked for rarely and few that are asked for all the time, on servers
+//! that hold a few models each: a model that waits for the weight store is late, one that comes
+//! from a server's own disk or memory is on time.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use apricotwell_messages::ModelUse;
+use apricotwell_types::{Map, ServerId};
+
+use crate::backends::{Backend, BackendTable};
+use crate::catalog::{EngineSpec, ModelSpec, Service};
+use crate::model::{AdapterName, Holdings, ModelName};
+use crate::orders::{Operation, OrderReply, Report, ServerOrders};
+
+/// Loads from the weight store that run at once at full speed.
+const PARALLEL_FETCHES: usize = 4;
+/// Adapters on their way from the weight store at once, over all servers.
+const PARALLEL_ADAPTERS: usize = 16;
+/// Requests a second for which a model gets one more replica.
+const REPLICA_RATE: f64 = 4.0;
+/// Rate below which a model counts as rare, in requests a second.
+const RARE_RATE: f64 = 0.6;
+/// Requests of a service from which its rates say which models are in use.
+const KNOWN_RATE: f64 = 4.0;
+/// Time that an unload takes when nothing runs.
+const UNLOAD_TIME: Duration = Duration::from_millis(250);
+/// Copies that only one server has and that are not held there, up to which the server fetches
+/// ahead: while it does, requests for them wait.
+const MAX_STRANDED: usize = 2;
+/// Time for which a model that was just loaded or asked for is not dropped.
+const RECENT: Duration = Duration::from_millis(2500);
+
+/// Order to a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Server.
+    pub server: ServerId,
+    /// What to do.
+    pub operation: Operation,
+    /// Orders that the server had accepted when this one was decided.
+    pub expected: u64,
+    /// Why, for logs.
+    pub reason: &'static str,
+}
+
+/// Demand for one model over the whole fleet.
+#[derive(Clone, Debug, Default)]
+struct ModelDemand {
+    rate: f64,
+    waiting: u32,
+    patience: Option<Duration>,
+    // Waiting requests and rate by adapter.
+    adapters: BTreeMap<AdapterName, (u32, f64)>,
+}
+
+/// Decides what servers hold.
+#[derive(Debug, Default)]
+pub struct StockPlanner {
+    servers: BTreeMap<ServerId, ServerOrders>,
+    // When a model was last asked for or loaded.
+    used: Map<ModelName, Instant>,
+    // When the pending order of a server was expected to take, for its answer.
+    durations: Map<ServerId, Duration>,
+    // Replicas that a model had when the planner first saw the service.
+    initial: Map<ModelName, usize>,
+    // Models to load at servers that are making room for them.
+    intents: BTreeMap<ServerId, Intent>,
+}
+
+#[derive(Clone, Debug)]
+struct Intent {
+    model: ModelName,
+    reason: &'static str,
+}
+
+/// Servers of one service with the demand for its models, while a plan is made.
+struct Plan<'a> {
+    now: Instant,
+    engine: &'a EngineSpec,
+    backends: BTreeMap<ServerId, &'a Backend>,
+    demand: BTreeMap<ModelName, ModelDemand>,
+    orders: Vec<Order>,
+    total_rate: f64,
+}
+
+impl StockPlanner {
+    /// Forgets everything, when the lease is lost.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Follows the list of servers.
+    pub fn follow(&mut self, now: Instant, backends: &BackendTable, service: &Service) {
+        for backend in backends.usable(now, &service.name) {
+            let entry = &backend.entry;
+            let known = self.servers.get(&entry.id);
+            if known.is_none_or(|known| known.born() != entry.born) {
+                self.servers
+                    .insert(entry.id.clone(), ServerOrders::new(now, entry.born));
+            } else if let Some(known) = self.servers.get_mut(&entry.id)
+                && known.operation().is_none()
+                && entry.holdings.orders > known.expected_orders()
+            {
+                known.request_report(now);
+            }
+        }
+        self.servers.retain(|id, _| {
+            backends
+                .get(id)
+                .is_some_and(|backend| backend.is_usable(now))
+        });
+    }
+
+    /// Takes the servers that are to be asked for a report now.
+    pub fn take_due_reports(&mut self, now: Instant) -> Vec<ServerId> {
+        let due = self
+            .servers
+            .iter_mut()
+            .filter_map(|(id, server)| server.take_due_report(now).then(|| id.clone()));
+        due.collect()
+    }
+
+    /// Applies a report.
+    pub fn note_report(&mut self, now: Instant, id: &str, report: Option<Report>) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let loaded = server.loading().map(|(model, _)| model.clone());
+        server.note_report(now, report);
+        if let Some(model) = loaded
+            && server.is_free()
+        {
+            self.used.insert(model, now);
+        }
+    }
+
+    /// Applies the answer to an order.
+    pub fn note_reply(&mut self, now: Instant, id: &str, reply: OrderReply) {
+        let duration = self.durations.get(id).copied().unwrap_or_default();
+        if let Some(server) = self.servers.get_mut(id) {
+            server.note_reply(now, reply, duration);
+        }
+    }
+
+    /// Returns the state of every server, to tell the other instances.
+    pub fn servers(&self) -> impl Iterator<Item = (&ServerId, &ServerOrders)> {
+        self.servers.iter()
+    }
+
+    /// Decides the next orders for one service; at most one for each server.
+    pub fn plan<'a, I>(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        backends: &BackendTable,
+        uses: I,
+    ) -> Vec<Order>
+    where
+        I: IntoIterator<Item = &'a ModelUse>,
+    {
+        let Some(engine) = &service.engine else {
+            return Vec::new();
+        };
+        let demand = self.sum_demand(now, service, uses);
+        let total_rate = demand.values().map(|demand| demand.rate).sum();
+        let backends = backends
+            .usable(now, &service.name)
+            .map(|backend| (backend.entry.id.clone(), backend))
+            .collect();
+        let mut plan = Plan {
+            now,
+            engine,
+            backends,
+            demand,
+            orders: Vec::new(),
+            total_rate,
+        };
+        self.note_initial(&plan);
+        self.follow_intents(&mut plan);
+        self.plan_adapters(&mut plan);
+        self.plan_waiting(&mut plan);
+        self.plan_replicas(&mut plan);
+        self.plan_fetches(&mut plan);
+        plan.orders
+    }
+
+    fn sum_demand<'a, I>(
+        &mut self,
+        now: Instant,
+        service: &Service,
+        uses: I,
+    ) -> BTreeMap<ModelName, ModelDemand>
+    where
+        I: IntoIterator<Item = &'a ModelUse>,
+    {
+        let mut sums: BTreeMap<ModelName, ModelDemand> = BTreeMap::new();
+        for part in uses {
+            if *part.service != *service.name {
+                continue;
+            }
+            let model: ModelName = part.model.as_str().into();
+            let rate = f64::from(part.rate) / 1000.0;
+            if part.waiting > 0 {
+                self.used.insert(model.clone(), now);
+            }
+            let sum = sums.entry(model).or_default();
+            sum.rate += rate;
+            sum.waiting += part.waiting;
+            if part.waiting > 0 {
+                let patience = Duration::from_millis(u64::from(part.patience));
+                sum.patience = Some(sum.patience.map_or(patience, |known| known.min(patience)));
+            }
+            if !part.adapter.is_empty() {
+                let adapter = sum
+                    .adapters
+                    .entry(part.adapter.as_str().into())
+                    .or_default();
+                adapter.0 += part.waiting;
+                adapter.1 += rate;
+            }
+        }
+        sums
+    }
+
+    // Models that many servers hold at the start are the busy ones, before any request tells so.
+    fn note_initial(&mut self, plan: &Plan<'_>) {
+        if !self.initial.is_empty() || !self.knows_all(plan) {
+            return;
+        }
+        for model in &plan.engine.models {
+            self.initial
+                .insert(model.name.clone(), self.replicas(plan, &model.name));
+        }
+    }
+
+    fn knows_all(&self, plan: &Plan<'_>) -> bool {
+        !plan.backends.is_empty()
+            && plan.backends.keys().all(|id| {
+                let server = self.servers.get(id);
+                server.is_some_and(|server| server.holdings().is_some())
+            })
+    }
+
+    // Loads what room was made for.
+    fn follow_intents(&mut self, plan: &mut Plan<'_>) {
+        self.intents.retain(|id, _| self.servers.contains_key(id));
+        let ready: Vec<ServerId> = self
+            .intents
+            .keys()
+            .filter(|id| plan.backends.contains_key(*id) && self.can_order(plan, id))
+            .cloned()
+            .collect();
+        for id in ready {
+            let Some(intent) = self.intents.remove(&id) else {
+                continue;
+            };
+            if let Some(spec) = plan.engine.model(&intent.model) {
+                self.load_at(plan, &id, spec, intent.reason);
+            }
+        }
+    }
+
+    // Whether a server holds or loads a model, or makes room for it, and isn't about to drop it.
+    fn keeps(&self, id: &str, model: &str) -> bool {
+        let intended = self.intents.get(id);
+        intended.is_some_and(|intent| *intent.model == *model)
+            || self
+                .servers
+                .get(id)
+                .is_some_and(|server| keeps(server, model))
+    }
+
+    /// Returns the servers that hold or load a model and don't drop it.
+    fn replicas(&self, plan: &Plan<'_>, model: &str) -> usize {
+        plan.backends
+            .keys()
+            .filter(|id| self.keeps(id, model))
+            .count()
+    }
+
+    fn wanted_replicas(&self, plan: &Plan<'_>, model: &str) -> usize {
+        let rate = plan.demand.get(model).map_or(0.0, |demand| demand.rate);
+        if plan.total_rate < KNOWN_RATE {
+            return self.initial.get(model).copied().unwrap_or_default().max(1);
+        }
+        ((rate / REPLICA_RATE).ceil() as usize).max(1)
+    }
+
+    fn plan_adapters(&mut self, plan: &mut Plan<'_>) {
+        let wanted: Vec<(ModelName, AdapterName)> = plan
+            .demand
+            .iter()
+            .flat_map(|(model, demand)| {
+                let waiting = demand
+                    .adapters
+                    .iter()
+                    .filter(|(_, (waiting, _))| *waiting > 0);
+                waiting.map(|(adapter, _)| (model.clone(), adapter.clone()))
+            })
+            .take(PARALLEL_ADAPTERS)
+            .collect();
+        for (model, adapter) in wanted {
+            self.plan_adapter(plan, &model, &adapter);
+        }
+    }
+
+    fn plan_adapter(&mut self, plan: &mut Plan<'_>, model: &ModelName, adapter: &AdapterName) {
+        let held = plan.backends.keys().any(|id| {
+            let server = self.servers.get(id);
+            server
+                .and_then(ServerOrders::holdings)
+                .and_then(|holdings| holdings.adapters(model))
+                .is_some_and(|adapters| adapters.contains(adapter))
+        });
+        if held {
+            return;
+        }
+        let Some(spec) = plan.engine.model(model) else {
+            return;
+        };
+        let number = adapter.strip_prefix('a').and_then(|n| n.parse().ok());
+        if number.is_none_or(|number: u32| number == 0 || number > spec.adapters) {
+            return;
+        }
+        let best = plan
+            .backends
+            .iter()
+            .filter(|(id, _)| self.can_order(plan, id))
+            .filter_map(|(id, backend)| {
+                let holdings = self.servers.get(id)?.holdings()?;
+                holdings.adapters(model)?;
+                let full = holdings.adapter_count() >= plan.engine.adapter_slots
+                    || free_memory(plan.engine, holdings) < spec.adapter_weights;
+                Some((full, holdings.adapter_count(), backend.in_flight(), id))
+            })
+            .min();
+        let Some((full, _, _, id)) = best else {
+            return;
+        };
+        let id = id.clone();
+        if !full {
+            let operation = Operation::LoadAdapter(model.clone(), adapter.clone());
+            self.order(plan, &id, operation, UNLOAD_TIME, false, "adapter_waits");
+            return;
+        }
+        if let Some(operation) = self.coldest_adapter(plan, &id) {
+            self.order(plan, &id, operation, UNLOAD_TIME, false, "adapter_room");
+        }
+    }
+
+    fn coldest_adapter(&self, plan: &Plan<'_>, id: &str) -> Option<Operation> {
+        let holdings = self.servers.get(id)?.holdings()?;
+        let rated = holdings.models.iter().flat_map(|(model, adapters)| {
+            let demand = plan.demand.get(model);
+            adapters.iter().map(move |adapter| {
+                let rate = demand
+                    .and_then(|demand| demand.adapters.get(adapter))
+                    .map_or(0.0, |(waiting, rate)| rate + f64::from(*waiting));
+                (rate, model, adapter)
+            })
+        });
+        let coldest = rated.min_by(|one, other| one.0.total_cmp(&other.0))?;
+        Some(Operation::UnloadAdapter(
+            coldest.1.clone(),
+            coldest.2.clone(),
+        ))
+    }
+
+    // Models that requests wait for and that no server holds or loads.
+    fn plan_waiting(&mut self, plan: &mut Plan<'_>) {
+        let mut waiting: Vec<(Duration, ModelName)> = plan
+            .demand
+            .iter()
+            .filter(|(_, demand)| demand.waiting > 0)
+            .map(|(model, demand)| (demand.patience.unwrap_or_default(), model.clone()))
+            .collect();
+        waiting.sort();
+        for (_, model) in waiting {
+            let Some(spec) = plan.engine.model(&model) else {
+                continue;
+            };
+            if self.replicas(plan, &model) == 0 {
+                self.bring(plan, spec, "requests_wait");
+            }
+        }
+    }
+
+    // Models that are asked for so often that they need more replicas.
+    fn plan_replicas(&mut self, plan: &mut Plan<'_>) {
+        if plan.total_rate < KNOWN_RATE {
+            return;
+        }
+        let mut busy: Vec<(f64, ModelName)> = plan
+            .demand
+            .iter()
+            .filter(|(_, demand)| demand.rate >= RARE_RATE)
+            .map(|(model, demand)| (demand.rate, model.clone()))
+            .collect();
+        busy.sort_by(|one, other| other.0.total_cmp(&one.0));
+        for (_, model) in busy {
+            let Some(spec) = plan.engine.model(&model) else {
+                continue;
+            };
+            let wanted = self.wanted_replicas(plan, &model).min(plan.backends.len());
+            if self.replicas(plan, &model) < wanted {
+                self.bring(plan, spec, "more_replicas");
+            }
+        }
+    }
+
+    // Models that no server has a copy of.
+    fn plan_fetches(&mut self, plan: &mut Plan<'_>) {
+        if !self.knows_all(plan) {
+            return;
+        }
+        let missing: Vec<&ModelSpec> = plan
+            .engine
+            .models
+            .iter()
+            .filter(|spec| !self.has_copy(plan, &spec.name))
+            .collect();
+        for spec in missing {
+            if self.fetches() >= PARALLEL_FETCHES {
+                return;
+            }
+            self.fetch_ahead(plan, spec);
+        }
+    }
+
+    fn has_copy(&self, plan: &Plan<'_>, model: &str) -> bool {
+        plan.backends.keys().any(|id| {
+            let holdings = self.servers.get(id).and_then(ServerOrders::holdings);
+            self.keeps(id, model) || holdings.is_some_and(|holdings| holdings.is_cached(model))
+        })
+    }
+
+    fn fetches(&self) -> usize {
+        let is_planned = |id: &ServerId, server: &ServerOrders| {
+            self.intents.get(id).is_some_and(|intent| {
+                server
+                    .holdings()
+                    .is_some_and(|holdings| !holdings.is_cached(&intent.model))
+            })
+        };
+        self.servers
+            .iter()
+            .filter(|(id, server)| server.is_fetching() || is_planned(id, server))
+            .count()
+    }
+
+    fn fetch_ahead(&mut self, plan: &mut Plan<'_>, spec: &ModelSpec) {
+        let best = plan
+            .backends
+            .keys()
+            .filter(|id| self.can_order(plan, id) && !self.intents.contains_key(*id))
+            .filter_map(|id| {
+                let room = self.room_for(plan, id, spec)?;
+                if room.cost > RARE_RATE {
+                    return None;
+                }
+                let stranded = self.stranded(plan, id);
+                (stranded <= MAX_STRANDED).then_some((stranded, room.cost, id.clone()))
+            })
+            .min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        if let Some((_, _, id)) = best {
+            self.load_at(plan, &id, spec, "fetch_ahead");
+        }
+    }
+
+    /// Returns the models that only this server has a copy of and that no server holds.
+    fn stranded(&self, plan: &Plan<'_>, id: &str) -> usize {
+        let Some(holdings) = self.servers.get(id).and_then(ServerOrders::holdings) else {
+            return 0;
+        };
+        let only_here = |model: &&ModelName| {
+            self.replicas(plan, model) == 0
+                && plan.backends.keys().all(|other| {
+                    **other == *id
+                        || self
+                            .servers
+                            .get(other)
+                            .and_then(ServerOrders::holdings)
+                            .is_none_or(|holdings| !holdings.is_cached(model))
+                })
+        };
+        holdings.on_disk.iter().filter(only_here).count()
+    }
+
+    // Loads a model where it is there first.
+    fn bring(&mut self, plan: &mut Plan<'_>, spec: &ModelSpec, reason: &'static str) {
+        let mut best: Option<(Duration, f64, ServerId)> = None;
+        for id in plan.backends.keys() {
+            let Some(server) = self.servers.get(id) else {
+                continue;
+            };
+            if self.keeps(id, &spec.name) || self.intents.contains_key(id) || plan.has_order(id) {
+                continue;
+            }
+            let Some(room) = self.room_for(plan, id, spec) else {
+                continue;
+            };
+            let busy = server.loading().map_or(Duration::ZERO, |(_, ends)| {
+                ends.saturating_duration_since(plan.now)
+            });
+            let duration = busy + room.time + self.load_time(server, spec);
+            let better = best
+                .as_ref()
+                .is_none_or(|(least, cost, _)| (duration, room.cost) < (*least, *cost));
+            if better {
+                best = Some((duration, room.cost, id.clone()));
+            }
+        }
+        if let Some((_, _, id)) = best {
+            self.load_at(plan, &id, spec, reason);
+        }
+    }
+
+    // Loads a model at a server, or makes room for it first.
+    fn load_at(
+        &mut self,
+        plan: &mut Plan<'_>,
+        id: &ServerId,
+        spec: &ModelSpec,
+        reason: &'static str,
+    ) {
+        if !self.can_order(plan, id) {
+            return;
+        }
+        let Some(room) = self.room_for(plan, id, spec) else {
+            return;
+        };
+        if let Some(victim) = room.victim {
+            let operation = Operation::UnloadModel(victim);
+            self.order(plan, id, operation, UNLOAD_TIME, false, reason);
+            let model = spec.name.clone();
+            self.intents.insert(id.clone(), Intent { model, reason });
+            return;
+        }
+        let Some(server) = self.servers.get(id) else {
+            return;
+        };
+        let duration = self.load_time(server, spec);
+        let fetches = server
+            .holdings()
+            .is_some_and(|holdings| !holdings.is_cached(&spec.name));
+        if fetches && self.fetches() >= PARALLEL_FETCHES {
+            return;
+        }
+        let operation = Operation::LoadModel(spec.name.clone());
+        self.order(plan, id, operation, duration, fetches, reason);
+    }
+
+    fn load_time(&self, server: &ServerOrders, spec: &ModelSpec) -> Duration {
+        let Some(holdings) = server.holdings() else {
+            return spec.store_load;
+        };
+        if holdings.in_memory.contains(&spec.name) {
+            return spec.memory_load;
+        }
+        if holdings.on_disk.contains(&spec.name) {
+            return spec.disk_load;
+        }
+        let behind = (self.fetches() + 1).saturating_sub(PARALLEL_FETCHES);
+        spec.store_load
+            + spec
+                .store_load
+                .mul_f64(behind as f64 / PARALLEL_FETCHES as f64)
+    }
+
+    fn can_order(&self, plan: &Plan<'_>, id: &str) -> bool {
+        !plan.has_order(id) && self.servers.get(id).is_some_and(ServerOrders::is_free)
+    }
+
+    /// Returns what has to go so that a model fits, `None` if nothing can go.
+    fn room_for(&self, plan: &Plan<'_>, id: &str, spec: &ModelSpec) -> Option<Room> {
+        let server = self.servers.get(id)?;
+        let holdings = server.holdings()?;
+        let free = free_memory(plan.engine, holdings);
+        if free >= spec.weights {
+            return Some(Room {
+                victim: None,
+                time: Duration::ZERO,
+                cost: 0.0,
+            });
+        }
+        let victims = holdings
+            .models
+            .iter()
+            .filter(|(model, _)| !self.is_recent(plan, model))
+            .map(|(model, _)| (self.drop_cost(plan, model), self.used.get(model), model));
+        let (cost, _, victim) = victims.min_by(|one, other| {
+            one.0
+                .total_cmp(&other.0)
+                .then(one.1.cmp(&other.1))
+                .then(one.2.cmp(other.2))
+        })?;
+        Some(Room {
+            victim: Some(victim.clone()),
+            time: UNLOAD_TIME,
+            cost,
+        })
+    }
+
+    fn is_recent(&self, plan: &Plan<'_>, model: &str) -> bool {
+        let waited = plan
+            .demand
+            .get(model)
+            .is_some_and(|demand| demand.waiting > 0);
+        let used = self.used.get(model);
+        waited || used.is_some_and(|at| plan.now.saturating_duration_since(*at) < RECENT)
+    }
+
+    // Requests a second that would miss the model.
+    fn drop_cost(&self, plan: &Plan<'_>, model: &str) -> f64 {
+        let rate = plan.demand.get(model).map_or(0.0, |demand| demand.rate);
+        let replicas = self.replicas(plan, model);
+        if replicas > self.wanted_replicas(plan, model) {
+            return 0.0;
+        }
+        if replicas > 1 {
+            return RARE_RATE + rate / replicas as f64;
+        }
+        // A model that nobody asked for lately may still be asked for next.
+        0.01 + rate
+    }
+
+    fn order(
+        &mut self,
+        plan: &mut Plan<'_>,
+        id: &ServerId,
+        operation: Operation,
+        duration: Duration,
+        fetches: bool,
+        reason: &'static str,
+    ) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let expected = server.expected_orders();
+        server.note_sent(plan.now, operation.clone(), fetches);
+        self.durations.insert(id.clone(), duration);
+        plan.orders.push(Order {
+            server: id.clone(),
+            operation,
+            expected,
+            reason,
+        });
+    }
+}
+
+/// What has to go so that a model fits on a server.
+struct Room {
+    victim: Option<ModelName>,
+    time: Duration,
+    cost: f64,
+}
+
+impl Plan<'_> {
+    fn has_order(&self, id: &str) -> bool {
+        self.orders.iter().any(|order| *order.server == *id)
+    }
+}
+
+// Whether a server holds or loads a model and isn't about to drop it.
+fn keeps(server: &ServerOrders, model: &str) -> bool {
+    match server.operation() {
+        Some(Operation::LoadModel(loading)) if **loading == *model => return true,
+        Some(Operation::UnloadModel(dropped)) if **dropped == *model => return false,
+        _ => {}
+    }
+    server
+        .holdings()
+        .is_some_and(|holdings| holdings.adapters(model).is_some())
+}
+
+// Memory that neither models nor adapters take, in MB.
+fn free_memory(engine: &EngineSpec, holdings: &Holdings) -> f64 {
+    let taken = holdings.models.iter().map(|(name, adapters)| {
+        // A model that the configuration no longer names is counted as the largest.
+        let largest = || {
+            engine
+                .models
+                .iter()
+                .map(|spec| spec.weights)
+                .fold(0.0, f64::max)
+        };
+        let spec = engine.model(name);
+        let weights = spec.map_or_else(largest, |spec| spec.weights);
+        let adapter = spec.map_or(0.0, |spec| spec.adapter_weights);
+        weights + adapter * adapters.len() as f64
+    });
+    engine.weights - taken.sum::<f64>()
+}
--- a/crates/apricotwell_entry/src/control.rs
+++ b/crates/apricotwell_entry/src/control.rs
@@ -8,9 +8,9 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use apricotwell_adapters::{EngineControl, InstanceList, LogStore};
 use apricotwell_node::{Action, OrderOutcome};
 use apricotwell_peers::PeerLinks;
-use apricotwell_platform::{EngineControl, InstanceList, LogStore};
 use apricotwell_records::{CHECKPOINT_STREAM, CONTROL_STREAM, ReadError};
 
 use crate::Shell;
--- a/crates/apricotwell_entry/src/daemon.rs
+++ b/crates/apricotwell_entry/src/daemon.rs
@@ -14,10 +14,10 @@
 use tokio::task::spawn_local;
 use tokio::time::{interval, sleep};
 
+use apricotwell_adapters::{HttpEngine, HttpInstances, HttpLog};
 use apricotwell_logging::{EventFile, wall_time};
 use apricotwell_node::Node;
 use apricotwell_peers::{LinkSecret, PeerLinks, listen};
-use apricotwell_platform::{HttpEngine, HttpInstances, HttpLog};
 use apricotwell_timeline::{Event, EventKind};
 
 use crate::relay::Clients;
--- a/crates/apricotwell_entry/src/relay.rs
+++ b/crates/apricotwell_entry/src/relay.rs
@@ -51,8 +51,8 @@
 impl Clients {
     pub(crate) fn new() -> Self {
         Self {
-            repeatable: apricotwell_platform::attempt_client(),
-            single_use: apricotwell_platform::single_use_client(),
+            repeatable: apricotwell_adapters::attempt_client(),
+            single_use: apricotwell_adapters::single_use_client(),
         }
     }
 }
@@ -190,7 +190,7 @@
     let limit = Duration::from_millis(shell.settings().requests.first_byte_ms);
     match timeout(limit, request.send_body(outgoing.body.clone())).await {
         Ok(Ok(response)) => Ok(response),
-        Ok(Err(error)) if apricotwell_platform::is_unsent(&error) => {
+        Ok(Err(error)) if apricotwell_adapters::is_unsent(&error) => {
             Err(AttemptEnd::NotRun { unreachable: true })
         }
         Ok(Err(_)) => Err(AttemptEnd::Broken { partial: false }),
--- /dev/null
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -0,0 +1,279 @@
+//! The instance as a process: listeners, tasks and signals.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::adapter::{Callers, Engines, Feed, Store};
+use crate::events::{Event, FLUSH_INTERVAL, LineWriter};
+use crate::gateway::Gateway;
+use crate::{feeds, fleet, front, placing, pool};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 512;
+/// Bytes of a request's head that are taken at most, if the configuration names no other bound.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Time in which an idle connection for questions is closed.
+const QUESTION_IDLE: Duration = Duration::from_secs(10);
+/// Part of the grace that is left for the process to end.
+const END_MARGIN: Duration = Duration::from_millis(600);
+/// Least time after a request to stop in which callers that just looked up may still connect.
+const LEAST_LINGER: Duration = Duration::from_millis(3200);
+/// Pause after a failure to accept, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address can't be listened on.
+pub async fn run<C, S, E>(gateway: Rc<Gateway<C, S, E>>, lines: LineWriter) -> std::io::Result<()>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let listeners = gateway.listeners.clone();
+    let socket = Rc::new(UdpSocket::bind(&listeners.peers).await?);
+    let callers = listen(&listeners.callers)?;
+    let readiness = listen(&listeners.readiness)?;
+    let look_up = listen(&listeners.look_up)?;
+    Event::new("started")
+        .with("callers", listeners.callers.as_str())
+        .with("peers", listeners.peers.as_str())
+        .log();
+    actix::spawn(feeds::follow(Rc::clone(&gateway), Feed::Configuration));
+    actix::spawn(feeds::follow(Rc::clone(&gateway), Feed::Servers));
+    actix::spawn(fleet::renew_membership(Rc::clone(&gateway)));
+    actix::spawn(fleet::tell(Rc::clone(&gateway), Rc::clone(&socket)));
+    actix::spawn(fleet::listen(Rc::clone(&gateway), socket));
+    actix::spawn(placing::place(Rc::clone(&gateway)));
+    actix::spawn(accept(Rc::clone(&gateway), readiness, questions::<C, S, E>));
+    actix::spawn(accept(Rc::clone(&gateway), look_up, questions::<C, S, E>));
+    if let Some(address) = &listeners.metrics {
+        let metrics = listen(address)?;
+        actix::spawn(accept(Rc::clone(&gateway), metrics, questions::<C, S, E>));
+    }
+    actix::spawn(accept(
+        Rc::clone(&gateway),
+        callers,
+        serve_callers::<C, S, E>,
+    ));
+    actix::spawn(keep_house(Rc::clone(&gateway), lines.clone()));
+    wait_for_stop(&gateway).await?;
+    stop(&gateway).await;
+    lines.flush();
+    Ok(())
+}
+
+fn listen(address: &str) -> std::io::Result<TcpListener> {
+    let address: SocketAddr = address
+        .parse()
+        .map_err(|error| std::io::Error::new(std::io::ErrorKind::InvalidInput, error))?;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept<C, S, E, F, R>(gateway: Rc<Gateway<C, S, E>>, listener: TcpListener, serve: F)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+    F: Fn(Rc<Gateway<C, S, E>>, TcpStream) -> R + 'static,
+    R: Future<Output = ()> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(error) = pool::watch(&stream) {
+                    log::debug!("connection not watched: {error}");
+                }
+                actix::spawn(serve(Rc::clone(&gateway), stream));
+            }
+            Err(error) => {
+                log::warn!("connection not accepted: {error}; raise the descriptor limit");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_callers<C, S, E>(gateway: Rc<Gateway<C, S, E>>, stream: TcpStream)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let limits = {
+        let dispatcher = gateway.dispatcher.borrow();
+        dispatcher
+            .catalog
+            .as_ref()
+            .map(|catalog| catalog.limits)
+            .unwrap_or_default()
+    };
+    let shared = Rc::clone(&gateway);
+    let service = service_fn(move |request| front::serve(Rc::clone(&shared), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(limits.header_bytes.clamp(8 << 10, MAX_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    drive(&gateway, connection).await;
+}
+
+// Drives a connection; when the instance stops, lets the answer under way end and then closes it.
+async fn drive<C, S, E, H, B>(
+    gateway: &Gateway<C, S, E>,
+    connection: http1::Connection<TokioIo<TcpStream>, H>,
+) where
+    C: Callers,
+    S: Store,
+    E: Engines,
+    H: hyper::service::HttpService<Incoming, ResBody = B>,
+    H::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut connection = pin!(connection);
+    let stopping = pin!(gateway.stopping.notified());
+    let ended = futures_util::future::select(connection.as_mut(), stopping).await;
+    if let futures_util::future::Either::Right(_) = ended {
+        connection.as_mut().graceful_shutdown();
+        if let Err(error) = connection.await {
+            log::debug!("caller's connection ended: {error}");
+        }
+    }
+}
+
+async fn questions<C, S, E>(gateway: Rc<Gateway<C, S, E>>, stream: TcpStream)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answer = question(&gateway, request);
+        async move { Ok::<_, std::convert::Infallible>(answer) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(QUESTION_IDLE)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("connection for questions ended: {error}");
+    }
+}
+
+fn question<C, S, E>(
+    gateway: &Gateway<C, S, E>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let (head, _) = request.into_parts();
+    let now = gateway.now();
+    let dispatcher = gateway.dispatcher.borrow();
+    let empty = |status| {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = status;
+        response
+    };
+    if C::is_readiness(&head) {
+        return empty(if dispatcher.is_ready(now) {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        });
+    }
+    if C::is_look_up(&head) {
+        let addresses = dispatcher.look_up(now);
+        if addresses.is_empty() {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        return C::encode_look_up(&addresses, gateway.times.look_up).map(Full::new);
+    }
+    if head.uri.path() == "/metrics" {
+        return match gateway.metrics.to_text() {
+            Ok(text) => Response::new(Full::from(text)),
+            Err(_) => empty(StatusCode::INTERNAL_SERVER_ERROR),
+        };
+    }
+    empty(StatusCode::NOT_FOUND)
+}
+
+async fn keep_house<C, S, E>(gateway: Rc<Gateway<C, S, E>>, lines: LineWriter)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    loop {
+        tokio::time::sleep(FLUSH_INTERVAL).await;
+        gateway.pool.expire();
+        gateway.metrics.note_dropped_lines(lines.dropped());
+        lines.flush();
+    }
+}
+
+async fn wait_for_stop<C, S, E>(gateway: &Gateway<C, S, E>) -> std::io::Result<()>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => Event::new("reload").log(),
+        }
+    }
+    gateway.stopped.set(Some(gateway.now()));
+    Ok(())
+}
+
+async fn stop<C, S, E>(gateway: &Rc<Gateway<C, S, E>>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    Event::new("stopping")
+        .with("active", gateway.active.get())
+        .log();
+    gateway.dispatcher.borrow_mut().leave();
+    gateway.gossip.notify_one();
+    let begun = Instant::now();
+    let leaving = Rc::clone(gateway);
+    actix::spawn(async move { fleet::leave(&leaving).await });
+    let end = gateway.times.grace.saturating_sub(END_MARGIN);
+    tokio::time::sleep(LEAST_LINGER.min(end)).await;
+    gateway.stopping.notify_waiters();
+    while begun.elapsed() < end && gateway.active.get() > 0 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Event::new("stopped")
+        .with("cut", gateway.active.get())
+        .log();
+}
--- /dev/null
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -0,0 +1,209 @@
+//! Tasks that follow the store.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use apricotwell_dispatch::prelude::*;
+use apricotwell_types::Offset;
+
+use crate::adapter::{Callers, Engines, Feed, FeedPart, News, Store, StoreError};
+use crate::events::Event;
+use crate::gateway::Gateway;
+
+/// Longest wait of one read of the configuration; bounds the age of the view on a quiet day.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1200);
+/// Pause between reads of the list of servers: a worker's leave must be known within two seconds.
+const SERVERS_PAUSE: Duration = Duration::from_millis(650);
+/// Pause after a call that the store did not serve.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Time after an outage of the store in which servers that left the list are still used: the entries
+/// of those that live come back by then.
+const RETURN_TIME: Duration = Duration::from_millis(2200);
+
+/// Follows one feed for ever.
+pub async fn follow<C, S, E>(gateway: Rc<Gateway<C, S, E>>, feed: Feed)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let mut follower = Follower {
+        gateway,
+        feed,
+        next: None,
+        failing_since: None,
+        outage_end: None,
+    };
+    loop {
+        let pause = follower.step().await;
+        tokio::time::sleep(pause).await;
+    }
+}
+
+struct Follower<C, S, E> {
+    gateway: Rc<Gateway<C, S, E>>,
+    feed: Feed,
+    // Offset from which to read; unknown before the newest records were read.
+    next: Option<Offset>,
+    failing_since: Option<Instant>,
+    outage_end: Option<Instant>,
+}
+
+impl<C, S, E> Follower<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    // Reads once; returns the pause before the next read.
+    async fn step(&mut self) -> Duration {
+        let start = self.gateway.now();
+        let wait = match self.feed {
+            Feed::Configuration => CONFIGURATION_WAIT,
+            Feed::Servers => Duration::ZERO,
+        };
+        let part = match self.next {
+            Some(next) => self.gateway.store.read(self.feed, next, wait).await,
+            None => self.gateway.store.newest(self.feed).await,
+        };
+        match part {
+            Ok(part) => self.apply(start, part),
+            Err(StoreError::Forgotten) => {
+                self.next = None;
+                Duration::ZERO
+            }
+            Err(error) => {
+                self.note_failure(&error);
+                RETRY_PAUSE
+            }
+        }
+    }
+
+    fn apply(&mut self, start: Instant, part: FeedPart) -> Duration {
+        self.gateway.metrics.note_store_call("read");
+        self.note_success();
+        let whole = self.next.is_none();
+        if whole && self.feed == Feed::Servers {
+            self.remove_missing(&part);
+        }
+        self.next = Some(part.next);
+        let is_end = part.is_end;
+        let changed = !part.news.is_empty();
+        for news in part.news {
+            self.apply_news(news);
+        }
+        if changed {
+            self.gateway.changed.notify_waiters();
+            self.gateway.planning.notify_one();
+        }
+        if self.feed == Feed::Configuration && is_end {
+            let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+            dispatcher.freshness.note_current(start);
+        }
+        match self.feed {
+            Feed::Servers if is_end => SERVERS_PAUSE,
+            _ => Duration::ZERO,
+        }
+    }
+
+    fn apply_news(&self, news: News) {
+        let now = self.gateway.now();
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        match news {
+            News::Catalog(catalog) => {
+                let version = catalog.version;
+                let applied = dispatcher.apply_catalog(*catalog);
+                Event::new("configuration")
+                    .with("version", version)
+                    .with("applied", applied)
+                    .log();
+            }
+            News::Entry(entry) => {
+                log_entry(&dispatcher.backends, &entry);
+                dispatcher.backends.note_entry(now, entry);
+            }
+            News::Removed(id) => {
+                let keep = self.keep_time(now);
+                Event::new("server_removed")
+                    .with("server", &*id)
+                    .with("kept_ms", keep.map(|keep| keep.as_millis() as u64))
+                    .log();
+                dispatcher.backends.note_removed(now, &id, keep);
+                dispatcher.prompts.forget(&id);
+            }
+            News::Unreadable { key, reason } => Event::new("record_unreadable")
+                .with("key", key)
+                .with("reason", reason)
+                .log(),
+        }
+    }
+
+    fn remove_missing(&self, part: &FeedPart) {
+        let now = self.gateway.now();
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let keep = self.keep_time(now);
+        for id in dispatcher.backends.listed() {
+            let is_listed = part
+                .news
+                .iter()
+                .any(|news| matches!(news, News::Entry(entry) if entry.id == id));
+            if !is_listed {
+                dispatcher.backends.note_removed(now, &id, keep);
+            }
+        }
+    }
+
+    fn keep_time(&self, now: Instant) -> Option<Duration> {
+        let end = self.outage_end? + RETURN_TIME;
+        (now < end).then(|| end.saturating_duration_since(now))
+    }
+
+    fn note_failure(&mut self, error: &StoreError) {
+        self.gateway.metrics.note_store_call("failed");
+        if self.failing_since.is_none() {
+            self.failing_since = Some(self.gateway.now());
+            Event::new("store_lost")
+                .with("feed", format!("{:?}", self.feed))
+                .with("reason", error.to_string())
+                .log();
+        }
+    }
+
+    fn note_success(&mut self) {
+        let Some(since) = self.failing_since.take() else {
+            return;
+        };
+        let now = self.gateway.now();
+        self.outage_end = Some(now);
+        Event::new("store_regained")
+            .with("feed", format!("{:?}", self.feed))
+            .with_time("lost_ms", now.saturating_duration_since(since))
+            .log();
+    }
+}
+
+fn log_entry(known: &BackendTable, entry: &Entry) {
+    let before = known.get(&entry.id).map(|server| &server.entry);
+    let changed = before.is_none_or(|before| {
+        before.leaving != entry.leaving
+            || before.born != entry.born
+            || before.holdings.models != entry.holdings.models
+    });
+    if changed {
+        let models: Vec<&str> = entry
+            .holdings
+            .models
+            .iter()
+            .map(|(model, _)| &**model)
+            .collect();
+        Event::new("server")
+            .with("server", &*entry.id)
+            .with("service", &*entry.service)
+            .with("leaving", entry.leaving)
+            .with("born", entry.born)
+            .with("orders", entry.holdings.orders)
+            .with("models", models)
+            .with("on_disk", entry.holdings.on_disk.len())
+            .log();
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -0,0 +1,298 @@
+//! Tasks that keep an instance in touch with the others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use apricotwell_dispatch::prelude::*;
+use apricotwell_messages::Heartbeat;
+use apricotwell_types::InstanceId;
+use prost::Message;
+use tokio::net::UdpSocket;
+
+use crate::adapter::{Callers, ClaimRecord, Engines, Store, StoreError};
+use crate::events::Event;
+use crate::gateway::Gateway;
+
+/// Pause between renewals of the membership.
+const RENEWAL_PAUSE: Duration = Duration::from_millis(700);
+/// Pause between heartbeats.
+const HEARTBEAT_PAUSE: Duration = Duration::from_millis(400);
+/// Least time between heartbeats that tell of a change.
+const GOSSIP_PAUSE: Duration = Duration::from_millis(25);
+/// Heartbeats after which the lease holder tells all that servers hold, changed or not.
+const STOCK_HEARTBEATS: u32 = 3;
+/// Bytes of the largest heartbeat.
+const MAX_HEARTBEAT_BYTES: usize = 60 << 10;
+/// Attempts to claim the lease before the next renewal.
+const CLAIM_ATTEMPTS: u32 = 3;
+
+/// Renews the membership and claims the placement lease when it falls to this instance.
+pub async fn renew_membership<C, S, E>(gateway: Rc<Gateway<C, S, E>>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let member = gateway.listeners.peers.clone();
+    let term = gateway.dispatcher.borrow().facts.lease.term;
+    let mut generation = 0;
+    let mut listed = 0;
+    loop {
+        if gateway.stopped.get().is_some() {
+            return;
+        }
+        let start = gateway.now();
+        match gateway.store.join(&member, generation, term).await {
+            Ok(membership) => {
+                gateway.metrics.note_store_call("join");
+                generation = membership.generation;
+                let now = gateway.now();
+                let step = {
+                    let mut dispatcher = gateway.dispatcher.borrow_mut();
+                    dispatcher.peers.note_unchanged(now);
+                    dispatcher.lease.note_renewal(now, start, membership.leads)
+                };
+                follow_lease(&gateway, step).await;
+                if listed != generation && list_members(&gateway).await {
+                    listed = generation;
+                }
+            }
+            Err(error) => {
+                gateway.metrics.note_store_call("failed");
+                log::info!("membership not renewed: {error}");
+            }
+        }
+        tokio::time::sleep(RENEWAL_PAUSE).await;
+    }
+}
+
+async fn list_members<C, S, E>(gateway: &Gateway<C, S, E>) -> bool
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let members = match gateway.store.members().await {
+        Ok(members) => members,
+        Err(error) => {
+            log::info!("members not listed: {error}");
+            return false;
+        }
+    };
+    gateway.metrics.note_store_call("members");
+    Event::new("members").with("members", members.clone()).log();
+    let now = gateway.now();
+    let own = gateway.listeners.peers.as_str();
+    let others = members
+        .iter()
+        .filter(|member| *member != own)
+        .map(|member| InstanceId::from(member.as_str()));
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    dispatcher.peers.note_members(now, others);
+    true
+}
+
+async fn follow_lease<C, S, E>(gateway: &Gateway<C, S, E>, step: LeaseStep)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    match step {
+        LeaseStep::Keep => {}
+        LeaseStep::Stop => {
+            gateway.dispatcher.borrow_mut().stock.reset();
+            Event::new("lease_lost").log();
+        }
+        LeaseStep::Claim => {
+            gateway.dispatcher.borrow_mut().stock.reset();
+            for _ in 0..CLAIM_ATTEMPTS {
+                match claim(gateway).await {
+                    Ok(()) => return,
+                    Err(StoreError::Moved) => {}
+                    Err(error) => {
+                        log::info!("lease not claimed: {error}");
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn holder_name<C, S, E>(gateway: &Gateway<C, S, E>) -> String {
+    let dispatcher = gateway.dispatcher.borrow();
+    format!("{}#{}", dispatcher.facts.id, dispatcher.facts.incarnation)
+}
+
+async fn claim<C, S, E>(gateway: &Gateway<C, S, E>) -> Result<(), StoreError>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let holder = holder_name(gateway);
+    let last = gateway.store.last_claim().await?;
+    let previous = match &last.claim {
+        None if last.end == 0 => Previous::Nobody,
+        Some(record) if record.holder == holder => Previous::Nobody,
+        Some(record) if record.released => Previous::Released,
+        _ => Previous::Unknown,
+    };
+    let record = ClaimRecord {
+        holder,
+        released: false,
+    };
+    let fence = gateway.store.append_claim(last.end, &record).await?;
+    let now = gateway.now();
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    dispatcher.lease.note_claim(now, fence, previous);
+    Event::new("lease_claimed")
+        .with("fence", fence)
+        .with("previous", format!("{previous:?}"))
+        .log();
+    Ok(())
+}
+
+/// Gives the lease up and leaves the group, before the process ends.
+pub async fn leave<C, S, E>(gateway: &Gateway<C, S, E>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let now = gateway.now();
+    let held = gateway.dispatcher.borrow().lease.is_held(now);
+    gateway.dispatcher.borrow_mut().lease.note_fenced();
+    if held && let Err(error) = release(gateway).await {
+        log::info!("lease not released: {error}");
+    }
+    if let Err(error) = gateway.store.leave(&gateway.listeners.peers).await {
+        log::info!("group not left: {error}");
+    }
+}
+
+async fn release<C, S, E>(gateway: &Gateway<C, S, E>) -> Result<(), StoreError>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let holder = holder_name(gateway);
+    let last = gateway.store.last_claim().await?;
+    let own = last.claim.is_some_and(|claim| claim.holder == holder);
+    if !own {
+        return Ok(());
+    }
+    let record = ClaimRecord {
+        holder,
+        released: true,
+    };
+    gateway
+        .store
+        .append_claim(last.end, &record)
+        .await
+        .map(|_| ())
+}
+
+/// Tells the other instances what this one does, at intervals and on changes.
+pub async fn tell<C, S, E>(gateway: Rc<Gateway<C, S, E>>, socket: Rc<UdpSocket>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let mut told_stock = Vec::new();
+    let mut quiet = 0;
+    loop {
+        let heartbeat = {
+            let now = gateway.now();
+            let mut dispatcher = gateway.dispatcher.borrow_mut();
+            dispatcher.expire(now);
+            let mut heartbeat = dispatcher.heartbeat(now);
+            if heartbeat.fence > 0 {
+                let stock = dispatcher.stock_news(now);
+                let models = |stock: &[apricotwell_messages::ServerStock]| {
+                    let parts = stock.iter();
+                    parts
+                        .map(|server| (server.orders, server.models.clone()))
+                        .collect::<Vec<_>>()
+                };
+                quiet += 1;
+                let held = models(&stock);
+                if held != told_stock || quiet >= STOCK_HEARTBEATS {
+                    quiet = 0;
+                    told_stock = held;
+                    apply_own_stock(&mut dispatcher, now, &stock);
+                    heartbeat.stock = stock;
+                    gateway.changed.notify_waiters();
+                }
+            }
+            heartbeat
+        };
+        send(&gateway, &socket, &heartbeat).await;
+        tokio::time::sleep(GOSSIP_PAUSE).await;
+        // A change that nobody told of in time is told with the next heartbeat.
+        let _ = tokio::time::timeout(HEARTBEAT_PAUSE, gateway.gossip.notified()).await;
+    }
+}
+
+fn apply_own_stock(
+    dispatcher: &mut Dispatcher,
+    now: std::time::Instant,
+    stock: &[apricotwell_messages::ServerStock],
+) {
+    for server in stock {
+        dispatcher.backends.note_stock(now, server);
+    }
+}
+
+async fn send<C, S, E>(gateway: &Gateway<C, S, E>, socket: &UdpSocket, heartbeat: &Heartbeat)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let bytes = heartbeat.encode_to_vec();
+    let targets = gateway.dispatcher.borrow().peers.targets();
+    for target in targets {
+        // A lost heartbeat is made good by the next one.
+        if let Err(error) = socket.send_to(&bytes, &*target).await {
+            log::debug!("no heartbeat to {target}: {error}");
+        }
+    }
+}
+
+/// Takes the heartbeats of other instances.
+pub async fn listen<C, S, E>(gateway: Rc<Gateway<C, S, E>>, socket: Rc<UdpSocket>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            tokio::time::sleep(GOSSIP_PAUSE).await;
+            continue;
+        };
+        let Ok(heartbeat) = Heartbeat::decode(&buffer[..length]) else {
+            log::info!("a heartbeat that can't be read was dropped");
+            continue;
+        };
+        let now = gateway.now();
+        let newer = gateway
+            .dispatcher
+            .borrow_mut()
+            .note_heartbeat(now, &heartbeat);
+        if !newer {
+            continue;
+        }
+        if !heartbeat.stock.is_empty() {
+            gateway.changed.notify_waiters();
+        }
+        if heartbeat.models.iter().any(|usage| usage.waiting > 0) {
+            gateway.planning.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_gateway/src/front.rs
@@ -0,0 +1,314 @@
+//! Requests of callers from the first byte to the last.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use apricotwell_dispatch::prelude::*;
+use apricotwell_types::{Refusal, RefusalKind};
+use bytes::Bytes;
+use futures_util::Stream;
+use http::{Request, Response, request};
+use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+
+use crate::adapter::{Callers, Engines, Store};
+use crate::events::Event;
+use crate::gateway::Gateway;
+use crate::guard::FlightGuard;
+use crate::pool::Answer;
+use crate::relay::{Relay, RelayError};
+use crate::ticket::Ticket;
+
+/// Bytes of a plain answer that are held in memory.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Time in which a request's body must come, unless its deadline is shorter.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after a request to stop from which further requests are sent elsewhere: none that is taken
+/// later could be sure to end within the grace.
+const TAKING_AFTER_STOP: Duration = Duration::from_millis(3500);
+
+enum Served<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    Whole(Response<Bytes>),
+    Stream(Response<()>, Box<Relay<C, S, E>>),
+}
+
+/// Serves one request; never fails, so that the connection's end is the answer's.
+///
+/// # Errors
+///
+/// None.
+pub async fn serve<C, S, E>(
+    gateway: Rc<Gateway<C, S, E>>,
+    request: Request<Incoming>,
+) -> Result<
+    Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = Result<Frame<Bytes>, RelayError>>>>>,
+    Infallible,
+>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let closing = gateway.stopped.get().is_some();
+    let mut response = match answer(&gateway, request).await {
+        Served::Whole(response) => response.map(|body| Either::Left(Full::new(body))),
+        Served::Stream(response, relay) => {
+            response.map(|()| Either::Right(StreamBody::new(relay.into_frames())))
+        }
+    };
+    if closing || gateway.stopped.get().is_some() {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+async fn answer<C, S, E>(
+    gateway: &Rc<Gateway<C, S, E>>,
+    request: Request<Incoming>,
+) -> Served<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let (head, body) = request.into_parts();
+    match take(gateway, head, body).await {
+        Ok(ticket) => run(ticket).await,
+        Err(refusal) => Served::Whole(C::encode_refusal(&refusal)),
+    }
+}
+
+async fn take<C, S, E>(
+    gateway: &Rc<Gateway<C, S, E>>,
+    head: request::Parts,
+    body: Incoming,
+) -> Result<Ticket<C, S, E>, Refusal>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let call = C::decode_call(&head)?;
+    let taken = admit(gateway, &head, body, &call).await;
+    if let Err(refusal) = &taken {
+        log_refusal(gateway, &call, refusal);
+    }
+    let (body, admission) = taken?;
+    Ok(Ticket::new(gateway, head, body, call, admission))
+}
+
+async fn admit<C, S, E>(
+    gateway: &Rc<Gateway<C, S, E>>,
+    head: &request::Parts,
+    body: Incoming,
+    call: &Call,
+) -> Result<(Bytes, Admission), Refusal>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    if gateway
+        .stopping_for()
+        .is_some_and(|time| time > TAKING_AFTER_STOP)
+    {
+        let text = "this instance stops; use another one";
+        return Err(
+            Refusal::not_run(RefusalKind::Unavailable, text).with_retry_after(Duration::ZERO)
+        );
+    }
+    let limit = body_limit(gateway);
+    let body = read_body(head, body, limit, call.deadline).await?;
+    let now = gateway.now();
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    let admission = dispatcher.admit(now, call)?;
+    if dispatcher.is_tight(now, &admission) {
+        gateway.gossip.notify_one();
+    }
+    Ok((body, admission))
+}
+
+fn body_limit<C, S, E>(gateway: &Gateway<C, S, E>) -> usize
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let dispatcher = gateway.dispatcher.borrow();
+    let catalog = dispatcher.catalog.as_ref();
+    catalog.map_or(CallerLimits::default().body_bytes, |catalog| {
+        catalog.limits.body_bytes
+    })
+}
+
+async fn read_body(
+    head: &request::Parts,
+    body: Incoming,
+    limit: usize,
+    deadline: Option<Duration>,
+) -> Result<Bytes, Refusal> {
+    let announced = head
+        .headers
+        .get(http::header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    let too_large = || Refusal::not_run(RefusalKind::TooLarge, "the body is over the limit");
+    if announced.is_some_and(|announced| announced > limit) {
+        return Err(too_large());
+    }
+    let wait = deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
+    let collected = tokio::time::timeout(wait, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
+        Ok(Err(error)) => {
+            let text = format!("the body is not whole: {error}");
+            Err(Refusal::not_run(RefusalKind::BadRequest, text))
+        }
+        Err(_) => {
+            let text = "the body did not come in time";
+            Err(Refusal::not_run(RefusalKind::TooSlow, text))
+        }
+    }
+}
+
+async fn run<C, S, E>(mut ticket: Ticket<C, S, E>) -> Served<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let last_event = ticket.call.last_event;
+    loop {
+        let (answer, flight) = match ticket.first_answer(last_event).await {
+            Ok((answer, _, flight)) => (answer, flight),
+            Err(refusal) => return refused(&ticket, &refusal),
+        };
+        if ticket.admission.route.kind.is_stream() && answer.head.status.is_success() {
+            return stream(ticket, answer, flight);
+        }
+        match whole(&mut ticket, answer, flight).await {
+            Ok(response) => return Served::Whole(response),
+            Err(Some(refusal)) => return refused(&ticket, &refusal),
+            Err(None) => {}
+        }
+    }
+}
+
+fn stream<C, S, E>(
+    ticket: Ticket<C, S, E>,
+    answer: Answer,
+    flight: FlightGuard<C, S, E>,
+) -> Served<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let mut response = Response::new(());
+    *response.status_mut() = answer.head.status;
+    *response.headers_mut() = C::relay_headers(&answer.head.headers);
+    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    Served::Stream(response, Box::new(Relay::new(ticket, answer, flight)))
+}
+
+// Returns the whole answer, a refusal, or nothing when another attempt is allowed.
+async fn whole<C, S, E>(
+    ticket: &mut Ticket<C, S, E>,
+    answer: Answer,
+    flight: FlightGuard<C, S, E>,
+) -> Result<Response<Bytes>, Option<Refusal>>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let collected = tokio::time::timeout(ticket.remaining(), answer.collect(MAX_ANSWER_BYTES));
+    let reason = match collected.await {
+        Ok(Ok((head, body))) => {
+            let failed = head.status.is_server_error();
+            flight.note_outcome(failed);
+            ticket.note_first_byte();
+            let outcome = if failed { "server_failed" } else { "answered" };
+            ticket.log_end(outcome, Some(&flight.server), head.status.as_u16());
+            let mut response = Response::new(body);
+            *response.status_mut() = head.status;
+            *response.headers_mut() = C::relay_headers(&head.headers);
+            response.headers_mut().remove(http::header::CONTENT_LENGTH);
+            return Ok(response);
+        }
+        Ok(Err(reason)) => reason,
+        Err(_) => "the deadline passed during the answer".to_owned(),
+    };
+    flight.note_outcome(true);
+    ticket.tried.push(flight.server.clone());
+    drop(flight);
+    if ticket.may_repeat() {
+        return Err(None);
+    }
+    let kind = if ticket.remaining().is_zero() {
+        RefusalKind::DeadlineExceeded
+    } else {
+        RefusalKind::BackendFailed
+    };
+    let ending = apricotwell_types::Ending::OutcomeUnknown;
+    Err(Some(Refusal::not_run(kind, reason).with_ending(ending)))
+}
+
+fn refused<C, S, E>(ticket: &Ticket<C, S, E>, refusal: &Refusal) -> Served<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    if ticket.runs == 0 {
+        let now = ticket.gateway.now();
+        let mut dispatcher = ticket.gateway.dispatcher.borrow_mut();
+        dispatcher.refund(now, &ticket.admission);
+    }
+    ticket.log_end(refusal.kind.code(), None, refusal.kind.status());
+    log_refusal(&ticket.gateway, &ticket.call, refusal);
+    Served::Whole(C::encode_refusal(refusal))
+}
+
+fn log_refusal<C, S, E>(gateway: &Gateway<C, S, E>, call: &Call, refusal: &Refusal)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let dispatcher = gateway.dispatcher.borrow();
+    let now = gateway.now();
+    gateway.metrics.note_request(refusal.kind.code());
+    let wanted = call.wanted.as_ref();
+    Event::new("request_refused")
+        .with("request", call.attempt.as_str())
+        .with("reason", refusal.kind.code())
+        .with("ending", refusal.ending.as_str())
+        .with("message", refusal.message.as_str())
+        .with("model", wanted.map_or("", |wanted| &*wanted.model))
+        .with(
+            "config",
+            dispatcher.catalog.as_ref().map(|known| known.version),
+        )
+        .with(
+            "view_age_ms",
+            dispatcher
+                .freshness
+                .age(now)
+                .map(|age| age.as_millis() as u64),
+        )
+        .with(
+            "retry_after_ms",
+            refusal.retry_after.map(|after| after.as_millis() as u64),
+        )
+        .log();
+}
--- /dev/null
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -0,0 +1,117 @@
+//! What all tasks of one instance share.
+
+use std::cell::{Cell, RefCell};
+use std::marker::PhantomData;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use apricotwell_dispatch::prelude::*;
+use tokio::sync::Notify;
+
+use crate::adapter::{Callers, Engines, Store};
+use crate::clock::BootClock;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+
+/// Addresses on which an instance listens.
+#[derive(Clone, Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub callers: String,
+    /// For questions whether the instance is ready.
+    pub readiness: String,
+    /// For questions where to connect.
+    pub look_up: String,
+    /// For heartbeats of other instances; names the instance.
+    pub peers: String,
+    /// For metrics, if they are served.
+    pub metrics: Option<String>,
+}
+
+/// Times of an instance's shell.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Time between a request to stop and the end of the process.
+    pub grace: Duration,
+    /// Lifetime of answers to look-ups.
+    pub look_up: Duration,
+}
+
+/// Instance with its decisions, its connections and its adapter.
+pub struct Gateway<C, S, E> {
+    /// Decisions.
+    pub dispatcher: RefCell<Dispatcher>,
+    /// Clock of all decisions.
+    pub clock: BootClock,
+    /// Connections to servers.
+    pub pool: Rc<Pool>,
+    /// Store.
+    pub store: S,
+    /// Orders.
+    pub engines: E,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Addresses.
+    pub listeners: Listeners,
+    /// Times.
+    pub times: Times,
+    /// Told when a waiting request may find a server.
+    pub changed: Notify,
+    /// Told when other instances should hear of a change.
+    pub gossip: Notify,
+    /// Told when the placement should be planned anew.
+    pub planning: Notify,
+    /// Told once when the process is to stop.
+    pub stopping: Notify,
+    /// Requests being served.
+    pub active: Cell<usize>,
+    /// When the request to stop came.
+    pub stopped: Cell<Option<Instant>>,
+    callers: PhantomData<C>,
+}
+
+impl<C, S, E> Gateway<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    /// Returns an instance that knows nothing yet.
+    pub fn new(
+        facts: InstanceFacts,
+        listeners: Listeners,
+        times: Times,
+        pool: Rc<Pool>,
+        store: S,
+        engines: E,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            dispatcher: RefCell::new(Dispatcher::new(facts)),
+            clock: BootClock::new(),
+            pool,
+            store,
+            engines,
+            metrics: Metrics::new(),
+            listeners,
+            times,
+            changed: Notify::new(),
+            gossip: Notify::new(),
+            planning: Notify::new(),
+            stopping: Notify::new(),
+            active: Cell::new(0),
+            stopped: Cell::new(None),
+            callers: PhantomData,
+        })
+    }
+
+    /// Returns the present instant.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns the time since the request to stop, `None` before it.
+    pub fn stopping_for(&self) -> Option<Duration> {
+        let stopped = self.stopped.get()?;
+        Some(self.now().saturating_duration_since(stopped))
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_gateway/src/guard.rs
@@ -0,0 +1,148 @@
+//! Guards that give back what a request holds, however it ends.
+
+use std::rc::Rc;
+
+use apricotwell_dispatch::prelude::*;
+use apricotwell_types::ServerId;
+
+use crate::adapter::{Callers, Engines, Store};
+use crate::gateway::Gateway;
+
+/// Counts a request as being served until it is dropped.
+pub struct ActiveGuard<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    gateway: Rc<Gateway<C, S, E>>,
+}
+
+impl<C, S, E> ActiveGuard<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    /// Counts one request.
+    pub fn new(gateway: &Rc<Gateway<C, S, E>>) -> Self {
+        gateway.active.set(gateway.active.get() + 1);
+        Self {
+            gateway: Rc::clone(gateway),
+        }
+    }
+}
+
+impl<C, S, E> Drop for ActiveGuard<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    fn drop(&mut self) {
+        let active = &self.gateway.active;
+        active.set(active.get().saturating_sub(1));
+    }
+}
+
+/// Counts a request as in flight at a server until it is dropped.
+pub struct FlightGuard<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    gateway: Rc<Gateway<C, S, E>>,
+    /// Server.
+    pub server: ServerId,
+}
+
+impl<C, S, E> FlightGuard<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    /// Counts one request at `server`.
+    pub fn new(gateway: &Rc<Gateway<C, S, E>>, server: ServerId) -> Self {
+        gateway.dispatcher.borrow_mut().backends.note_start(&server);
+        Self {
+            gateway: Rc::clone(gateway),
+            server,
+        }
+    }
+
+    /// Notes whether the server answered as it should.
+    pub fn note_outcome(&self, failed: bool) {
+        let now = self.gateway.now();
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.backends.note_outcome(now, &self.server, failed);
+    }
+}
+
+impl<C, S, E> Drop for FlightGuard<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    fn drop(&mut self) {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.backends.note_end(&self.server);
+        drop(dispatcher);
+        self.gateway.changed.notify_waiters();
+    }
+}
+
+/// Counts a request as waiting for a model until it is dropped.
+pub struct WaitGuard<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    gateway: Rc<Gateway<C, S, E>>,
+    service: ServiceId,
+    wanted: Wanted,
+    wait: u64,
+}
+
+impl<C, S, E> WaitGuard<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    /// Counts one request, `None` if it wants no model.
+    pub fn new(gateway: &Rc<Gateway<C, S, E>>, admission: &Admission) -> Option<Self> {
+        let wanted = admission.wanted.clone()?;
+        let now = gateway.now();
+        let wait = gateway.dispatcher.borrow_mut().demand.begin_wait(
+            now,
+            &admission.service,
+            &wanted,
+            admission.silence,
+        );
+        gateway.gossip.notify_one();
+        gateway.planning.notify_one();
+        Some(Self {
+            gateway: Rc::clone(gateway),
+            service: admission.service.clone(),
+            wanted,
+            wait,
+        })
+    }
+}
+
+impl<C, S, E> Drop for WaitGuard<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    fn drop(&mut self) {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let demand = &mut dispatcher.demand;
+        demand.end_wait(&self.service, &self.wanted, self.wait);
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_gateway/src/placing.rs
@@ -0,0 +1,145 @@
+//! The task of the lease holder: plans what servers hold and orders it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use apricotwell_dispatch::prelude::*;
+use apricotwell_dispatch::stock::Order;
+use apricotwell_types::{Fence, ServerId};
+
+use crate::adapter::{Callers, Engines, Store};
+use crate::events::Event;
+use crate::gateway::Gateway;
+
+/// Pause between plans when nothing changes.
+const PLAN_PAUSE: Duration = Duration::from_millis(200);
+/// Least pause between plans.
+const LEAST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Plans and orders while this instance holds the lease.
+pub async fn place<C, S, E>(gateway: Rc<Gateway<C, S, E>>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    loop {
+        if gateway.stopped.get().is_none() {
+            step(&gateway);
+        }
+        tokio::time::sleep(LEAST_PAUSE).await;
+        // Without a change the plan is looked at again after the pause.
+        let _ = tokio::time::timeout(PLAN_PAUSE, gateway.planning.notified()).await;
+    }
+}
+
+fn step<C, S, E>(gateway: &Rc<Gateway<C, S, E>>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let now = gateway.now();
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    if !dispatcher.lease.is_held(now) {
+        return;
+    }
+    let Some(catalog) = dispatcher.catalog.clone() else {
+        return;
+    };
+    let uses = dispatcher.fleet_demand(now);
+    let fence = dispatcher.lease.fence(now);
+    let Dispatcher {
+        stock, backends, ..
+    } = &mut *dispatcher;
+    let mut orders = Vec::new();
+    for service in catalog.services() {
+        if service.engine.is_none() {
+            continue;
+        }
+        stock.follow(now, backends, service);
+        if fence.is_some() {
+            orders.extend(stock.plan(now, service, backends, &uses));
+        }
+    }
+    let reports = stock.take_due_reports(now);
+    drop(dispatcher);
+    for server in reports {
+        actix::spawn(report(Rc::clone(gateway), server));
+    }
+    if let Some(fence) = fence {
+        for order in orders {
+            actix::spawn(give(Rc::clone(gateway), order, fence));
+        }
+    }
+}
+
+async fn report<C, S, E>(gateway: Rc<Gateway<C, S, E>>, server: ServerId)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let address = {
+        let dispatcher = gateway.dispatcher.borrow();
+        dispatcher
+            .backends
+            .get(&server)
+            .map(|server| server.entry.address)
+    };
+    let report = match address {
+        Some(address) => gateway.engines.report(address, &server).await,
+        None => None,
+    };
+    let now = gateway.now();
+    gateway
+        .dispatcher
+        .borrow_mut()
+        .stock
+        .note_report(now, &server, report);
+    gateway.planning.notify_one();
+    gateway.gossip.notify_one();
+}
+
+async fn give<C, S, E>(gateway: Rc<Gateway<C, S, E>>, order: Order, fence: Fence)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let target = {
+        let dispatcher = gateway.dispatcher.borrow();
+        let now = gateway.now();
+        let valid = dispatcher.lease.fence(now) == Some(fence);
+        let backend = dispatcher.backends.get(&order.server);
+        backend
+            .filter(|_| valid)
+            .map(|server| (server.entry.address, dispatcher.facts.id.clone()))
+    };
+    let reply = match target {
+        Some((address, holder)) => gateway.engines.order(address, &order, &holder, fence).await,
+        None => OrderReply::Refused,
+    };
+    let now = gateway.now();
+    let adapter = order.operation.adapter();
+    Event::new("order")
+        .with("server", &*order.server)
+        .with("operation", order.operation.name())
+        .with("model", &**order.operation.model())
+        .with("adapter", adapter.map_or("", |adapter| &**adapter))
+        .with("expected", order.expected)
+        .with("fence", fence)
+        .with("reason", order.reason)
+        .with("reply", format!("{reply:?}"))
+        .log();
+    gateway.metrics.note_order(order.operation.name());
+    {
+        let mut dispatcher = gateway.dispatcher.borrow_mut();
+        if reply == OrderReply::Fenced {
+            dispatcher.lease.note_fenced();
+        }
+        dispatcher.stock.note_reply(now, &order.server, reply);
+    }
+    gateway.planning.notify_one();
+    gateway.gossip.notify_one();
+}
--- /dev/null
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -0,0 +1,190 @@
+//! Streams of events from servers to callers.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use hyper::body::Frame;
+
+use crate::adapter::{Callers, Engines, Store};
+use crate::guard::FlightGuard;
+use crate::pool::Answer;
+use crate::ticket::Ticket;
+
+/// Silence after which a stream that can go on elsewhere is taken from its server.
+const STALL: Duration = Duration::from_millis(1500);
+
+/// Why a stream broke off.
+#[derive(Debug)]
+pub enum RelayError {
+    /// The server's answer broke off.
+    Broken(String),
+    /// The deadline passed.
+    Deadline,
+}
+
+impl fmt::Display for RelayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(reason) => write!(f, "the server's stream broke off: {reason}"),
+            Self::Deadline => f.write_str("the deadline passed during the stream"),
+        }
+    }
+}
+
+impl std::error::Error for RelayError {}
+
+/// Stream of one answer.
+pub struct Relay<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    ticket: Ticket<C, S, E>,
+    answer: Option<(Answer, FlightGuard<C, S, E>)>,
+    // Bytes of an event that is not whole yet; kept only where the stream can be resumed.
+    partial: BytesMut,
+    last_event: Option<u64>,
+    status: u16,
+    started: bool,
+    ended: bool,
+}
+
+impl<C, S, E> Relay<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    /// Returns the relay of an answer whose head has come.
+    pub fn new(ticket: Ticket<C, S, E>, answer: Answer, flight: FlightGuard<C, S, E>) -> Self {
+        Self {
+            last_event: ticket.call.last_event,
+            status: answer.head.status.as_u16(),
+            ticket,
+            answer: Some((answer, flight)),
+            partial: BytesMut::new(),
+            started: false,
+            ended: false,
+        }
+    }
+
+    /// Returns the frames for the caller.
+    pub fn into_frames(self) -> impl Stream<Item = Result<Frame<Bytes>, RelayError>> {
+        futures_util::stream::unfold(self, |mut relay| async move {
+            let part = relay.next().await?;
+            Some((part.map(Frame::data), relay))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, RelayError>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            let (answer, _) = self.answer.as_mut()?;
+            let limit = self.ticket.remaining();
+            let resumable = self.ticket.admission.route.kind.is_repeatable();
+            let wait = if resumable { limit.min(STALL) } else { limit };
+            let reason = match tokio::time::timeout(wait, answer.next()).await {
+                Err(_) if limit <= wait => return self.fail(RelayError::Deadline),
+                Err(_) => "no event in time".to_owned(),
+                Ok(Some(Err(error))) => error.to_string(),
+                Ok(Some(Ok(bytes))) => match self.take_whole(bytes, resumable) {
+                    Some(whole) => return Some(Ok(self.pass(whole))),
+                    None => continue,
+                },
+                Ok(None) if self.partial.is_empty() => return self.finish(),
+                Ok(None) => "the stream ended within an event".to_owned(),
+            };
+            if !resumable || !self.resume(&reason).await {
+                return self.fail(RelayError::Broken(reason));
+            }
+        }
+    }
+
+    fn pass(&mut self, bytes: Bytes) -> Bytes {
+        if !self.started {
+            self.started = true;
+            self.ticket.note_first_byte();
+        }
+        bytes
+    }
+
+    // Returns the events that are whole, all bytes where the stream can't be resumed.
+    fn take_whole(&mut self, bytes: Bytes, resumable: bool) -> Option<Bytes> {
+        if !resumable {
+            return Some(bytes);
+        }
+        self.partial.extend_from_slice(&bytes);
+        let end = memchr::memmem::rfind(&self.partial, b"\n\n")? + 2;
+        let whole = self.partial.split_to(end).freeze();
+        self.last_event = last_event_id(&whole).or(self.last_event);
+        Some(whole)
+    }
+
+    async fn resume(&mut self, reason: &str) -> bool {
+        let Some((answer, flight)) = self.answer.take() else {
+            return false;
+        };
+        drop(answer);
+        flight.note_outcome(true);
+        self.partial.clear();
+        self.ticket.tried.push(flight.server.clone());
+        drop(flight);
+        if !self.ticket.may_repeat() {
+            return false;
+        }
+        let resumed = self.ticket.first_answer(self.last_event).await;
+        match resumed {
+            Ok((answer, _, flight)) if answer.head.status.as_u16() == self.status => {
+                crate::events::Event::new("stream_resumed")
+                    .with("request", self.ticket.call.attempt.as_str())
+                    .with("server", &*flight.server)
+                    .with("after_event", self.last_event)
+                    .with("reason", reason)
+                    .log();
+                self.answer = Some((answer, flight));
+                true
+            }
+            Ok(_) => false,
+            Err(refusal) => {
+                log::info!(
+                    "stream {} not resumed: {}",
+                    self.ticket.call.attempt,
+                    refusal.message
+                );
+                false
+            }
+        }
+    }
+
+    fn finish(&mut self) -> Option<Result<Bytes, RelayError>> {
+        self.ended = true;
+        let (_, flight) = self.answer.take()?;
+        flight.note_outcome(self.status >= 500);
+        self.ticket
+            .log_end("answered", Some(&flight.server), self.status);
+        None
+    }
+
+    fn fail(&mut self, error: RelayError) -> Option<Result<Bytes, RelayError>> {
+        self.ended = true;
+        let flight = self.answer.take().map(|(_, flight)| flight);
+        if let Some(flight) = &flight {
+            flight.note_outcome(true);
+        }
+        let server = flight.as_ref().map(|flight| &flight.server);
+        self.ticket.log_end("broken_off", server, self.status);
+        Some(Err(error))
+    }
+}
+
+/// Returns the id of the last event in `events`.
+fn last_event_id(events: &[u8]) -> Option<u64> {
+    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -0,0 +1,388 @@
+//! One request on its way through an instance.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use apricotwell_dispatch::prelude::*;
+use apricotwell_types::{Ending, Refusal, RefusalKind, ServerId};
+use bytes::Bytes;
+use http::request;
+
+use crate::adapter::{AnswerHead, Attempt, Callers, Engines, Store};
+use crate::events::Event;
+use crate::gateway::Gateway;
+use crate::guard::{ActiveGuard, FlightGuard, WaitGuard};
+use crate::pool::{Answer, Reuse, SendError};
+
+/// Age up to which an idle connection carries a request that must not run twice.
+const FRESH_CONNECTION: Duration = Duration::from_millis(1500);
+/// Longest wait before a waiting request looks again without being told of a change.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Multiple of the target after which a plain answer that may be repeated is asked for elsewhere.
+const PLAIN_HEDGE_TARGETS: u32 = 4;
+/// Servers that may turn a request away before it is given up.
+const MAX_REJECTIONS: usize = 4;
+
+/// Request that was taken, with what its attempts need.
+pub struct Ticket<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    /// Instance.
+    pub gateway: Rc<Gateway<C, S, E>>,
+    /// Head as it came.
+    pub head: request::Parts,
+    /// Body as it came.
+    pub body: Bytes,
+    /// Head decoded.
+    pub call: Call,
+    /// Decision to take it.
+    pub admission: Admission,
+    /// Servers that are not to be tried again.
+    pub tried: Vec<ServerId>,
+    /// Servers that may have run it.
+    pub runs: u32,
+    // Counts the request until its answer has ended.
+    _active: ActiveGuard<C, S, E>,
+}
+
+/// What came of one attempt.
+pub enum Sent<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    /// An answer to this attempt.
+    Answer(Answer, AnswerHead, FlightGuard<C, S, E>),
+    /// The server did not run it.
+    NotRun(String),
+    /// The server may have run it.
+    Lost(String),
+}
+
+impl<C, S, E> Ticket<C, S, E>
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    /// Returns the ticket of a request that was just taken.
+    pub fn new(
+        gateway: &Rc<Gateway<C, S, E>>,
+        head: request::Parts,
+        body: Bytes,
+        call: Call,
+        admission: Admission,
+    ) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            head,
+            body,
+            call,
+            admission,
+            tried: Vec::new(),
+            runs: 0,
+            _active: ActiveGuard::new(gateway),
+        }
+    }
+
+    /// Returns the time until the request's deadline.
+    pub fn remaining(&self) -> Duration {
+        let now = self.gateway.now();
+        self.admission.deadline.saturating_duration_since(now)
+    }
+
+    /// Finds a server and gets its answer's head.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller.
+    pub async fn first_answer(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<(Answer, AnswerHead, FlightGuard<C, S, E>), Refusal> {
+        loop {
+            let (server, address) = self.find_server().await?;
+            let sent = self.send(&server, address, last_event).await;
+            match sent {
+                Sent::Answer(answer, head, flight) => {
+                    if !self.should_repeat(&answer) {
+                        return Ok((answer, head, flight));
+                    }
+                    flight.note_outcome(true);
+                    self.tried.push(server);
+                }
+                Sent::NotRun(reason) => {
+                    self.log_attempt(&server, "not_run", &reason);
+                    self.after_rejection(&server, &reason)?;
+                }
+                Sent::Lost(reason) => {
+                    self.log_attempt(&server, "lost", &reason);
+                    self.after_loss(&server, &reason)?;
+                }
+            }
+        }
+    }
+
+    /// Returns whether another attempt is allowed after one that may have run.
+    pub fn may_repeat(&self) -> bool {
+        let route = &self.admission.route;
+        let now = self.gateway.now();
+        route.kind.is_repeatable()
+            && self.runs < route.max_attempts
+            && now < self.admission.deadline
+            && self
+                .gateway
+                .dispatcher
+                .borrow_mut()
+                .take_retry(now, &self.admission)
+    }
+
+    // A server's failure is passed on unless another server may do better.
+    fn should_repeat(&mut self, answer: &Answer) -> bool {
+        answer.head.status.is_server_error() && self.has_other_server() && self.may_repeat()
+    }
+
+    fn has_other_server(&self) -> bool {
+        let mut tried = self.tried.clone();
+        if let Some(last) = self.tried.last() {
+            tried.push(last.clone());
+        }
+        let dispatcher = self.gateway.dispatcher.borrow();
+        let choice = dispatcher.choose(self.gateway.now(), &self.admission, &self.call, &tried);
+        matches!(choice, Choice::Send(..))
+    }
+
+    fn after_rejection(&mut self, server: &ServerId, reason: &str) -> Result<(), Refusal> {
+        self.tried.push(server.clone());
+        let now = self.gateway.now();
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let allowed = self.tried.len() < MAX_REJECTIONS
+            && (reason == UNSENT || dispatcher.take_retry(now, &self.admission));
+        drop(dispatcher);
+        if allowed {
+            return Ok(());
+        }
+        let text = "the servers turned the request away; come back later";
+        Err(self.refuse(RefusalKind::Overloaded, text))
+    }
+
+    fn after_loss(&mut self, server: &ServerId, reason: &str) -> Result<(), Refusal> {
+        self.tried.push(server.clone());
+        if self.may_repeat() {
+            return Ok(());
+        }
+        let kind = if self.remaining().is_zero() {
+            RefusalKind::DeadlineExceeded
+        } else {
+            RefusalKind::BackendFailed
+        };
+        Err(self.refuse(kind, reason))
+    }
+
+    fn refuse(&self, kind: RefusalKind, text: &str) -> Refusal {
+        if self.runs > 0 {
+            let kind = match kind {
+                RefusalKind::DeadlineExceeded => kind,
+                _ => RefusalKind::BackendFailed,
+            };
+            return Refusal::not_run(kind, text).with_ending(Ending::OutcomeUnknown);
+        }
+        Refusal::not_run(kind, text).with_retry_after(Duration::from_millis(300))
+    }
+
+    async fn find_server(&mut self) -> Result<(ServerId, std::net::SocketAddr), Refusal> {
+        let mut waiting = None;
+        loop {
+            let changed = self.gateway.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let now = self.gateway.now();
+            let choice = {
+                let dispatcher = self.gateway.dispatcher.borrow();
+                dispatcher.choose(now, &self.admission, &self.call, &self.tried)
+            };
+            match choice {
+                Choice::Send(server, address) => return Ok((server, address)),
+                Choice::Refuse(refusal) if self.runs == 0 => return Err(refusal),
+                Choice::Refuse(refusal) => {
+                    return Err(self.refuse(refusal.kind, &refusal.message));
+                }
+                Choice::Wait => {}
+            }
+            if waiting.is_none() {
+                waiting = WaitGuard::new(&self.gateway, &self.admission);
+                self.log_wait();
+            }
+            let left = self.admission.silence.saturating_duration_since(now);
+            // A change may not be told, so the end of the wait is looked for as well.
+            let _ = tokio::time::timeout(left.min(LOOK_INTERVAL), changed).await;
+        }
+    }
+
+    /// Sends one attempt and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        server: &ServerId,
+        address: std::net::SocketAddr,
+        last_event: Option<u64>,
+    ) -> Sent<C, S, E> {
+        let flight = FlightGuard::new(&self.gateway, server.clone());
+        if let Some(wanted) = &self.admission.wanted {
+            let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+            dispatcher
+                .prompts
+                .note_sent(server, wanted, &self.call.prompt);
+        }
+        let attempt = Attempt {
+            server,
+            remaining: self.remaining(),
+            organisation: self
+                .admission
+                .organisation
+                .as_ref()
+                .map(|organisation| &*organisation.name),
+            priority: None,
+            last_event,
+        };
+        let request = C::encode_attempt(&self.head, &self.call, &attempt, self.body.clone());
+        let reuse = if self.admission.route.kind.is_repeatable() {
+            Reuse::Any
+        } else {
+            Reuse::Within(FRESH_CONNECTION)
+        };
+        let sending = self.gateway.pool.send(address, request, reuse);
+        let sent = tokio::time::timeout(self.patience(), sending).await;
+        self.judge(sent, flight)
+    }
+
+    fn judge(
+        &mut self,
+        sent: Result<Result<Answer, SendError>, tokio::time::error::Elapsed>,
+        flight: FlightGuard<C, S, E>,
+    ) -> Sent<C, S, E> {
+        let answer = match sent {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(SendError::Unsent(_))) => {
+                flight.note_outcome(true);
+                return Sent::NotRun(UNSENT.to_owned());
+            }
+            Ok(Err(SendError::Lost(reason))) => {
+                self.runs += 1;
+                flight.note_outcome(true);
+                return Sent::Lost(reason);
+            }
+            Err(_) => {
+                self.runs += 1;
+                flight.note_outcome(true);
+                return Sent::Lost("no answer in time".to_owned());
+            }
+        };
+        let head = C::decode_answer(&answer.head, &self.call);
+        if head.misdirected {
+            self.note_denied(&flight.server);
+            return Sent::NotRun("misdirected".to_owned());
+        }
+        if head.not_run {
+            self.note_denied(&flight.server);
+            return Sent::NotRun("turned away".to_owned());
+        }
+        self.runs += 1;
+        if !head.matches || (answer.head.status.is_success() && !head.genuine) {
+            flight.note_outcome(true);
+            return Sent::Lost("the answer belongs to another request".to_owned());
+        }
+        Sent::Answer(answer, head, flight)
+    }
+
+    fn note_denied(&self, server: &ServerId) {
+        let Some(wanted) = &self.admission.wanted else {
+            return;
+        };
+        let now = self.gateway.now();
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.backends.note_denied(now, server, wanted);
+    }
+
+    // Time for the head of an answer: shorter than the deadline where another server may do better.
+    fn patience(&self) -> Duration {
+        let remaining = self.remaining();
+        let route = &self.admission.route;
+        if !route.kind.is_repeatable() || self.runs + 1 >= route.max_attempts {
+            return remaining;
+        }
+        let hedge = if route.kind.is_stream() {
+            route.target / 2
+        } else {
+            route.target * PLAIN_HEDGE_TARGETS
+        };
+        let other = {
+            let dispatcher = self.gateway.dispatcher.borrow();
+            let now = self.gateway.now();
+            let mut servers = dispatcher.backends.usable(now, &self.admission.service);
+            servers
+                .by_ref()
+                .filter(|server| server.serves(now, self.admission.wanted.as_ref()))
+                .count()
+                > self.tried.len() + 1
+        };
+        if other {
+            remaining.min(hedge)
+        } else {
+            remaining
+        }
+    }
+
+    fn log_wait(&self) {
+        let wanted = self.admission.wanted.as_ref();
+        Event::new("request_waits")
+            .with("request", self.call.attempt.as_str())
+            .with("model", wanted.map_or("", |wanted| &*wanted.model))
+            .with_time("patience_ms", self.silence_left())
+            .log();
+    }
+
+    fn silence_left(&self) -> Duration {
+        let now = self.gateway.now();
+        self.admission.silence.saturating_duration_since(now)
+    }
+
+    fn log_attempt(&self, server: &ServerId, outcome: &str, reason: &str) {
+        Event::new("attempt_ended")
+            .with("request", self.call.attempt.as_str())
+            .with("server", &**server)
+            .with("outcome", outcome)
+            .with("reason", reason)
+            .with("runs", self.runs)
+            .log();
+    }
+
+    /// Logs the end of the request.
+    pub fn log_end(&self, outcome: &str, server: Option<&ServerId>, status: u16) {
+        let now = self.gateway.now();
+        let time = now.saturating_duration_since(self.admission.arrived);
+        self.gateway.metrics.note_request(outcome);
+        Event::new("request_ended")
+            .with("request", self.call.attempt.as_str())
+            .with("route", &*self.admission.route.name)
+            .with("server", server.map_or("", |server| &**server))
+            .with("outcome", outcome)
+            .with("status", status)
+            .with("runs", self.runs)
+            .with_time("ms", time)
+            .log();
+    }
+
+    /// Notes the first byte of the answer.
+    pub fn note_first_byte(&self) {
+        let now: Instant = self.gateway.now();
+        let time = now.saturating_duration_since(self.admission.arrived);
+        self.gateway.metrics.note_first_byte(time);
+    }
+}
+
+/// Reason of an attempt of which nothing was sent.
+const UNSENT: &str = "not sent";
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod claims;
 mod envelope;
+mod heartbeat;
 mod news;
 mod tokens;
 
@@ -23,6 +24,7 @@
     Ack, Demand, DemandItem, Envelope, HeardEvidence, LogEvidence, Message, Ping, PingFor, Reclaim,
     RecordsAsk, RecordsReply, SnapshotAsk, SnapshotChunk,
 };
+pub use heartbeat::{Heartbeat, ModelHeld, ModelUse, ServerStock, ServerUse, Spending};
 pub use news::News;
 pub use tokens::{BucketState, GrantLeft, TokenAsk, TokenGrant};
 
--- a/crates/apricotwell_standins/src/engine.rs
+++ b/crates/apricotwell_standins/src/engine.rs
@@ -12,9 +12,9 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
+use apricotwell_adapters::{OrderBody, OrderReply, ReplicaBody, ReportBody};
 use apricotwell_fakes::EngineState;
 use apricotwell_node::{EngineOrder, OrderKind, ReportedReplica};
-use apricotwell_platform::{OrderBody, OrderReply, ReplicaBody, ReportBody};
 
 /// Stand-in for a model engine: loads, streams, reports and fails on demand.
 ///
@@ -205,7 +205,7 @@
     if begun.map_err(|refused| refused.as_str())? {
         let adapter = order.model.contains(':');
         let url = format!("http://{}/weights?adapter={adapter}", engine.args.platform);
-        let client = apricotwell_platform::control_client();
+        let client = apricotwell_adapters::control_client();
         // A store that does not answer makes the load slow, not wrong.
         if client.get(url).send().await.is_err() {
             sleep(Duration::from_secs(1)).await;
--- a/crates/apricotwell_standins/src/platform.rs
+++ b/crates/apricotwell_standins/src/platform.rs
@@ -12,8 +12,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use apricotwell_adapters::{AppendReply, ExpiredReply, InstanceBody, RecordBatch, StreamSlice};
 use apricotwell_fakes::LogStreams;
-use apricotwell_platform::{AppendReply, ExpiredReply, InstanceBody, RecordBatch, StreamSlice};
 use apricotwell_records::{LogBatch, ReadError};
 
 use crate::WeightStore;
