Ask servers for reports only when needed, and keep the placement lease through a store outage

Cause: the list's entries carry a counter of their own that was taken for the count of accepted orders, so each entry asked for a report; a report that was older than an order freed the server for a second order; after the loss of its holder the lease stayed unused for 8 s. Change: entries are compared by what they hold; reports asked for before an order do not end it; where servers check fences a holder goes on while the store is silent, a successor waits one pause.

--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_messages::ServerStock;
-use apricotwell_types::{InstanceId, Map, ServerId, ZoneId};
+use apricotwell_types::{Fence, InstanceId, Map, ServerId, ZoneId};
 
 use crate::catalog::ServiceId;
 use crate::model::{Holdings, ModelName, Wanted};
@@ -64,6 +64,8 @@
     others: Map<InstanceId, u32>,
     // When the lease holder last told of this server.
     told: Option<Instant>,
+    // Fence of that holder.
+    fence: Fence,
     denied: Option<(Wanted, Instant)>,
     failure: f64,
     failed: Instant,
@@ -80,6 +82,7 @@
             own: 0,
             others: Map::default(),
             told: None,
+            fence: 0,
             denied: None,
             failure: 0.0,
             failed: now,
@@ -160,7 +163,7 @@
         let told = server
             .told
             .is_some_and(|told| now.saturating_duration_since(told) < STOCK_LIFETIME);
-        if !told || entry.holdings.orders > server.holdings.orders {
+        if !told {
             server.holdings = entry.holdings.clone();
             server.loading = None;
         } else {
@@ -190,13 +193,14 @@
     }
 
     /// Applies the lease holder's word on what a server holds.
-    pub fn note_stock(&mut self, now: Instant, stock: &ServerStock) {
+    pub fn note_stock(&mut self, now: Instant, fence: Fence, stock: &ServerStock) {
         let Some(server) = self.servers.get_mut(stock.server.as_str()) else {
             return;
         };
-        if stock.born != server.entry.born || stock.orders < server.holdings.orders {
+        if stock.born != server.entry.born || fence < server.fence {
             return;
         }
+        server.fence = fence;
         server.told = Some(now);
         server.holdings.orders = stock.orders;
         server.holdings.models = stock
--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -475,9 +475,10 @@
         if let Some(catalog) = self.catalog.clone() {
             self.note_spending(now, &catalog, &instance, heartbeat);
         }
+        self.lease.note_other(heartbeat.fence);
         if heartbeat.fence > 0 {
             for stock in &heartbeat.stock {
-                self.backends.note_stock(now, stock);
+                self.backends.note_stock(now, heartbeat.fence, stock);
             }
         }
         true
--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -19,8 +19,16 @@
     pub term: Duration,
     /// Pause between the last order of one holder and the first of the next.
     pub pause: Duration,
+    /// Longest time between two renewals of a process that runs.
+    pub renewal: Duration,
+    /// Whether servers refuse fences lower than one that they have seen.
+    pub fenced: bool,
 }
 
+/// Time for which a holder whom the store does not answer goes on where servers check fences: a
+/// successor's first order to a server ends it there.
+const FENCED_TERM: Duration = Duration::from_secs(12);
+
 /// What the log says of the previous holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Previous {
@@ -48,12 +56,15 @@
 /// # Invariants
 ///
 /// [`Lease::fence`] returns a number only while no other instance can get one from its own lease:
-/// within the term of the last renewal, and after the previous holder's term and the pause.
+/// within the term of the last renewal, and after the previous holder's term and the pause. Where
+/// servers check fences, another instance may get a higher one, which then prevails at each server.
 #[derive(Debug)]
 pub struct Lease {
     terms: LeaseTerms,
     // Start of the last renewal in which the group gave this instance the lease.
     renewed: Option<Instant>,
+    // Start of the last renewal, answered or not.
+    tried: Option<Instant>,
     gained: Option<Instant>,
     claim: Option<Claim>,
 }
@@ -70,11 +81,22 @@
         Self {
             terms,
             renewed: None,
+            tried: None,
             gained: None,
             claim: None,
         }
     }
 
+    /// Notes that a renewal begins.
+    pub fn note_try(&mut self, now: Instant) {
+        // A renewal that comes late was held up with the whole process, and others may have moved on.
+        if self.is_stalled(now) && self.claim.is_some() {
+            self.claim = None;
+            self.gained = None;
+        }
+        self.tried = Some(now);
+    }
+
     /// Notes an answer of the group to a renewal that began at `start`.
     pub fn note_renewal(&mut self, now: Instant, start: Instant, owner: bool) -> LeaseStep {
         if !owner {
@@ -109,6 +131,8 @@
         let wait = match previous {
             Previous::Nobody => Duration::ZERO,
             Previous::Released => self.terms.pause,
+            // The group took the lease from a silent holder, or that one is about to learn it.
+            Previous::Unknown if self.terms.fenced => self.terms.renewal + self.terms.pause,
             Previous::Unknown => self.terms.term + self.terms.pause,
         };
         self.claim = Some(Claim {
@@ -122,6 +146,13 @@
         self.claim = None;
     }
 
+    /// Drops the claim if another instance orders with a higher fence.
+    pub fn note_other(&mut self, fence: Fence) {
+        if self.claim.is_some_and(|claim| claim.fence < fence) {
+            self.claim = None;
+        }
+    }
+
     /// Returns the fence for an order given right now.
     pub fn fence(&self, now: Instant) -> Option<Fence> {
         let claim = self.claim?;
@@ -134,8 +165,19 @@
     }
 
     fn has_lapsed(&self, now: Instant) -> bool {
-        self.renewed.is_some_and(|renewed| {
-            now.saturating_duration_since(renewed) + TERM_MARGIN >= self.terms.term
-        })
+        let term = if self.terms.fenced && !self.is_stalled(now) {
+            FENCED_TERM
+        } else {
+            self.terms.term
+        };
+        self.renewed
+            .is_some_and(|renewed| now.saturating_duration_since(renewed) + TERM_MARGIN >= term)
+    }
+
+    // Whether the process has not run for a while, so that it can't know what others did.
+    fn is_stalled(&self, now: Instant) -> bool {
+        let limit = self.terms.renewal * 2 + TERM_MARGIN;
+        self.tried
+            .is_some_and(|tried| now.saturating_duration_since(tried) >= limit)
     }
 }
--- a/crates/apricotwell_dispatch/src/model.rs
+++ b/crates/apricotwell_dispatch/src/model.rs
@@ -19,7 +19,7 @@
 /// What a server holds and what it can load without the weight store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Holdings {
-    /// Orders that the server had accepted when this was true.
+    /// Orders that the server had accepted when this was true, 0 where that isn't known.
     pub orders: u64,
     /// Models that it can run, with their adapters.
     pub models: Vec<(ModelName, Vec<AdapterName>)>,
--- a/crates/apricotwell_dispatch/src/orders.rs
+++ b/crates/apricotwell_dispatch/src/orders.rs
@@ -17,6 +17,8 @@
 const REPORT_RETRY: Duration = Duration::from_millis(700);
 /// Time after its acceptance within which an adapter is counted on.
 const ADAPTER_LOAD: Duration = Duration::from_millis(40);
+/// Time by which an entry of the list may be older than a report.
+const LIST_LAG: Duration = Duration::from_millis(2500);
 /// Share of an expected load after which the server is first asked whether it is done.
 const FIRST_REPORT_SHARE: f64 = 0.97;
 
@@ -114,7 +116,10 @@
     pending: Option<Pending>,
     // When to ask for the next report; `None` while one is under way or nothing is open.
     report_due: Option<Instant>,
-    reporting: bool,
+    // When the report that is under way was asked for.
+    asked: Option<Instant>,
+    // When the last report came.
+    reported: Option<Instant>,
     // Adapters whose load was accepted, with the time from which they are counted on.
     adapters_from: Vec<(ModelName, AdapterName, Instant)>,
 }
@@ -127,7 +132,8 @@
             holdings: None,
             pending: None,
             report_due: Some(now),
-            reporting: false,
+            asked: None,
+            reported: None,
             adapters_from: Vec::new(),
         }
     }
@@ -266,28 +272,49 @@
 
     /// Takes the due report, if one is due.
     pub fn take_due_report(&mut self, now: Instant) -> bool {
-        let due = !self.reporting && self.report_due.is_some_and(|due| due <= now);
+        let due = self.asked.is_none() && self.report_due.is_some_and(|due| due <= now);
         if due {
             self.report_due = None;
-            self.reporting = true;
+            self.asked = Some(now);
         }
         due
     }
 
-    /// Asks for a report soon, after a sign that the server's state is not what is known.
-    pub fn request_report(&mut self, now: Instant) {
-        if !self.reporting && self.report_due.is_none() {
+    /// Compares what is known with the list's entry of the server, which lags: after a lasting
+    /// difference the server is asked.
+    pub fn note_listed(&mut self, now: Instant, listed: &Holdings) {
+        let Some(holdings) = &self.holdings else {
+            return;
+        };
+        let differs = |(model, _): &(ModelName, _)| listed.adapters(model).is_none();
+        let same =
+            holdings.models.len() == listed.models.len() && !holdings.models.iter().any(differs);
+        let is_recent = self
+            .reported
+            .is_some_and(|at| now.saturating_duration_since(at) < LIST_LAG);
+        let is_open = self.pending.is_some() || self.asked.is_some() || self.report_due.is_some();
+        if !same && !is_recent && !is_open {
             self.report_due = Some(now);
         }
     }
 
     /// Applies a report, `None` if the server gave none.
     pub fn note_report(&mut self, now: Instant, report: Option<Report>) {
-        self.reporting = false;
+        let asked = self.asked.take();
         let Some(report) = report else {
             self.report_due = Some(now + REPORT_RETRY);
             return;
         };
+        self.reported = Some(now);
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|pending| Some(pending.sent) >= asked)
+        {
+            // The report may be older than the order.
+            self.report_due.get_or_insert(now + REPORT_LAG);
+            return;
+        }
         let known = self.expected_orders();
         let is_old = self.holdings.is_some() && report.holdings.orders < known;
         if report.busy || is_old {
--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -101,11 +101,8 @@
             if known.is_none_or(|known| known.born() != entry.born) {
                 self.servers
                     .insert(entry.id.clone(), ServerOrders::new(now, entry.born));
-            } else if let Some(known) = self.servers.get_mut(&entry.id)
-                && known.operation().is_none()
-                && entry.holdings.orders > known.expected_orders()
-            {
-                known.request_report(now);
+            } else if let Some(known) = self.servers.get_mut(&entry.id) {
+                known.note_listed(now, &entry.holdings);
             }
         }
         self.servers.retain(|id, _| {
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -11,9 +11,9 @@
 use crate::gateway::Gateway;
 
 /// Longest wait of one read of the configuration; bounds the age of the view on a quiet day.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1200);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1800);
 /// Pause between reads of the list of servers: a worker's leave must be known within two seconds.
-const SERVERS_PAUSE: Duration = Duration::from_millis(650);
+const SERVERS_PAUSE: Duration = Duration::from_millis(1000);
 /// Pause after a call that the store did not serve.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Time after an outage of the store in which servers that left the list are still used: the entries
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_messages::Heartbeat;
-use apricotwell_types::InstanceId;
+use apricotwell_types::{Fence, InstanceId};
 use prost::Message;
 use tokio::net::UdpSocket;
 
@@ -14,11 +14,11 @@
 use crate::gateway::Gateway;
 
 /// Pause between renewals of the membership.
-const RENEWAL_PAUSE: Duration = Duration::from_millis(700);
+pub const RENEWAL_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between heartbeats.
 const HEARTBEAT_PAUSE: Duration = Duration::from_millis(400);
 /// Least time between heartbeats that tell of a change.
-const GOSSIP_PAUSE: Duration = Duration::from_millis(25);
+const GOSSIP_PAUSE: Duration = Duration::from_millis(30);
 /// Heartbeats after which the lease holder tells all that servers hold, changed or not.
 const STOCK_HEARTBEATS: u32 = 3;
 /// Bytes of the largest heartbeat.
@@ -42,6 +42,7 @@
             return;
         }
         let start = gateway.now();
+        gateway.dispatcher.borrow_mut().lease.note_try(start);
         match gateway.store.join(&member, generation, term).await {
             Ok(membership) => {
                 gateway.metrics.note_store_call("join");
@@ -223,7 +224,7 @@
                 if held != told_stock || quiet >= STOCK_HEARTBEATS {
                     quiet = 0;
                     told_stock = held;
-                    apply_own_stock(&mut dispatcher, now, &stock);
+                    apply_own_stock(&mut dispatcher, now, heartbeat.fence, &stock);
                     heartbeat.stock = stock;
                     gateway.changed.notify_waiters();
                 }
@@ -240,10 +241,11 @@
 fn apply_own_stock(
     dispatcher: &mut Dispatcher,
     now: std::time::Instant,
+    fence: Fence,
     stock: &[apricotwell_messages::ServerStock],
 ) {
     for server in stock {
-        dispatcher.backends.note_stock(now, server);
+        dispatcher.backends.note_stock(now, fence, server);
     }
 }
 
