Keep the place of an adapter that still leaves, and answer waiting requests before the grace ends

Change: leaving adapters count until a report lacks them; waits end at 0.55 of the grace with 'not run'.

--- a/crates/apricotwell_dispatch/src/orders.rs
+++ b/crates/apricotwell_dispatch/src/orders.rs
@@ -122,6 +122,8 @@
     reported: Option<Instant>,
     // Adapters whose load was accepted, with the time from which they are counted on.
     adapters_from: Vec<(ModelName, AdapterName, Instant)>,
+    // Adapters whose unload was accepted; they take their places until a report lacks them.
+    adapters_leaving: Vec<(ModelName, AdapterName)>,
 }
 
 impl ServerOrders {
@@ -135,6 +137,7 @@
             asked: None,
             reported: None,
             adapters_from: Vec::new(),
+            adapters_leaving: Vec::new(),
         }
     }
 
@@ -157,6 +160,9 @@
                 remove_adapter(&mut holdings, model, adapter);
             }
         }
+        for (model, adapter) in &self.adapters_leaving {
+            remove_adapter(&mut holdings, model, adapter);
+        }
         if let Some(Operation::UnloadModel(model)) = self.operation() {
             holdings.models.retain(|(name, _)| name != model);
         }
@@ -182,6 +188,18 @@
         self.pending.as_ref().is_some_and(|pending| pending.fetches)
     }
 
+    /// Returns whether an adapter is about to leave.
+    pub fn is_leaving(&self, model: &str, adapter: &str) -> bool {
+        self.adapters_leaving
+            .iter()
+            .any(|(of, name)| **of == *model && **name == *adapter)
+    }
+
+    /// Returns the number of adapters that are about to leave.
+    pub fn leaving_adapters(&self) -> usize {
+        self.adapters_leaving.len()
+    }
+
     /// Returns whether an order can be given.
     pub fn is_free(&self) -> bool {
         self.pending.is_none() && self.holdings.is_some()
@@ -243,7 +261,9 @@
                 self.pending = None;
             }
             Operation::UnloadAdapter(model, adapter) => {
-                remove_adapter(holdings, &model, &adapter);
+                // Requests still use it: its place is free only when a report lacks it.
+                self.adapters_leaving.push((model, adapter));
+                self.report_due = Some(now + REPORT_LAG);
                 self.pending = None;
             }
         }
@@ -324,6 +344,14 @@
         self.holdings = Some(report.holdings);
         self.pending = None;
         self.adapters_from.retain(|(_, _, from)| now < *from);
+        let holdings = &self.holdings;
+        self.adapters_leaving.retain(|(model, adapter)| {
+            let held = holdings.as_ref().and_then(|held| held.adapters(model));
+            held.is_some_and(|adapters| adapters.contains(adapter))
+        });
+        if !self.adapters_leaving.is_empty() {
+            self.report_due = Some(now + REPORT_PAUSE);
+        }
     }
 
     fn note_busy(&mut self, now: Instant, report: Report) {
--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -350,10 +350,17 @@
     }
 
     fn coldest_adapter(&self, plan: &Plan<'_>, id: &str) -> Option<Operation> {
-        let holdings = self.servers.get(id)?.holdings()?;
+        let server = self.servers.get(id)?;
+        if server.leaving_adapters() > 0 {
+            return None;
+        }
+        let holdings = server.holdings()?;
         let rated = holdings.models.iter().flat_map(|(model, adapters)| {
             let demand = plan.demand.get(model);
-            adapters.iter().map(move |adapter| {
+            let staying = adapters
+                .iter()
+                .filter(|adapter| !server.is_leaving(model, adapter));
+            staying.map(move |adapter| {
                 let rate = demand
                     .and_then(|demand| demand.adapters.get(adapter))
                     .map_or(0.0, |(waiting, rate)| rate + f64::from(*waiting));
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -31,6 +31,10 @@
 const END_MARGIN: Duration = Duration::from_millis(600);
 /// Least time after a request to stop in which callers that just looked up may still connect.
 const LEAST_LINGER: Duration = Duration::from_millis(3200);
+/// Time that the last lines of the log get.
+const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(100);
+/// Pause between looks whether they are written.
+const LAST_LINES_PAUSE: Duration = Duration::from_millis(5);
 /// Pause after a failure to accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -75,6 +79,10 @@
     wait_for_stop(&gateway).await?;
     stop(&gateway).await;
     lines.flush();
+    let begun = Instant::now();
+    while !lines.is_written() && begun.elapsed() < LAST_LINES_TIMEOUT {
+        tokio::time::sleep(LAST_LINES_PAUSE).await;
+    }
     Ok(())
 }
 
--- a/crates/apricotwell_gateway/src/events.rs
+++ b/crates/apricotwell_gateway/src/events.rs
@@ -23,6 +23,8 @@
 pub struct LineWriter {
     buffer: Arc<Mutex<Vec<u8>>>,
     batches: SyncSender<Vec<u8>>,
+    // Batches that the writer has not written yet.
+    open: Arc<AtomicU64>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -33,19 +35,20 @@
         W: Write + Send + 'static,
     {
         let (batches, receiver) = sync_channel::<Vec<u8>>(BATCHES);
+        let open = Arc::<AtomicU64>::default();
+        let written = Arc::clone(&open);
         std::thread::spawn(move || {
             for batch in receiver {
+                let result = output.write_all(&batch).and_then(|()| output.flush());
+                written.fetch_sub(1, Ordering::Release);
                 // There is nowhere left to say that the output is gone.
-                if output
-                    .write_all(&batch)
-                    .and_then(|()| output.flush())
-                    .is_err()
-                {
+                if result.is_err() {
                     break;
                 }
             }
         });
         Self {
+            open,
             buffer: Arc::default(),
             batches,
             dropped: Arc::default(),
@@ -70,15 +73,22 @@
             return;
         }
         let batch = std::mem::take(&mut *buffer);
+        self.open.fetch_add(1, Ordering::Acquire);
         if let Err(
             std::sync::mpsc::TrySendError::Full(batch)
             | std::sync::mpsc::TrySendError::Disconnected(batch),
         ) = self.batches.try_send(batch)
         {
+            self.open.fetch_sub(1, Ordering::Release);
             *buffer = batch;
         }
     }
 
+    /// Returns whether every line that was handed over is written.
+    pub fn is_written(&self) -> bool {
+        self.open.load(Ordering::Acquire) == 0
+    }
+
     /// Returns the number of lines dropped so far.
     pub fn dropped(&self) -> u64 {
         self.dropped.load(Ordering::Relaxed)
--- a/crates/apricotwell_gateway/src/ticket.rs
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -20,6 +20,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// Multiple of the target after which a plain answer that may be repeated is asked for elsewhere.
 const PLAIN_HEDGE_TARGETS: u32 = 4;
+/// Share of the grace of an instance that stops in which requests may still wait for a server.
+const WAITING_SHARE: f64 = 0.55;
 /// Servers that may turn a request away before it is given up.
 const MAX_REJECTIONS: usize = 4;
 
@@ -213,6 +215,10 @@
                 }
                 Choice::Wait => {}
             }
+            if self.must_leave() {
+                let text = "this instance stops; use another one";
+                return Err(self.refuse(RefusalKind::Unavailable, text));
+            }
             if waiting.is_none() {
                 waiting = WaitGuard::new(&self.gateway, &self.admission);
                 self.log_wait();
@@ -336,6 +342,12 @@
         }
     }
 
+    // A request that still waits when the instance stops gets its answer while there is time.
+    fn must_leave(&self) -> bool {
+        let limit = self.gateway.times.grace.mul_f64(WAITING_SHARE);
+        self.gateway.stopping_for().is_some_and(|time| time > limit)
+    }
+
     fn log_wait(&self) {
         let wanted = self.admission.wanted.as_ref();
         Event::new("request_waits")
