Bound heartbeats: stock news in turn, demand to the lease holder only, rarer in large fleets

Change: stock changes are told three times and four servers in turn; demand goes to the lease holder; the pause between heartbeats grows with the fleet; a plan counts replicas and copies once.

--- a/crates/apricotwell_dispatch/src/catalog.rs
+++ b/crates/apricotwell_dispatch/src/catalog.rs
@@ -1,5 +1,6 @@
 //! Routes, services and organisations in force.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -127,14 +128,14 @@
     pub loads_per_second: f64,
     /// Tokens that fit into its KV memory.
     pub kv_tokens: Tokens,
-    /// Models.
-    pub models: Vec<ModelSpec>,
+    /// Models by name.
+    pub models: BTreeMap<ModelName, ModelSpec>,
 }
 
 impl EngineSpec {
     /// Returns a model's description.
     pub fn model(&self, name: &str) -> Option<&ModelSpec> {
-        self.models.iter().find(|model| *model.name == *name)
+        self.models.get(name)
     }
 }
 
--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotwell_messages::{Heartbeat, ModelHeld, ModelUse, ServerStock, ServerUse, Spending};
+use apricotwell_messages::{Heartbeat, ModelUse, ServerUse, Spending};
 use apricotwell_types::{InstanceId, Map, OrgId, Refusal, RefusalKind, ServerId, Tokens, ZoneId};
 
 use crate::backends::{Backend, BackendTable};
@@ -404,7 +404,7 @@
         ))
     }
 
-    /// Returns this instance's heartbeat.
+    /// Returns this instance's heartbeat, without demand and stock.
     pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
         self.heartbeats += 1;
         let servers = self.backends.iter().filter(|server| server.own > 0);
@@ -429,37 +429,12 @@
                     tokens,
                 })
                 .collect(),
-            models: self.demand.uses(now),
+            models: Vec::new(),
             fence: fence.unwrap_or_default(),
             stock: Vec::new(),
         }
     }
 
-    /// Returns what servers hold, as the holder of the placement lease tells it.
-    pub fn stock_news(&self, now: Instant) -> Vec<ServerStock> {
-        let servers = self.stock.servers().filter_map(|(id, server)| {
-            let holdings = server.servable(now)?;
-            let loading = server.loading();
-            let models = holdings.models.iter().map(|(model, adapters)| ModelHeld {
-                model: model.to_string(),
-                adapters: adapters.iter().map(ToString::to_string).collect(),
-            });
-            Some(ServerStock {
-                server: id.to_string(),
-                born: server.born(),
-                orders: holdings.orders,
-                models: models.collect(),
-                loading: loading
-                    .map(|(model, _)| model.to_string())
-                    .unwrap_or_default(),
-                remaining: loading.map_or(0, |(_, ends)| {
-                    ends.saturating_duration_since(now).as_millis() as u32
-                }),
-            })
-        });
-        servers.collect()
-    }
-
     /// Applies another instance's heartbeat.
     pub fn note_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> bool {
         if heartbeat.instance == *self.facts.id || !self.peers.note_heartbeat(now, heartbeat) {
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod freshness;
 pub mod lease;
 pub mod model;
+pub mod news;
 pub mod orders;
 pub mod peers;
 pub mod prompts;
@@ -45,6 +46,7 @@
     pub use crate::freshness::Freshness;
     pub use crate::lease::{Lease, LeaseStep, LeaseTerms, Previous};
     pub use crate::model::{AdapterName, Holdings, ModelName, Wanted};
+    pub use crate::news::StockNews;
     pub use crate::orders::{Operation, OrderReply, Report};
     pub use crate::quota::QuotaBounds;
     pub use crate::retries::RetryBounds;
--- /dev/null
+++ b/crates/apricotwell_dispatch/src/news.rs
@@ -0,0 +1,107 @@
+//! What the lease holder tells others of the servers' stock.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use apricotwell_messages::{ModelHeld, ServerStock};
+use apricotwell_types::ServerId;
+
+use crate::orders::ServerOrders;
+use crate::stock::StockPlanner;
+
+/// Heartbeats that tell of a change, against lost datagrams.
+const REPEATS: u32 = 3;
+/// Servers told of in each heartbeat though nothing changed, in turn. The platform's list tells of
+/// the others, later.
+const REFRESHED: usize = 4;
+
+#[derive(Debug)]
+struct Told {
+    models: Vec<ModelHeld>,
+    loading: String,
+    repeats: u32,
+}
+
+/// Picks what to tell, so that the size of heartbeats does not grow with the number of servers.
+#[derive(Debug, Default)]
+pub struct StockNews {
+    told: BTreeMap<ServerId, Told>,
+    // Last server that was told of in turn.
+    last: Option<ServerId>,
+}
+
+impl StockNews {
+    /// Returns whether a server changed since it was last told of.
+    pub fn has_change(&self, now: Instant, planner: &StockPlanner) -> bool {
+        planner.servers().any(|(id, server)| {
+            stock_of(now, id, server).is_some_and(|stock| !self.is_told(id, &stock))
+        })
+    }
+
+    /// Returns what the next heartbeat tells.
+    pub fn take(&mut self, now: Instant, planner: &StockPlanner) -> Vec<ServerStock> {
+        let turn = self.next_turn(planner);
+        let mut news = Vec::new();
+        self.told
+            .retain(|id, _| planner.servers().any(|(known, _)| known == id));
+        for (id, server) in planner.servers() {
+            let Some(stock) = stock_of(now, id, server) else {
+                continue;
+            };
+            if !self.is_told(id, &stock) {
+                let told = Told {
+                    models: stock.models.clone(),
+                    loading: stock.loading.clone(),
+                    repeats: REPEATS,
+                };
+                self.told.insert(id.clone(), told);
+            }
+            let repeats = self.told.get_mut(id).map(|told| &mut told.repeats);
+            let repeated = repeats.is_some_and(|repeats| {
+                let left = *repeats > 0;
+                *repeats = repeats.saturating_sub(1);
+                left
+            });
+            if repeated || turn.contains(id) {
+                news.push(stock);
+            }
+        }
+        news
+    }
+
+    fn is_told(&self, id: &ServerId, stock: &ServerStock) -> bool {
+        self.told
+            .get(id)
+            .is_some_and(|told| told.models == stock.models && told.loading == stock.loading)
+    }
+
+    fn next_turn(&mut self, planner: &StockPlanner) -> Vec<ServerId> {
+        let ids = || planner.servers().map(|(id, _)| id.clone());
+        let last = self.last.clone();
+        let after = ids().filter(|id| last.as_ref().is_none_or(|last| id > last));
+        let turn: Vec<ServerId> = after.chain(ids()).take(REFRESHED).collect();
+        self.last = turn.last().cloned();
+        turn
+    }
+}
+
+fn stock_of(now: Instant, id: &ServerId, server: &ServerOrders) -> Option<ServerStock> {
+    let holdings = server.servable(now)?;
+    let loading = server.loading();
+    let models = holdings.models.iter().map(|(model, adapters)| ModelHeld {
+        model: model.to_string(),
+        adapters: adapters.iter().map(ToString::to_string).collect(),
+    });
+    Some(ServerStock {
+        server: id.to_string(),
+        born: server.born(),
+        orders: holdings.orders,
+        models: models.collect(),
+        loading: loading
+            .map(|(model, _)| model.to_string())
+            .unwrap_or_default(),
+        remaining: loading.map_or(0, |(_, ends)| {
+            ends.saturating_duration_since(now).as_millis() as u32
+        }),
+    })
+}
--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -3,19 +3,24 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_messages::{Heartbeat, ModelUse};
-use apricotwell_types::{InstanceId, Map};
+use apricotwell_types::{Fence, InstanceId, Map};
 
 /// Silence after which callers are no longer sent to an instance.
 const SILENCE: Duration = Duration::from_millis(1600);
 /// Time for which an instance that fell silent may still serve on what it knows.
 const MEMORY: Duration = Duration::from_secs(5);
 
+/// Silence after which any heartbeat of an instance counts: no datagram is on its way for so long.
+const RESTART_SILENCE: Duration = Duration::from_millis(900);
+
 #[derive(Debug)]
 struct Peer {
     incarnation: u64,
     number: u64,
     address: String,
     ready: bool,
+    // Fence under which it orders servers, 0 if it doesn't.
+    fence: Fence,
     heard: Instant,
     models: Vec<ModelUse>,
 }
@@ -33,7 +38,12 @@
     pub fn note_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> bool {
         let order = (heartbeat.incarnation, heartbeat.number);
         let known = self.peers.get(heartbeat.instance.as_str());
-        if known.is_some_and(|peer| (peer.incarnation, peer.number) >= order) {
+        // After a silence the instance may have started anew with a clock that was set back.
+        let is_late = |peer: &Peer| {
+            (peer.incarnation, peer.number) >= order
+                && now.saturating_duration_since(peer.heard) < RESTART_SILENCE
+        };
+        if known.is_some_and(is_late) {
             return false;
         }
         let peer = Peer {
@@ -41,6 +51,7 @@
             number: heartbeat.number,
             address: heartbeat.address.clone(),
             ready: heartbeat.ready,
+            fence: heartbeat.fence,
             heard: now,
             models: heartbeat.models.clone(),
         };
@@ -94,6 +105,17 @@
         targets
     }
 
+    /// Returns the instance that orders servers, if one says so.
+    pub fn lease_holder(&self, now: Instant) -> Option<InstanceId> {
+        let holders = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.fence > 0 && is_heard(now, peer));
+        holders
+            .max_by_key(|(_, peer)| peer.fence)
+            .map(|(id, _)| id.clone())
+    }
+
     /// Returns the addresses of other instances to which callers should be sent.
     pub fn ready_addresses(&self, now: Instant) -> impl Iterator<Item = &str> {
         self.peers
--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -5,17 +5,23 @@
 //! that hold a few models each: a model that waits for the weight store is late, one that comes
 //! from a server's own disk or memory is on time.
 
+mod demand;
+mod plan;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use apricotwell_messages::ModelUse;
 use apricotwell_types::{Map, ServerId};
 
-use crate::backends::{Backend, BackendTable};
-use crate::catalog::{EngineSpec, ModelSpec, Service};
-use crate::model::{AdapterName, Holdings, ModelName};
+use crate::backends::BackendTable;
+use crate::catalog::{ModelSpec, Service};
+use crate::model::{AdapterName, ModelName};
 use crate::orders::{Operation, OrderReply, Report, ServerOrders};
 
+use demand::FleetDemand;
+use plan::{Plan, free_memory};
+
 /// Loads from the weight store that run at once at full speed.
 const PARALLEL_FETCHES: usize = 4;
 /// Adapters on their way from the weight store at once, over all servers.
@@ -47,16 +53,6 @@
     pub reason: &'static str,
 }
 
-/// Demand for one model over the whole fleet.
-#[derive(Clone, Debug, Default)]
-struct ModelDemand {
-    rate: f64,
-    waiting: u32,
-    patience: Option<Duration>,
-    // Waiting requests and rate by adapter.
-    adapters: BTreeMap<AdapterName, (u32, f64)>,
-}
-
 /// Decides what servers hold.
 #[derive(Debug, Default)]
 pub struct StockPlanner {
@@ -77,16 +73,6 @@
     reason: &'static str,
 }
 
-/// Servers of one service with the demand for its models, while a plan is made.
-struct Plan<'a> {
-    now: Instant,
-    engine: &'a EngineSpec,
-    backends: BTreeMap<ServerId, &'a Backend>,
-    demand: BTreeMap<ModelName, ModelDemand>,
-    orders: Vec<Order>,
-    total_rate: f64,
-}
-
 impl StockPlanner {
     /// Forgets everything, when the lease is lost.
     pub fn reset(&mut self) {
@@ -162,20 +148,12 @@
         let Some(engine) = &service.engine else {
             return Vec::new();
         };
-        let demand = self.sum_demand(now, service, uses);
-        let total_rate = demand.values().map(|demand| demand.rate).sum();
-        let backends = backends
-            .usable(now, &service.name)
-            .map(|backend| (backend.entry.id.clone(), backend))
-            .collect();
-        let mut plan = Plan {
-            now,
-            engine,
-            backends,
-            demand,
-            orders: Vec::new(),
-            total_rate,
-        };
+        let demand = FleetDemand::sum(&service.name, uses);
+        for model in demand.waiting_models() {
+            self.used.insert(model.clone(), now);
+        }
+        let mut plan = Plan::new(now, engine, backends.usable(now, &service.name), demand);
+        self.count_holders(&mut plan);
         self.note_initial(&plan);
         self.follow_intents(&mut plan);
         self.plan_adapters(&mut plan);
@@ -185,52 +163,13 @@
         plan.orders
     }
 
-    fn sum_demand<'a, I>(
-        &mut self,
-        now: Instant,
-        service: &Service,
-        uses: I,
-    ) -> BTreeMap<ModelName, ModelDemand>
-    where
-        I: IntoIterator<Item = &'a ModelUse>,
-    {
-        let mut sums: BTreeMap<ModelName, ModelDemand> = BTreeMap::new();
-        for part in uses {
-            if *part.service != *service.name {
-                continue;
-            }
-            let model: ModelName = part.model.as_str().into();
-            let rate = f64::from(part.rate) / 1000.0;
-            if part.waiting > 0 {
-                self.used.insert(model.clone(), now);
-            }
-            let sum = sums.entry(model).or_default();
-            sum.rate += rate;
-            sum.waiting += part.waiting;
-            if part.waiting > 0 {
-                let patience = Duration::from_millis(u64::from(part.patience));
-                sum.patience = Some(sum.patience.map_or(patience, |known| known.min(patience)));
-            }
-            if !part.adapter.is_empty() {
-                let adapter = sum
-                    .adapters
-                    .entry(part.adapter.as_str().into())
-                    .or_default();
-                adapter.0 += part.waiting;
-                adapter.1 += rate;
-            }
-        }
-        sums
-    }
-
     // Models that many servers hold at the start are the busy ones, before any request tells so.
     fn note_initial(&mut self, plan: &Plan<'_>) {
         if !self.initial.is_empty() || !self.knows_all(plan) {
             return;
         }
-        for model in &plan.engine.models {
-            self.initial
-                .insert(model.name.clone(), self.replicas(plan, &model.name));
+        for model in plan.engine.models.keys() {
+            self.initial.insert(model.clone(), plan.replicas(model));
         }
     }
 
@@ -255,6 +194,7 @@
             let Some(intent) = self.intents.remove(&id) else {
                 continue;
             };
+            plan.note_dropped(&intent.model);
             if let Some(spec) = plan.engine.model(&intent.model) {
                 self.load_at(plan, &id, spec, intent.reason);
             }
@@ -271,35 +211,42 @@
                 .is_some_and(|server| keeps(server, model))
     }
 
-    /// Returns the servers that hold or load a model and don't drop it.
-    fn replicas(&self, plan: &Plan<'_>, model: &str) -> usize {
-        plan.backends
-            .keys()
-            .filter(|id| self.keeps(id, model))
-            .count()
+    // Counts for each model the servers that keep it and those that have a copy of it.
+    fn count_holders(&self, plan: &mut Plan<'_>) {
+        let ids: Vec<ServerId> = plan.backends.keys().cloned().collect();
+        for id in ids {
+            let intended = self.intents.get(&id).map(|intent| &intent.model);
+            let Some(server) = self.servers.get(&id) else {
+                continue;
+            };
+            let loading = server.loading().map(|(model, _)| model);
+            let dropped = match server.operation() {
+                Some(Operation::UnloadModel(model)) => Some(model),
+                _ => None,
+            };
+            let Some(holdings) = server.holdings() else {
+                continue;
+            };
+            let held = holdings.models.iter().map(|(model, _)| model);
+            let kept = held
+                .filter(|model| Some(*model) != dropped)
+                .chain(loading)
+                .chain(intended);
+            plan.note_holder(kept, &holdings.on_disk);
+        }
     }
 
     fn wanted_replicas(&self, plan: &Plan<'_>, model: &str) -> usize {
-        let rate = plan.demand.get(model).map_or(0.0, |demand| demand.rate);
-        if plan.total_rate < KNOWN_RATE {
+        let rate = plan.demand.rate(model);
+        if plan.demand.total_rate < KNOWN_RATE {
             return self.initial.get(model).copied().unwrap_or_default().max(1);
         }
         ((rate / REPLICA_RATE).ceil() as usize).max(1)
     }
 
     fn plan_adapters(&mut self, plan: &mut Plan<'_>) {
-        let wanted: Vec<(ModelName, AdapterName)> = plan
-            .demand
-            .iter()
-            .flat_map(|(model, demand)| {
-                let waiting = demand
-                    .adapters
-                    .iter()
-                    .filter(|(_, (waiting, _))| *waiting > 0);
-                waiting.map(|(adapter, _)| (model.clone(), adapter.clone()))
-            })
-            .take(PARALLEL_ADAPTERS)
-            .collect();
+        let mut wanted = plan.demand.waiting_adapters();
+        wanted.truncate(PARALLEL_ADAPTERS);
         for (model, adapter) in wanted {
             self.plan_adapter(plan, &model, &adapter);
         }
@@ -376,18 +323,11 @@
 
     // Models that requests wait for and that no server holds or loads.
     fn plan_waiting(&mut self, plan: &mut Plan<'_>) {
-        let mut waiting: Vec<(Duration, ModelName)> = plan
-            .demand
-            .iter()
-            .filter(|(_, demand)| demand.waiting > 0)
-            .map(|(model, demand)| (demand.patience.unwrap_or_default(), model.clone()))
-            .collect();
-        waiting.sort();
-        for (_, model) in waiting {
+        for model in plan.demand.most_urgent() {
             let Some(spec) = plan.engine.model(&model) else {
                 continue;
             };
-            if self.replicas(plan, &model) == 0 {
+            if plan.replicas(&model) == 0 {
                 self.bring(plan, spec, "requests_wait");
             }
         }
@@ -395,22 +335,15 @@
 
     // Models that are asked for so often that they need more replicas.
     fn plan_replicas(&mut self, plan: &mut Plan<'_>) {
-        if plan.total_rate < KNOWN_RATE {
+        if plan.demand.total_rate < KNOWN_RATE {
             return;
         }
-        let mut busy: Vec<(f64, ModelName)> = plan
-            .demand
-            .iter()
-            .filter(|(_, demand)| demand.rate >= RARE_RATE)
-            .map(|(model, demand)| (demand.rate, model.clone()))
-            .collect();
-        busy.sort_by(|one, other| other.0.total_cmp(&one.0));
-        for (_, model) in busy {
+        for model in plan.demand.busiest(RARE_RATE) {
             let Some(spec) = plan.engine.model(&model) else {
                 continue;
             };
             let wanted = self.wanted_replicas(plan, &model).min(plan.backends.len());
-            if self.replicas(plan, &model) < wanted {
+            if plan.replicas(&model) < wanted {
                 self.bring(plan, spec, "more_replicas");
             }
         }
@@ -424,8 +357,8 @@
         let missing: Vec<&ModelSpec> = plan
             .engine
             .models
-            .iter()
-            .filter(|spec| !self.has_copy(plan, &spec.name))
+            .values()
+            .filter(|spec| !plan.has_copy(&spec.name))
             .collect();
         for spec in missing {
             if self.fetches() >= PARALLEL_FETCHES {
@@ -435,13 +368,6 @@
         }
     }
 
-    fn has_copy(&self, plan: &Plan<'_>, model: &str) -> bool {
-        plan.backends.keys().any(|id| {
-            let holdings = self.servers.get(id).and_then(ServerOrders::holdings);
-            self.keeps(id, model) || holdings.is_some_and(|holdings| holdings.is_cached(model))
-        })
-    }
-
     fn fetches(&self) -> usize {
         let is_planned = |id: &ServerId, server: &ServerOrders| {
             self.intents.get(id).is_some_and(|intent| {
@@ -480,17 +406,7 @@
         let Some(holdings) = self.servers.get(id).and_then(ServerOrders::holdings) else {
             return 0;
         };
-        let only_here = |model: &&ModelName| {
-            self.replicas(plan, model) == 0
-                && plan.backends.keys().all(|other| {
-                    **other == *id
-                        || self
-                            .servers
-                            .get(other)
-                            .and_then(ServerOrders::holdings)
-                            .is_none_or(|holdings| !holdings.is_cached(model))
-                })
-        };
+        let only_here = |model: &&ModelName| plan.replicas(model) == 0 && plan.copies(model) == 1;
         holdings.on_disk.iter().filter(only_here).count()
     }
 
@@ -541,6 +457,7 @@
             let operation = Operation::UnloadModel(victim);
             self.order(plan, id, operation, UNLOAD_TIME, false, reason);
             let model = spec.name.clone();
+            plan.note_kept(&model);
             self.intents.insert(id.clone(), Intent { model, reason });
             return;
         }
@@ -620,8 +537,8 @@
 
     // Requests a second that would miss the model.
     fn drop_cost(&self, plan: &Plan<'_>, model: &str) -> f64 {
-        let rate = plan.demand.get(model).map_or(0.0, |demand| demand.rate);
-        let replicas = self.replicas(plan, model);
+        let rate = plan.demand.rate(model);
+        let replicas = plan.replicas(model);
         if replicas > self.wanted_replicas(plan, model) {
             return 0.0;
         }
@@ -646,6 +563,11 @@
         };
         let expected = server.expected_orders();
         server.note_sent(plan.now, operation.clone(), fetches);
+        match &operation {
+            Operation::LoadModel(model) => plan.note_kept(model),
+            Operation::UnloadModel(model) => plan.note_dropped(model),
+            Operation::LoadAdapter(..) | Operation::UnloadAdapter(..) => {}
+        }
         self.durations.insert(id.clone(), duration);
         plan.orders.push(Order {
             server: id.clone(),
@@ -663,12 +585,6 @@
     cost: f64,
 }
 
-impl Plan<'_> {
-    fn has_order(&self, id: &str) -> bool {
-        self.orders.iter().any(|order| *order.server == *id)
-    }
-}
-
 // Whether a server holds or loads a model and isn't about to drop it.
 fn keeps(server: &ServerOrders, model: &str) -> bool {
     match server.operation() {
@@ -681,21 +597,3 @@
         .is_some_and(|holdings| holdings.adapters(model).is_some())
 }
 
-// Memory that neither models nor adapters take, in MB.
-fn free_memory(engine: &EngineSpec, holdings: &Holdings) -> f64 {
-    let taken = holdings.models.iter().map(|(name, adapters)| {
-        // A model that the configuration no longer names is counted as the largest.
-        let largest = || {
-            engine
-                .models
-                .iter()
-                .map(|spec| spec.weights)
-                .fold(0.0, f64::max)
-        };
-        let spec = engine.model(name);
-        let weights = spec.map_or_else(largest, |spec| spec.weights);
-        let adapter = spec.map_or(0.0, |spec| spec.adapter_weights);
-        weights + adapter * adapters.len() as f64
-    });
-    engine.weights - taken.sum::<f64>()
-}
--- /dev/null
+++ b/crates/apricotwell_dispatch/src/stock/demand.rs
@@ -0,0 +1,107 @@
+//! Demand for the models of one service over the whole fleet.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use apricotwell_messages::ModelUse;
+
+use crate::model::{AdapterName, ModelName};
+
+/// Demand for one model.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ModelDemand {
+    pub(super) rate: f64,
+    pub(super) waiting: u32,
+    // Time until the first waiting caller gives up.
+    patience: Option<Duration>,
+    // Waiting requests and rate by adapter.
+    pub(super) adapters: BTreeMap<AdapterName, (u32, f64)>,
+}
+
+/// Demand for all models of a service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FleetDemand {
+    models: BTreeMap<ModelName, ModelDemand>,
+    /// Requests a second for all models.
+    pub(super) total_rate: f64,
+}
+
+impl FleetDemand {
+    /// Adds up what the instances tell.
+    pub(super) fn sum<'a, I>(service: &str, uses: I) -> Self
+    where
+        I: IntoIterator<Item = &'a ModelUse>,
+    {
+        let mut sums = Self::default();
+        for part in uses.into_iter().filter(|part| *part.service == *service) {
+            sums.add(part);
+        }
+        sums
+    }
+
+    fn add(&mut self, part: &ModelUse) {
+        let rate = f64::from(part.rate) / 1000.0;
+        self.total_rate += rate;
+        let sum = self.models.entry(part.model.as_str().into()).or_default();
+        sum.rate += rate;
+        sum.waiting += part.waiting;
+        if part.waiting > 0 {
+            let patience = Duration::from_millis(u64::from(part.patience));
+            sum.patience = Some(sum.patience.map_or(patience, |known| known.min(patience)));
+        }
+        if !part.adapter.is_empty() {
+            let adapter = sum.adapters.entry(part.adapter.as_str().into());
+            let adapter = adapter.or_default();
+            adapter.0 += part.waiting;
+            adapter.1 += rate;
+        }
+    }
+
+    /// Returns the demand for a model.
+    pub(super) fn get(&self, model: &str) -> Option<&ModelDemand> {
+        self.models.get(model)
+    }
+
+    /// Returns the requests a second for a model.
+    pub(super) fn rate(&self, model: &str) -> f64 {
+        self.get(model).map_or(0.0, |demand| demand.rate)
+    }
+
+    /// Returns the models that requests wait for.
+    pub(super) fn waiting_models(&self) -> impl Iterator<Item = &ModelName> {
+        let waiting = self.models.iter().filter(|(_, demand)| demand.waiting > 0);
+        waiting.map(|(model, _)| model)
+    }
+
+    /// Returns the adapters that requests wait for, with their models.
+    pub(super) fn waiting_adapters(&self) -> Vec<(ModelName, AdapterName)> {
+        let waiting = self.models.iter().flat_map(|(model, demand)| {
+            let adapters = demand.adapters.iter();
+            let waiting = adapters.filter(|(_, (waiting, _))| *waiting > 0);
+            waiting.map(|(adapter, _)| (model.clone(), adapter.clone()))
+        });
+        waiting.collect()
+    }
+
+    /// Returns the models that requests wait for, the first to give up first.
+    pub(super) fn most_urgent(&self) -> Vec<ModelName> {
+        let mut waiting: Vec<(Option<Duration>, &ModelName)> = self
+            .waiting_models()
+            .map(|model| (self.get(model).and_then(|demand| demand.patience), model))
+            .collect();
+        waiting.sort();
+        waiting.into_iter().map(|(_, model)| model.clone()).collect()
+    }
+
+    /// Returns the models with at least `rate` requests a second, the busiest first.
+    pub(super) fn busiest(&self, rate: f64) -> Vec<ModelName> {
+        let mut busy: Vec<(f64, &ModelName)> = self
+            .models
+            .iter()
+            .filter(|(_, demand)| demand.rate >= rate)
+            .map(|(model, demand)| (demand.rate, model))
+            .collect();
+        busy.sort_by(|one, other| other.0.total_cmp(&one.0));
+        busy.into_iter().map(|(_, model)| model.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/src/stock/plan.rs
@@ -0,0 +1,111 @@
+//! Servers of one service while a plan is made.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use apricotwell_types::{Map, ServerId};
+
+use super::demand::FleetDemand;
+use super::Order;
+use crate::backends::Backend;
+use crate::catalog::EngineSpec;
+use crate::model::{Holdings, ModelName};
+
+/// Servers of one service with the demand for its models.
+pub(super) struct Plan<'a> {
+    pub(super) now: Instant,
+    pub(super) engine: &'a EngineSpec,
+    pub(super) backends: BTreeMap<ServerId, &'a Backend>,
+    pub(super) demand: FleetDemand,
+    pub(super) orders: Vec<Order>,
+    // Servers that keep or are about to load a model; follows the orders of the plan.
+    replicas: Map<ModelName, usize>,
+    // Servers with a copy on disk.
+    copies: Map<ModelName, usize>,
+}
+
+impl<'a> Plan<'a> {
+    /// Returns a plan without orders.
+    pub(super) fn new<I>(
+        now: Instant,
+        engine: &'a EngineSpec,
+        backends: I,
+        demand: FleetDemand,
+    ) -> Self
+    where
+        I: Iterator<Item = &'a Backend>,
+    {
+        Self {
+            now,
+            engine,
+            backends: backends
+                .map(|backend| (backend.entry.id.clone(), backend))
+                .collect(),
+            demand,
+            orders: Vec::new(),
+            replicas: Map::default(),
+            copies: Map::default(),
+        }
+    }
+
+    /// Counts one server with the models that it keeps and those on its disk.
+    pub(super) fn note_holder<'m, I>(&mut self, kept: I, on_disk: &[ModelName])
+    where
+        I: Iterator<Item = &'m ModelName>,
+    {
+        for model in kept {
+            self.note_kept(model);
+        }
+        for model in on_disk {
+            *self.copies.entry(model.clone()).or_default() += 1;
+        }
+    }
+
+    /// Counts one more server that keeps a model.
+    pub(super) fn note_kept(&mut self, model: &ModelName) {
+        *self.replicas.entry(model.clone()).or_default() += 1;
+    }
+
+    /// Counts one server less.
+    pub(super) fn note_dropped(&mut self, model: &ModelName) {
+        if let Some(count) = self.replicas.get_mut(model) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// Returns the servers that keep or are about to load a model.
+    pub(super) fn replicas(&self, model: &str) -> usize {
+        self.replicas.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns the servers with a copy of a model on disk.
+    pub(super) fn copies(&self, model: &str) -> usize {
+        self.copies.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns whether some server can serve a model without the weight store.
+    pub(super) fn has_copy(&self, model: &str) -> bool {
+        self.replicas(model) > 0 || self.copies(model) > 0
+    }
+
+    /// Returns whether the plan has an order for a server.
+    pub(super) fn has_order(&self, id: &str) -> bool {
+        self.orders.iter().any(|order| *order.server == *id)
+    }
+}
+
+/// Returns the memory that neither models nor adapters take, in MB.
+pub(super) fn free_memory(engine: &EngineSpec, holdings: &Holdings) -> f64 {
+    let largest = || {
+        let weights = engine.models.values().map(|spec| spec.weights);
+        weights.fold(0.0, f64::max)
+    };
+    let taken = holdings.models.iter().map(|(name, adapters)| {
+        // A model that the configuration no longer names is counted as the largest.
+        let spec = engine.model(name);
+        let weights = spec.map_or_else(largest, |spec| spec.weights);
+        let adapter = spec.map_or(0.0, |spec| spec.adapter_weights);
+        weights + adapter * adapters.len() as f64
+    });
+    engine.weights - taken.sum::<f64>()
+}
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_messages::Heartbeat;
-use apricotwell_types::{Fence, InstanceId};
+use apricotwell_types::InstanceId;
 use prost::Message;
 use tokio::net::UdpSocket;
 
@@ -19,8 +19,10 @@
 const HEARTBEAT_PAUSE: Duration = Duration::from_millis(400);
 /// Least time between heartbeats that tell of a change.
 const GOSSIP_PAUSE: Duration = Duration::from_millis(30);
-/// Heartbeats after which the lease holder tells all that servers hold, changed or not.
-const STOCK_HEARTBEATS: u32 = 3;
+/// Part of the pause between heartbeats that each instance of the fleet adds.
+const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(12);
+/// Part of the least time between heartbeats that each instance adds.
+const GOSSIP_PER_INSTANCE: Duration = Duration::from_millis(4);
 /// Bytes of the largest heartbeat.
 const MAX_HEARTBEAT_BYTES: usize = 60 << 10;
 /// Attempts to claim the lease before the next renewal.
@@ -196,6 +198,15 @@
         .map(|_| ())
 }
 
+/// Whom a heartbeat goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Audience {
+    /// All other instances.
+    Everyone,
+    /// The holder of the placement lease.
+    LeaseHolder,
+}
+
 /// Tells the other instances what this one does, at intervals and on changes.
 pub async fn tell<C, S, E>(gateway: Rc<Gateway<C, S, E>>, socket: Rc<UdpSocket>)
 where
@@ -203,63 +214,86 @@
     S: Store,
     E: Engines,
 {
-    let mut told_stock = Vec::new();
-    let mut quiet = 0;
+    let mut news = StockNews::default();
+    let mut audience = Audience::Everyone;
     loop {
-        let heartbeat = {
-            let now = gateway.now();
-            let mut dispatcher = gateway.dispatcher.borrow_mut();
-            dispatcher.expire(now);
-            let mut heartbeat = dispatcher.heartbeat(now);
-            if heartbeat.fence > 0 {
-                let stock = dispatcher.stock_news(now);
-                let models = |stock: &[apricotwell_messages::ServerStock]| {
-                    let parts = stock.iter();
-                    parts
-                        .map(|server| (server.orders, server.models.clone()))
-                        .collect::<Vec<_>>()
-                };
-                quiet += 1;
-                let held = models(&stock);
-                if held != told_stock || quiet >= STOCK_HEARTBEATS {
-                    quiet = 0;
-                    told_stock = held;
-                    apply_own_stock(&mut dispatcher, now, heartbeat.fence, &stock);
-                    heartbeat.stock = stock;
-                    gateway.changed.notify_waiters();
-                }
-            }
-            heartbeat
+        let instances = gateway.dispatcher.borrow().peers.possible() as u32;
+        send(&gateway, &socket, &mut news, audience).await;
+        // The larger the fleet, the rarer the heartbeats: each instance's share stays the same.
+        let pause = HEARTBEAT_PAUSE.max(PAUSE_PER_INSTANCE * instances);
+        tokio::time::sleep(match audience {
+            Audience::Everyone => GOSSIP_PAUSE.max(GOSSIP_PER_INSTANCE * instances),
+            Audience::LeaseHolder => GOSSIP_PAUSE,
+        })
+        .await;
+        audience = tokio::select! {
+            () = tokio::time::sleep(pause) => Audience::Everyone,
+            () = gateway.gossip.notified() => Audience::Everyone,
+            () = gateway.urging.notified() => Audience::LeaseHolder,
+            () = next_restock(&gateway, &news) => Audience::Everyone,
         };
-        send(&gateway, &socket, &heartbeat).await;
-        tokio::time::sleep(GOSSIP_PAUSE).await;
-        // A change that nobody told of in time is told with the next heartbeat.
-        let _ = tokio::time::timeout(HEARTBEAT_PAUSE, gateway.gossip.notified()).await;
     }
 }
 
-fn apply_own_stock(
-    dispatcher: &mut Dispatcher,
-    now: std::time::Instant,
-    fence: Fence,
-    stock: &[apricotwell_messages::ServerStock],
-) {
-    for server in stock {
-        dispatcher.backends.note_stock(now, fence, server);
+// Waits until servers hold something else than the others were told.
+async fn next_restock<C, S, E>(gateway: &Gateway<C, S, E>, news: &StockNews)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    loop {
+        gateway.restocked.notified().await;
+        let now = gateway.now();
+        let dispatcher = gateway.dispatcher.borrow();
+        if dispatcher.lease.fence(now).is_some() && news.has_change(now, &dispatcher.stock) {
+            return;
+        }
     }
 }
 
-async fn send<C, S, E>(gateway: &Gateway<C, S, E>, socket: &UdpSocket, heartbeat: &Heartbeat)
-where
+async fn send<C, S, E>(
+    gateway: &Gateway<C, S, E>,
+    socket: &UdpSocket,
+    news: &mut StockNews,
+    audience: Audience,
+) where
     C: Callers,
     S: Store,
     E: Engines,
 {
-    let bytes = heartbeat.encode_to_vec();
-    let targets = gateway.dispatcher.borrow().peers.targets();
+    let now = gateway.now();
+    let (heartbeat, demand, holder, targets) = {
+        let mut dispatcher = gateway.dispatcher.borrow_mut();
+        dispatcher.expire(now);
+        let mut heartbeat = dispatcher.heartbeat(now);
+        if heartbeat.fence > 0 && audience == Audience::Everyone {
+            heartbeat.stock = news.take(now, &dispatcher.stock);
+            for stock in &heartbeat.stock {
+                let fence = heartbeat.fence;
+                dispatcher.backends.note_stock(now, fence, stock);
+            }
+        }
+        let demand = dispatcher.demand.uses(now);
+        let holder = dispatcher.peers.lease_holder(now);
+        (heartbeat, demand, holder, dispatcher.peers.targets())
+    };
+    if !heartbeat.stock.is_empty() {
+        gateway.changed.notify_waiters();
+    }
+    let with_demand = Heartbeat {
+        models: demand,
+        ..heartbeat.clone()
+    };
+    let (plain, urgent) = (heartbeat.encode_to_vec(), with_demand.encode_to_vec());
     for target in targets {
+        let is_holder = holder.as_ref().is_none_or(|holder| *holder == target);
+        if audience == Audience::LeaseHolder && !is_holder {
+            continue;
+        }
+        let bytes = if is_holder { &urgent } else { &plain };
         // A lost heartbeat is made good by the next one.
-        if let Err(error) = socket.send_to(&bytes, &*target).await {
+        if let Err(error) = socket.send_to(bytes, &*target).await {
             log::debug!("no heartbeat to {target}: {error}");
         }
     }
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -57,8 +57,12 @@
     pub times: Times,
     /// Told when a waiting request may find a server.
     pub changed: Notify,
-    /// Told when other instances should hear of a change.
+    /// Told when all other instances should hear of a change.
     pub gossip: Notify,
+    /// Told when the lease holder should hear of demand.
+    pub urging: Notify,
+    /// Told when what servers hold may have changed.
+    pub restocked: Notify,
     /// Told when the placement should be planned anew.
     pub planning: Notify,
     /// Told once when the process is to stop.
@@ -96,6 +100,8 @@
             times,
             changed: Notify::new(),
             gossip: Notify::new(),
+            urging: Notify::new(),
+            restocked: Notify::new(),
             planning: Notify::new(),
             stopping: Notify::new(),
             active: Cell::new(0),
--- a/crates/apricotwell_gateway/src/guard.rs
+++ b/crates/apricotwell_gateway/src/guard.rs
@@ -123,7 +123,7 @@
             &wanted,
             admission.silence,
         );
-        gateway.gossip.notify_one();
+        gateway.urging.notify_one();
         gateway.planning.notify_one();
         Some(Self {
             gateway: Rc::clone(gateway),
--- a/crates/apricotwell_gateway/src/placing.rs
+++ b/crates/apricotwell_gateway/src/placing.rs
@@ -98,7 +98,7 @@
         .stock
         .note_report(now, &server, report);
     gateway.planning.notify_one();
-    gateway.gossip.notify_one();
+    gateway.restocked.notify_one();
 }
 
 async fn give<C, S, E>(gateway: Rc<Gateway<C, S, E>>, order: Order, fence: Fence)
@@ -141,5 +141,5 @@
         dispatcher.stock.note_reply(now, &order.server, reply);
     }
     gateway.planning.notify_one();
-    gateway.gossip.notify_one();
+    gateway.restocked.notify_one();
 }
