Take a read that waited as news of its whole wait; ask servers anew when the lease opens

Cause: with a wait of 1.8 s the view looked up to 3.6 s old, so instances called themselves not ready a third of the time; a new lease holder planned on reports from before its wait. Change: an empty read that waited counts from the end of its wait; the planner starts when the lease opens.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -268,9 +268,17 @@
         self.quotas.set_part(heard, possible);
         self.quotas
             .spend(now, organisation, tokens)
-            .map_err(|wait| {
-                let text = "the organisation is over its rate; come back later";
-                Refusal::not_run(RefusalKind::OverRate, text).with_retry_after(wait)
+            .map_err(|shortage| {
+                let text = format!(
+                    "{} asks for {tokens} tokens and has {:.0} of {}, {} more a second, {:.2} of it here; \
+                     come back later",
+                    organisation.name,
+                    shortage.level,
+                    organisation.burst,
+                    organisation.rate,
+                    shortage.part,
+                );
+                Refusal::not_run(RefusalKind::OverRate, text).with_retry_after(shortage.wait)
             })
     }
 
--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -27,6 +27,17 @@
     pub slack: f64,
 }
 
+/// Why tokens can't be spent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shortage {
+    /// Tokens in the bucket; negative after an overdraft.
+    pub level: f64,
+    /// Part of rate and burst that the instance's view stands for.
+    pub part: f64,
+    /// Time after which the tokens will be there.
+    pub wait: Duration,
+}
+
 #[derive(Debug)]
 struct Bucket {
     // At most `burst`; negative after an overdraft.
@@ -71,13 +82,13 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which the tokens will be there.
+    /// Returns how much is missing.
     pub fn spend(
         &mut self,
         now: Instant,
         organisation: &Organisation,
         tokens: Tokens,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Shortage> {
         if organisation.rate == 0 {
             return Ok(());
         }
@@ -88,7 +99,11 @@
         let missing = cost - bucket.level - overdraft;
         if missing > 0.0 {
             let refill = missing / (bucket.rate * part).max(1.0);
-            return Err(Duration::from_secs_f64(refill.min(60.0)));
+            return Err(Shortage {
+                level: bucket.level,
+                part,
+                wait: Duration::from_secs_f64(refill.min(60.0)),
+            });
         }
         bucket.level -= cost;
         bucket.spent += tokens;
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -67,7 +67,7 @@
             None => self.gateway.store.newest(self.feed).await,
         };
         match part {
-            Ok(part) => self.apply(start, part),
+            Ok(part) => self.apply(start, wait, part),
             Err(StoreError::Forgotten) => {
                 self.next = None;
                 Duration::ZERO
@@ -79,7 +79,7 @@
         }
     }
 
-    fn apply(&mut self, start: Instant, part: FeedPart) -> Duration {
+    fn apply(&mut self, start: Instant, wait: Duration, part: FeedPart) -> Duration {
         self.gateway.metrics.note_store_call("read");
         self.note_success();
         let whole = self.next.is_none();
@@ -89,6 +89,12 @@
         self.next = Some(part.next);
         let is_end = part.is_end;
         let changed = !part.news.is_empty();
+        // A read that waited and brought nothing says that nothing came until its wait was over.
+        let current = if changed || whole {
+            start
+        } else {
+            start + wait.min(self.gateway.now().saturating_duration_since(start))
+        };
         for news in part.news {
             self.apply_news(news);
         }
@@ -98,7 +104,7 @@
         }
         if self.feed == Feed::Configuration && is_end {
             let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-            dispatcher.freshness.note_current(start);
+            dispatcher.freshness.note_current(current);
         }
         match self.feed {
             Feed::Servers if is_end => SERVERS_PAUSE,
--- a/crates/apricotwell_gateway/src/placing.rs
+++ b/crates/apricotwell_gateway/src/placing.rs
@@ -41,14 +41,15 @@
 {
     let now = gateway.now();
     let mut dispatcher = gateway.dispatcher.borrow_mut();
-    if !dispatcher.lease.is_held(now) {
+    let Some(fence) = dispatcher.lease.fence(now) else {
+        // What servers hold is asked anew when the lease opens: until then another orders them.
+        dispatcher.stock.reset();
         return;
-    }
+    };
     let Some(catalog) = dispatcher.catalog.clone() else {
         return;
     };
     let uses = dispatcher.fleet_demand(now);
-    let fence = dispatcher.lease.fence(now);
     let Dispatcher {
         stock, backends, ..
     } = &mut *dispatcher;
@@ -58,19 +59,15 @@
             continue;
         }
         stock.follow(now, backends, service);
-        if fence.is_some() {
-            orders.extend(stock.plan(now, service, backends, &uses));
-        }
+        orders.extend(stock.plan(now, service, backends, &uses));
     }
     let reports = stock.take_due_reports(now);
     drop(dispatcher);
     for server in reports {
         actix::spawn(report(Rc::clone(gateway), server));
     }
-    if let Some(fence) = fence {
-        for order in orders {
-            actix::spawn(give(Rc::clone(gateway), order, fence));
-        }
+    for order in orders {
+        actix::spawn(give(Rc::clone(gateway), order, fence));
     }
 }
 
