Count rates over the users' sliding window

Change: spans of the window in place of a bucket; a lower limit scales what was spent; a restarted instance takes the window as spent.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -270,7 +270,8 @@
             .spend(now, organisation, tokens)
             .map_err(|shortage| {
                 let text = format!(
-                    "{} asks for {tokens} tokens and has {:.0} of {}, {} more a second, {:.2} of it here; \
+                    "{} asks for {tokens} tokens and has {:.0} left at a burst of {} and {} a second, \
+                     of which {:.2} count here; \
                      come back later",
                     organisation.name,
                     shortage.level,
--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -1,10 +1,12 @@
 //! Rates of organisations over the whole fleet.
 //!
-//! Each instance keeps one bucket an organisation and lowers it by what every instance spent, its
-//! own spending at once and that of others as their heartbeats tell it. A bucket may go below zero
-//! by half of the excess that the users allow; the other half covers what was spent elsewhere and
-//! not yet told. An instance that doesn't hear all others uses only its part of rate and burst.
+//! An organisation may spend its rate over a window and its burst in any such window. Each instance
+//! keeps one window an organisation with what every instance spent, its own spending at once and that
+//! of others as their heartbeats tell it. The level may go below zero by part of the excess that the
+//! users allow; the rest covers what was spent elsewhere and not yet told. An instance that doesn't
+//! hear all others uses only its part of the limit.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use apricotwell_types::{InstanceId, Map, OrgId, Tokens};
@@ -13,8 +15,8 @@
 
 /// Part of the allowed excess that one instance's view may overdraw.
 const OVERDRAFT_SHARE: f64 = 0.4;
-/// Level, as a share of the burst, below which spending is told to the others at once.
-const TIGHT_SHARE: f64 = 0.5;
+/// Level, as a share of the limit, below which spending is told to the others at once.
+const TIGHT_SHARE: f64 = 0.25;
 
 /// Excess that the users allow over the fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -30,7 +32,7 @@
 /// Why tokens can't be spent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Shortage {
-    /// Tokens in the bucket; negative after an overdraft.
+    /// Tokens left in the window; negative after an overdraft.
     pub level: f64,
     /// Part of rate and burst that the instance's view stands for.
     pub part: f64,
@@ -38,37 +40,103 @@
     pub wait: Duration,
 }
 
+/// Spans into which the window is cut; the oldest one counts until all of it is outside.
+const SPANS: u32 = 16;
+
+/// What an organisation spent in the last window, and how much it may.
 #[derive(Debug)]
-struct Bucket {
-    // At most `burst`; negative after an overdraft.
-    level: f64,
-    refilled: Instant,
-    rate: f64,
-    burst: f64,
+struct Window {
+    // Tokens allowed in one window.
+    limit: f64,
+    // Tokens by span, the current one last; may be negative after a refund. Never empty.
+    spans: VecDeque<f64>,
+    // Begin of the current span.
+    begun: Instant,
     // Tokens that this instance has spent since its start.
     spent: Tokens,
     // Spending told by other instances: start number and sum since then.
     told: Map<InstanceId, (u64, Tokens)>,
 }
 
-/// Buckets of all organisations as one instance sees them.
+impl Window {
+    /// Returns the window of a fleet that has spent `part` of its limit, evenly.
+    fn new(now: Instant, limit: f64, part: f64) -> Self {
+        let span = limit * part / f64::from(SPANS);
+        let mut spans: VecDeque<f64> = (0..SPANS).map(|_| span).collect();
+        spans.push_back(0.0);
+        Self {
+            limit,
+            spans,
+            begun: now,
+            spent: 0,
+            told: Map::default(),
+        }
+    }
+
+    fn advance(&mut self, now: Instant, span: Duration) {
+        while now.saturating_duration_since(self.begun) >= span {
+            self.begun += span;
+            self.spans.push_back(0.0);
+            if self.spans.len() > SPANS as usize + 1 {
+                self.spans.pop_front();
+            }
+        }
+    }
+
+    // A lower limit takes hold of what is spent from now on: what was spent under the old one is
+    // scaled with it.
+    fn set_limit(&mut self, limit: f64) {
+        if limit < self.limit {
+            let scale = limit / self.limit;
+            self.spans.iter_mut().for_each(|span| *span *= scale);
+        }
+        self.limit = limit;
+    }
+
+    fn level(&self, part: f64) -> f64 {
+        self.limit * part - self.spans.iter().sum::<f64>()
+    }
+
+    fn add(&mut self, tokens: f64) {
+        if let Some(current) = self.spans.back_mut() {
+            *current += tokens;
+        }
+    }
+
+    // Time until so many tokens have left the window.
+    fn time_to_free(&self, now: Instant, span: Duration, missing: f64) -> Duration {
+        let passed = now.saturating_duration_since(self.begun);
+        let mut freed = 0.0;
+        let mut time = span.saturating_sub(passed);
+        for spent in &self.spans {
+            freed += spent;
+            if freed >= missing {
+                break;
+            }
+            time += span;
+        }
+        time
+    }
+}
+
+/// Windows of all organisations as one instance sees them.
 #[derive(Debug)]
 pub struct QuotaTable {
     bounds: QuotaBounds,
-    // Whether the fleet starts with full buckets.
-    full: bool,
-    buckets: Map<OrgId, Bucket>,
+    // Whether the fleet starts now and has spent nothing; else it may have spent all it may.
+    first_start: bool,
+    windows: Map<OrgId, Window>,
     // Part of rate and burst that this instance's view stands for.
     part: f64,
 }
 
 impl QuotaTable {
-    /// Returns a table; buckets of a fleet that starts for the first time are full.
-    pub fn new(bounds: QuotaBounds, full: bool) -> Self {
+    /// Returns a table; a fleet that starts for the first time has spent nothing yet.
+    pub fn new(bounds: QuotaBounds, first_start: bool) -> Self {
         Self {
             bounds,
-            full,
-            buckets: Map::default(),
+            first_start,
+            windows: Map::default(),
             part: 1.0,
         }
     }
@@ -92,21 +160,18 @@
         if organisation.rate == 0 {
             return Ok(());
         }
-        let part = self.part;
+        let (part, span) = (self.part, self.span());
         let overdraft = self.overdraft(organisation) * part;
-        let bucket = self.bucket(now, organisation);
+        let window = self.window(now, organisation);
         let cost = tokens as f64;
-        let missing = cost - bucket.level - overdraft;
+        let level = window.level(part);
+        let missing = cost - level - overdraft;
         if missing > 0.0 {
-            let refill = missing / (bucket.rate * part).max(1.0);
-            return Err(Shortage {
-                level: bucket.level,
-                part,
-                wait: Duration::from_secs_f64(refill.min(60.0)),
-            });
+            let wait = window.time_to_free(now, span, missing);
+            return Err(Shortage { level, part, wait });
         }
-        bucket.level -= cost;
-        bucket.spent += tokens;
+        window.add(cost);
+        window.spent += tokens;
         Ok(())
     }
 
@@ -115,10 +180,10 @@
         if organisation.rate == 0 {
             return;
         }
-        let bucket = self.bucket(now, organisation);
-        let back = tokens.min(bucket.spent);
-        bucket.spent -= back;
-        bucket.level = (bucket.level + back as f64).min(bucket.burst);
+        let window = self.window(now, organisation);
+        let back = tokens.min(window.spent);
+        window.spent -= back;
+        window.add(-(back as f64));
     }
 
     /// Returns whether others should hear of spending at once.
@@ -126,16 +191,17 @@
         if organisation.rate == 0 {
             return false;
         }
-        let bucket = self.bucket(now, organisation);
-        bucket.level < bucket.burst * TIGHT_SHARE
+        let part = self.part;
+        let window = self.window(now, organisation);
+        window.level(part) < window.limit * TIGHT_SHARE
     }
 
     /// Returns what this instance has spent of each organisation since its start.
     pub fn spending(&self) -> impl Iterator<Item = (&OrgId, Tokens)> {
-        self.buckets
+        self.windows
             .iter()
-            .filter(|(_, bucket)| bucket.spent > 0)
-            .map(|(name, bucket)| (name, bucket.spent))
+            .filter(|(_, window)| window.spent > 0)
+            .map(|(name, window)| (name, window.spent))
     }
 
     /// Applies what another instance has spent since its start `incarnation`.
@@ -150,50 +216,41 @@
         if organisation.rate == 0 {
             return;
         }
-        let bucket = self.bucket(now, organisation);
-        let known = bucket.told.get(instance).copied();
-        let before = match known {
-            Some((start, _)) if start > incarnation => return,
-            Some((start, sum)) if start == incarnation => sum,
+        let window = self.window(now, organisation);
+        let before = match window.told.get(instance) {
+            Some((start, _)) if *start > incarnation => return,
+            Some((start, sum)) if *start == incarnation => *sum,
             // What an instance spent before it was first heard is older than this view.
             None => spent,
             Some(_) => 0,
         };
-        if spent < before {
-            let back = (before - spent) as f64;
-            bucket.level = (bucket.level + back).min(bucket.burst);
-        } else {
-            bucket.level -= (spent - before) as f64;
-        }
-        bucket.told.insert(instance.clone(), (incarnation, spent));
+        window.add(spent as f64 - before as f64);
+        window.told.insert(instance.clone(), (incarnation, spent));
+    }
+
+    fn limit(&self, organisation: &Organisation) -> f64 {
+        let refill = organisation.rate as f64 * self.bounds.window.as_secs_f64();
+        refill + organisation.burst as f64
     }
 
     fn overdraft(&self, organisation: &Organisation) -> f64 {
-        let window = organisation.rate as f64 * self.bounds.window.as_secs_f64();
-        let excess = (window + organisation.burst as f64) * self.bounds.excess;
+        let excess = self.limit(organisation) * self.bounds.excess;
         (excess + self.bounds.slack) * OVERDRAFT_SHARE
     }
 
-    fn bucket(&mut self, now: Instant, organisation: &Organisation) -> &mut Bucket {
-        let (rate, burst) = (organisation.rate as f64, organisation.burst as f64);
-        let (full, part) = (self.full, self.part);
-        let bucket = self
-            .buckets
+    fn span(&self) -> Duration {
+        self.bounds.window / SPANS
+    }
+
+    fn window(&mut self, now: Instant, organisation: &Organisation) -> &mut Window {
+        let (limit, span) = (self.limit(organisation), self.span());
+        let spent = if self.first_start { 0.0 } else { 1.0 };
+        let window = self
+            .windows
             .entry(organisation.name.clone())
-            .or_insert_with(|| Bucket {
-                level: if full { burst } else { 0.0 },
-                refilled: now,
-                rate,
-                burst,
-                spent: 0,
-                told: Map::default(),
-            });
-        let since = now.saturating_duration_since(bucket.refilled);
-        bucket.refilled = now;
-        bucket.level += since.as_secs_f64() * bucket.rate * part;
-        bucket.rate = rate;
-        bucket.burst = burst;
-        bucket.level = bucket.level.min(burst * part);
-        bucket
+            .or_insert_with(|| Window::new(now, limit, spent));
+        window.advance(now, span);
+        window.set_limit(limit);
+        window
     }
 }
