Route by the delay that a server adds

Cause: loads told by heartbeats are 0.4 s old, so instances followed the same view to the same server; zone and prompt weighed as much as four and eight requests. Change: a score in ms from prompts that this instance sent lately, requests in flight, failures, zone and unread prompt tokens; instances rank equal servers differently.

--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -13,6 +13,8 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Time in which an unused failure rate halves, so that a server gets another try.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Time over which the tokens sent to a server fade from its load.
+const RECENT: Duration = Duration::from_millis(600);
 /// Age beyond which the lease holder's word on what servers hold is not used.
 const STOCK_LIFETIME: Duration = Duration::from_secs(3);
 /// Time for which a model that a server denied is not sent to it.
@@ -62,6 +64,9 @@
     /// Requests of this instance in flight.
     pub own: u32,
     others: Map<InstanceId, u32>,
+    // Tokens that this instance sent here lately, fading with `RECENT`.
+    recent: f64,
+    recent_at: Instant,
     // When the lease holder last told of this server.
     told: Option<Instant>,
     // Fence of that holder.
@@ -81,6 +86,8 @@
             loading: None,
             own: 0,
             others: Map::default(),
+            recent: 0.0,
+            recent_at: now,
             told: None,
             fence: 0,
             denied: None,
@@ -100,6 +107,12 @@
         self.own + self.others.values().sum::<u32>()
     }
 
+    /// Returns the tokens of prompts that this instance sent lately, fading with time.
+    pub fn recent_tokens(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.recent_at).as_secs_f64();
+        self.recent * (-age / RECENT.as_secs_f64()).exp()
+    }
+
     /// Returns the share of recent requests that failed.
     pub fn failure_rate(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.failed).as_secs_f64();
@@ -234,10 +247,12 @@
         }
     }
 
-    /// Notes a request given to a server.
-    pub fn note_start(&mut self, id: &str) {
+    /// Notes a request given to a server, with the tokens of its prompt that have to be read.
+    pub fn note_start(&mut self, now: Instant, id: &str, tokens: f64) {
         if let Some(server) = self.servers.get_mut(id) {
             server.own += 1;
+            server.recent = server.recent_tokens(now) + tokens;
+            server.recent_at = now;
         }
     }
 
--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The decisions about one request: whether it is taken, where it is sent and when it is refused.
 
+use std::hash::{BuildHasher, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,12 +21,18 @@
 use crate::retries::{RetryBounds, RetryWindow};
 use crate::stock::StockPlanner;
 
-/// Cost of another zone, as a share of a full server.
-const ZONE_COST: f64 = 0.06;
-/// Cost of a server all of whose recent requests failed, as a share of a full server.
-const FAILURE_COST: f64 = 2.0;
-/// Gain of a prompt that is wholly cached, as a share of a full server.
-const PROMPT_GAIN: f64 = 0.12;
+/// Delay that a request in another zone is taken to add, in ms: bytes between zones cost as much.
+const ZONE_COST_MS: f64 = 20.0;
+/// Delay that a server is taken to add all of whose recent requests failed, in ms.
+const FAILURE_COST_MS: f64 = 3000.0;
+/// Delay that each request in flight adds to the next one on a model engine, in ms.
+const ENGINE_REQUEST_MS: f64 = 0.6;
+/// Delay that each request in flight adds to the next one on a plain server, in ms.
+const PLAIN_REQUEST_MS: f64 = 8.0;
+/// Tokens of a prompt that an engine reads in a ms; while it reads, its streams pause.
+const READ_TOKENS_PER_MS: f64 = 20.0;
+/// Spread by which instances rank equal servers differently, in ms.
+const SPREAD_MS: f64 = 6.0;
 /// Requests on a full plain server, as a multiple of those that it runs at once.
 const PLAIN_QUEUE: f64 = 3.0;
 /// Requests on a full model engine, as a multiple of those that it runs at once.
@@ -359,32 +366,30 @@
         let scored = holders.iter().filter_map(|server| {
             let slots = f64::from(server.entry.slots.max(1));
             let load = f64::from(server.in_flight()) / slots;
-            (load < queue).then(|| (self.score(now, server, load, admission, call), *server))
+            (load < queue).then(|| (self.delay(now, server, admission, call), *server))
         });
         scored
             .min_by(|one, other| one.0.total_cmp(&other.0))
             .map(|(_, server)| server)
     }
 
-    fn score(
-        &self,
-        now: Instant,
-        server: &Backend,
-        load: f64,
-        admission: &Admission,
-        call: &Call,
-    ) -> f64 {
-        let mut score = load + FAILURE_COST * server.failure_rate(now);
+    // Delay in ms that a request is taken to meet at a server. Of the load only what this instance
+    // sent itself is known to the moment, so that weighs most: if each instance spreads its own
+    // requests evenly, all of them together are spread evenly, and none follow the same old view.
+    fn delay(&self, now: Instant, server: &Backend, admission: &Admission, call: &Call) -> f64 {
+        let in_flight = f64::from(server.in_flight());
+        let mut delay = FAILURE_COST_MS * server.failure_rate(now);
         if server.entry.zone != self.facts.zone {
-            score += ZONE_COST;
-        }
-        if let Some(wanted) = &admission.wanted {
-            score -= PROMPT_GAIN
-                * self
-                    .prompts
-                    .cached_share(&server.entry.id, wanted, &call.prompt);
+            delay += ZONE_COST_MS;
         }
-        score
+        delay += SPREAD_MS * spread(&self.facts.id, &server.entry.id);
+        let Some(wanted) = &admission.wanted else {
+            return delay + PLAIN_REQUEST_MS * in_flight;
+        };
+        let id = &server.entry.id;
+        let unread = self.prompts.tokens_to_read(id, wanted, &call.prompt);
+        let tokens = unread + server.recent_tokens(now);
+        delay + ENGINE_REQUEST_MS * in_flight + tokens / READ_TOKENS_PER_MS
     }
 
     // No server holds the model: wait for it if it can be there in time.
@@ -555,8 +560,20 @@
 
 // Spreads attempts evenly over the weights of a route.
 fn draw(attempt: &str) -> u64 {
-    use std::hash::{BuildHasher, Hasher};
+    hash(&[attempt])
+}
+
+// Rank of a server for one instance, from 0 to 1.
+fn spread(instance: &str, server: &str) -> f64 {
+    const STEPS: u64 = 1024;
+    (hash(&[instance, server]) % STEPS) as f64 / STEPS as f64
+}
+
+fn hash(texts: &[&str]) -> u64 {
     let mut hash = Map::<u8, u8>::default().hasher().build_hasher();
-    hash.write(attempt.as_bytes());
+    for text in texts {
+        hash.write(text.as_bytes());
+    }
+    // The low bits of the fast hash are the least mixed.
     hash.finish() >> 11
 }
--- a/crates/apricotwell_dispatch/src/prompts.rs
+++ b/crates/apricotwell_dispatch/src/prompts.rs
@@ -39,18 +39,18 @@
         }
     }
 
-    /// Returns the share of a prompt, by tokens, that a server need not read again.
-    pub fn cached_share(&self, server: &str, wanted: &Wanted, prompt: &[PromptPart]) -> f64 {
+    /// Returns the tokens of a prompt that a server has to read.
+    pub fn tokens_to_read(&self, server: &str, wanted: &Wanted, prompt: &[PromptPart]) -> f64 {
+        let total: u64 = prompt.iter().map(|part| part.tokens).sum();
         let Some(known) = self.servers.get(server) else {
-            return 0.0;
+            return total as f64;
         };
-        let total: u64 = prompt.iter().map(|part| part.tokens).sum();
         let cached: u64 = prompt
             .iter()
             .take_while(|part| known.parts.contains_key(&(wanted.clone(), part.id)))
             .map(|part| part.tokens)
             .sum();
-        cached as f64 / total.max(1) as f64
+        (total - cached) as f64
     }
 
     /// Forgets a server that left.
--- a/crates/apricotwell_gateway/src/guard.rs
+++ b/crates/apricotwell_gateway/src/guard.rs
@@ -63,9 +63,12 @@
     S: Store,
     E: Engines,
 {
-    /// Counts one request at `server`.
-    pub fn new(gateway: &Rc<Gateway<C, S, E>>, server: ServerId) -> Self {
-        gateway.dispatcher.borrow_mut().backends.note_start(&server);
+    /// Counts one request at `server`, which has to read `tokens` of its prompt.
+    pub fn new(gateway: &Rc<Gateway<C, S, E>>, server: ServerId, tokens: f64) -> Self {
+        let now = gateway.now();
+        let mut dispatcher = gateway.dispatcher.borrow_mut();
+        dispatcher.backends.note_start(now, &server, tokens);
+        drop(dispatcher);
         Self {
             gateway: Rc::clone(gateway),
             server,
--- a/crates/apricotwell_gateway/src/ticket.rs
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -46,6 +46,10 @@
     pub tried: Vec<ServerId>,
     /// Servers that may have run it.
     pub runs: u32,
+    /// When a server was found for the last attempt.
+    found: Option<Instant>,
+    /// When the first byte of the answer came.
+    first_byte: Option<Instant>,
     // Counts the request until its answer has ended.
     _active: ActiveGuard<C, S, E>,
 }
@@ -87,6 +91,8 @@
             admission,
             tried: Vec::new(),
             runs: 0,
+            found: None,
+            first_byte: None,
             _active: ActiveGuard::new(gateway),
         }
     }
@@ -208,7 +214,10 @@
                 dispatcher.choose(now, &self.admission, &self.call, &self.tried)
             };
             match choice {
-                Choice::Send(server, address) => return Ok((server, address)),
+                Choice::Send(server, address) => {
+                    self.found = Some(now);
+                    return Ok((server, address));
+                }
                 Choice::Refuse(refusal) if self.runs == 0 => return Err(refusal),
                 Choice::Refuse(refusal) => {
                     return Err(self.refuse(refusal.kind, &refusal.message));
@@ -236,13 +245,8 @@
         address: std::net::SocketAddr,
         last_event: Option<u64>,
     ) -> Sent<C, S, E> {
-        let flight = FlightGuard::new(&self.gateway, server.clone());
-        if let Some(wanted) = &self.admission.wanted {
-            let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-            dispatcher
-                .prompts
-                .note_sent(server, wanted, &self.call.prompt);
-        }
+        let tokens = self.note_prompt(server);
+        let flight = FlightGuard::new(&self.gateway, server.clone(), tokens);
         let attempt = Attempt {
             server,
             remaining: self.remaining(),
@@ -265,6 +269,18 @@
         self.judge(sent, flight)
     }
 
+    // Returns the tokens that the server has to read.
+    fn note_prompt(&self, server: &ServerId) -> f64 {
+        let Some(wanted) = &self.admission.wanted else {
+            return 0.0;
+        };
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let prompts = &mut dispatcher.prompts;
+        let tokens = prompts.tokens_to_read(server, wanted, &self.call.prompt);
+        prompts.note_sent(server, wanted, &self.call.prompt);
+        tokens
+    }
+
     fn judge(
         &mut self,
         sent: Result<Result<Answer, SendError>, tokio::time::error::Elapsed>,
@@ -349,10 +365,9 @@
     }
 
     fn log_wait(&self) {
-        let wanted = self.admission.wanted.as_ref();
         Event::new("request_waits")
             .with("request", self.call.attempt.as_str())
-            .with("model", wanted.map_or("", |wanted| &*wanted.model))
+            .with("model", self.model_name())
             .with_time("patience_ms", self.silence_left())
             .log();
     }
@@ -384,13 +399,28 @@
             .with("outcome", outcome)
             .with("status", status)
             .with("runs", self.runs)
+            .with("model", self.model_name())
+            .with("tokens", self.admission.tokens)
+            .with("waited_ms", self.millis_to(self.found))
+            .with("first_byte_ms", self.millis_to(self.first_byte))
             .with_time("ms", time)
             .log();
     }
 
+    fn model_name(&self) -> &str {
+        let wanted = self.admission.wanted.as_ref();
+        wanted.map_or("", |wanted| &*wanted.model)
+    }
+
+    fn millis_to(&self, moment: Option<Instant>) -> Option<u64> {
+        let time = moment?.saturating_duration_since(self.admission.arrived);
+        Some(time.as_millis() as u64)
+    }
+
     /// Notes the first byte of the answer.
-    pub fn note_first_byte(&self) {
-        let now: Instant = self.gateway.now();
+    pub fn note_first_byte(&mut self) {
+        let now = self.gateway.now();
+        self.first_byte = Some(now);
         let time = now.saturating_duration_since(self.admission.arrived);
         self.gateway.metrics.note_first_byte(time);
     }
