Keep the lease with its holder, go ahead of lagging reports, and help busy models first

Cause: each new member of the group moved the placement lease, with five seconds without orders; reports lag 0.2 s and were awaited after each unload and load, so a rare model took 3.0 s of an aim of 4 s; busy models waited behind every rare one (2 replicas at 42 requests a second). Change: the last claim's writer holds the lease while it is a member; the next order follows an accepted unload at once (the server refuses it while busy); requests go out when a load should have ended; replicas go first up to 0.6 of those wanted; a free server is preferred.

--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -18,7 +18,7 @@
 /// Age beyond which the lease holder's word on what servers hold is not used.
 const STOCK_LIFETIME: Duration = Duration::from_secs(3);
 /// Time for which a model that a server denied is not sent to it.
-const DENIAL_LIFETIME: Duration = Duration::from_millis(700);
+const DENIAL_LIFETIME: Duration = Duration::from_millis(150);
 
 /// Entry of the platform's list of servers.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/apricotwell_dispatch/src/demand.rs
+++ b/crates/apricotwell_dispatch/src/demand.rs
@@ -9,7 +9,7 @@
 use crate::model::Wanted;
 
 /// Time over which rates are smoothed.
-const SMOOTHING: Duration = Duration::from_secs(5);
+const SMOOTHING: Duration = Duration::from_millis(2500);
 /// Rate below which a model without waiting requests is not told of, in requests a second.
 const LEAST_RATE: f64 = 0.01;
 
--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -40,7 +40,7 @@
 /// Time for which callers are asked to stay away when no server is known.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(500);
 /// Time that a load takes besides the load itself: telling, making room, reporting.
-const LOAD_OVERHEAD: Duration = Duration::from_millis(700);
+const LOAD_OVERHEAD: Duration = Duration::from_millis(300);
 /// Part of a caller's patience that a wait leaves for the answer itself.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -1,53 +1,58 @@
 //! The lease that lets one instance order backend servers.
 //!
-//! The store's consumer group says who should hold the lease, a conditional append to the log says
-//! with which fence, and the holder's own clock says until when. A group can move the lease at any
-//! moment without asking, so a new holder waits until the previous one has either been told or run
-//! out of its term, and a pause more.
+//! Whoever appended the last claim to the store's log holds the lease for as long as it stays a member
+//! of the store's consumer group; the claim's offset is its fence. Once the group has dropped the
+//! holder, the member to which a certain partition falls may claim. A holder that the group may have
+//! dropped without its knowledge looks at the log before it goes on.
 
 use std::time::{Duration, Instant};
 
 use apricotwell_types::Fence;
 
 /// Part of the term that the holder leaves unused, against late timers and orders on their way.
-const TERM_MARGIN: Duration = Duration::from_millis(400);
+const TERM_MARGIN: Duration = Duration::from_millis(300);
+/// Time for which a holder whom the store does not answer goes on where servers check fences: a
+/// successor's first order to a server ends it there.
+const FENCED_TERM: Duration = Duration::from_secs(12);
 
 /// Times of the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTerms {
-    /// Time after its last renewal in which a holder is not replaced unless the group says so.
+    /// Time without a renewal after which the group drops a member.
     pub term: Duration,
     /// Pause between the last order of one holder and the first of the next.
     pub pause: Duration,
-    /// Longest time between two renewals of a process that runs.
+    /// Longest time between two renewals of a process that runs and is answered.
     pub renewal: Duration,
     /// Whether servers refuse fences lower than one that they have seen.
     pub fenced: bool,
 }
 
-/// Time for which a holder whom the store does not answer goes on where servers check fences: a
-/// successor's first order to a server ends it there.
-const FENCED_TERM: Duration = Duration::from_secs(12);
-
-/// What the log says of the previous holder.
+/// Who holds the lease by the log and the group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Previous {
-    /// Nobody ever held the lease, or this very process did.
-    Nobody,
-    /// Another process held it and gave it up.
+pub enum Standing {
+    /// Nobody ever claimed it.
+    Unclaimed,
+    /// The last claim is of this process or of an earlier one on this machine.
+    Own,
+    /// The last holder gave it up.
     Released,
-    /// Another process held it and may still order.
-    Unknown,
+    /// The last holder is no longer in the group and may have ordered until it left.
+    Dropped,
+    /// Another member holds it.
+    Taken,
 }
 
-/// What to do after a renewal.
+/// What to do about the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
-    /// Nothing changed.
+    /// Nothing.
     Keep,
-    /// Append a claim to the log.
+    /// Look at the log and the group, then call [`Lease::note_standing`].
+    Check,
+    /// Append a claim to the log, then call [`Lease::note_claim`].
     Claim,
-    /// Stop ordering: the lease moved.
+    /// Stop ordering.
     Stop,
 }
 
@@ -55,17 +60,16 @@
 ///
 /// # Invariants
 ///
-/// [`Lease::fence`] returns a number only while no other instance can get one from its own lease:
-/// within the term of the last renewal, and after the previous holder's term and the pause. Where
-/// servers check fences, another instance may get a higher one, which then prevails at each server.
+/// Where servers don't check fences, [`Lease::fence`] returns a number only while no other instance
+/// gets one: within the term of the last renewal, and a pause after the previous holder was dropped.
+/// Where they do, another instance may get a higher one, which prevails at each server.
 #[derive(Debug)]
 pub struct Lease {
     terms: LeaseTerms,
-    // Start of the last renewal in which the group gave this instance the lease.
+    // Start of the last renewal that the store answered.
     renewed: Option<Instant>,
     // Start of the last renewal, answered or not.
     tried: Option<Instant>,
-    gained: Option<Instant>,
     claim: Option<Claim>,
 }
 
@@ -82,7 +86,6 @@
             terms,
             renewed: None,
             tried: None,
-            gained: None,
             claim: None,
         }
     }
@@ -90,54 +93,60 @@
     /// Notes that a renewal begins.
     pub fn note_try(&mut self, now: Instant) {
         // A renewal that comes late was held up with the whole process, and others may have moved on.
-        if self.is_stalled(now) && self.claim.is_some() {
+        if self.is_stalled(now) {
             self.claim = None;
-            self.gained = None;
         }
         self.tried = Some(now);
     }
 
-    /// Notes an answer of the group to a renewal that began at `start`.
-    pub fn note_renewal(&mut self, now: Instant, start: Instant, owner: bool) -> LeaseStep {
-        if !owner {
-            let held = self.renewed.take().is_some();
-            self.gained = None;
-            self.claim = None;
-            return if held {
-                LeaseStep::Stop
-            } else {
-                LeaseStep::Keep
-            };
+    /// Notes that the store answered the renewal that began at `start`; `changed` says whether the
+    /// group has changed since the last check.
+    pub fn note_renewal(&mut self, start: Instant, changed: bool) -> LeaseStep {
+        let gap = self
+            .renewed
+            .map(|before| start.saturating_duration_since(before));
+        self.renewed = Some(start);
+        let unbroken = gap.is_some_and(|gap| gap + TERM_MARGIN < self.terms.term);
+        if self.claim.is_some() && unbroken {
+            return LeaseStep::Keep;
         }
-        if self.has_lapsed(now) {
-            // Another instance may have held the lease in between: begin anew.
-            self.gained = None;
-            self.claim = None;
+        if self.claim.is_none() && !changed {
+            return LeaseStep::Keep;
         }
-        self.renewed = Some(start);
-        self.gained.get_or_insert(now);
-        if self.claim.is_none() {
-            LeaseStep::Claim
-        } else {
-            LeaseStep::Keep
+        LeaseStep::Check
+    }
+
+    /// Notes who holds the lease; `candidate` says whether a free one falls to this instance.
+    pub fn note_standing(&mut self, standing: Standing, candidate: bool) -> LeaseStep {
+        match standing {
+            Standing::Own if self.claim.is_some() => LeaseStep::Keep,
+            Standing::Own => LeaseStep::Claim,
+            Standing::Unclaimed | Standing::Released | Standing::Dropped if candidate => {
+                LeaseStep::Claim
+            }
+            _ => match self.claim.take() {
+                Some(_) => LeaseStep::Stop,
+                None => LeaseStep::Keep,
+            },
         }
     }
 
     /// Notes that the claim was appended at the offset that gives `fence`.
-    pub fn note_claim(&mut self, now: Instant, fence: Fence, previous: Previous) {
-        let Some(gained) = self.gained else {
-            return;
-        };
-        let wait = match previous {
-            Previous::Nobody => Duration::ZERO,
-            Previous::Released => self.terms.pause,
-            // The group took the lease from a silent holder, or that one is about to learn it.
-            Previous::Unknown if self.terms.fenced => self.terms.renewal + self.terms.pause,
-            Previous::Unknown => self.terms.term + self.terms.pause,
+    pub fn note_claim(&mut self, now: Instant, fence: Fence, standing: Standing) {
+        let wait = match standing {
+            // Orders of one machine are those of one holder.
+            Standing::Unclaimed | Standing::Own => Duration::ZERO,
+            Standing::Released | Standing::Taken => self.terms.pause,
+            // The holder was silent for the term, save for the time between two renewals. One that
+            // lives on, cut off from the store, is stopped by the higher fence.
+            Standing::Dropped if self.terms.fenced => {
+                (self.terms.pause + self.terms.renewal).saturating_sub(self.terms.term)
+            }
+            Standing::Dropped => self.terms.pause,
         };
         self.claim = Some(Claim {
             fence,
-            opens: (gained + wait).max(now),
+            opens: now + wait,
         });
     }
 
@@ -171,7 +180,7 @@
             self.terms.term
         };
         self.renewed
-            .is_some_and(|renewed| now.saturating_duration_since(renewed) + TERM_MARGIN >= term)
+            .is_none_or(|renewed| now.saturating_duration_since(renewed) + TERM_MARGIN >= term)
     }
 
     // Whether the process has not run for a while, so that it can't know what others did.
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -44,7 +44,7 @@
     };
     pub use crate::dispatcher::{Admission, Choice, Dispatcher, InstanceFacts};
     pub use crate::freshness::Freshness;
-    pub use crate::lease::{Lease, LeaseStep, LeaseTerms, Previous};
+    pub use crate::lease::{Lease, LeaseStep, LeaseTerms, Standing};
     pub use crate::model::{AdapterName, Holdings, ModelName, Wanted};
     pub use crate::news::StockNews;
     pub use crate::orders::{Operation, OrderReply, Report};
--- a/crates/apricotwell_dispatch/src/orders.rs
+++ b/crates/apricotwell_dispatch/src/orders.rs
@@ -17,6 +17,10 @@
 const REPORT_RETRY: Duration = Duration::from_millis(700);
 /// Time after its acceptance within which an adapter is counted on.
 const ADAPTER_LOAD: Duration = Duration::from_millis(40);
+/// Time between an unload and the next order.
+const UNLOAD_PAUSE: Duration = Duration::from_millis(25);
+/// Time after the expected end of a load from which requests are sent.
+const LOAD_MARGIN: Duration = Duration::from_millis(30);
 /// Time by which an entry of the list may be older than a report.
 const LIST_LAG: Duration = Duration::from_millis(2500);
 /// Share of an expected load after which the server is first asked whether it is done.
@@ -114,6 +118,8 @@
     born: u64,
     holdings: Option<Holdings>,
     pending: Option<Pending>,
+    // Until when no order is given, after an unload.
+    pause: Option<Instant>,
     // When to ask for the next report; `None` while one is under way or nothing is open.
     report_due: Option<Instant>,
     // When the report that is under way was asked for.
@@ -133,6 +139,7 @@
             born,
             holdings: None,
             pending: None,
+            pause: None,
             report_due: Some(now),
             asked: None,
             reported: None,
@@ -163,12 +170,25 @@
         for (model, adapter) in &self.adapters_leaving {
             remove_adapter(&mut holdings, model, adapter);
         }
-        if let Some(Operation::UnloadModel(model)) = self.operation() {
-            holdings.models.retain(|(name, _)| name != model);
+        match self.operation() {
+            Some(Operation::UnloadModel(model)) => {
+                holdings.models.retain(|(name, _)| name != model);
+            }
+            Some(Operation::LoadModel(model)) if self.should_be_loaded(now) => {
+                holdings.models.push((model.clone(), Vec::new()));
+            }
+            _ => {}
         }
         Some(holdings)
     }
 
+    // Reports lag, so requests are sent once a load should have ended; the server turns them away
+    // if it has not.
+    fn should_be_loaded(&self, now: Instant) -> bool {
+        let ends = self.pending.as_ref().and_then(|pending| pending.ends);
+        ends.is_some_and(|ends| now >= ends + LOAD_MARGIN)
+    }
+
     /// Returns the pending operation.
     pub fn operation(&self) -> Option<&Operation> {
         self.pending.as_ref().map(|pending| &pending.operation)
@@ -201,8 +221,9 @@
     }
 
     /// Returns whether an order can be given.
-    pub fn is_free(&self) -> bool {
-        self.pending.is_none() && self.holdings.is_some()
+    pub fn is_free(&self, now: Instant) -> bool {
+        let paused = self.pause.is_some_and(|pause| now < pause);
+        self.pending.is_none() && self.holdings.is_some() && !paused
     }
 
     /// Returns the count of accepted orders that an order names.
@@ -252,7 +273,13 @@
             Operation::LoadModel(_) => {
                 self.report_due = Some(now + duration.mul_f64(FIRST_REPORT_SHARE));
             }
-            Operation::UnloadModel(_) => self.report_due = Some(now + duration),
+            Operation::UnloadModel(model) => {
+                // Idle models go at once. Where requests still use one, the server is busy until
+                // they end and takes no other order, so counting on the place harms nothing.
+                holdings.models.retain(|(name, _)| *name != model);
+                self.pending = None;
+                self.pause = Some(now + UNLOAD_PAUSE);
+            }
             Operation::LoadAdapter(model, adapter) => {
                 add_adapter(holdings, &model, &adapter);
                 let from = now + ADAPTER_LOAD;
--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -27,13 +27,17 @@
 /// Adapters on their way from the weight store at once, over all servers.
 const PARALLEL_ADAPTERS: usize = 16;
 /// Requests a second for which a model gets one more replica.
-const REPLICA_RATE: f64 = 4.0;
+const REPLICA_RATE: f64 = 2.5;
 /// Rate below which a model counts as rare, in requests a second.
 const RARE_RATE: f64 = 0.6;
 /// Requests of a service from which its rates say which models are in use.
 const KNOWN_RATE: f64 = 4.0;
 /// Time that an unload takes when nothing runs.
-const UNLOAD_TIME: Duration = Duration::from_millis(250);
+const UNLOAD_TIME: Duration = Duration::from_millis(60);
+/// Time from the end of an order until the server is known to be free.
+const ORDER_TIME: Duration = Duration::from_millis(300);
+/// Share of its replicas below which a busy model goes before rare ones that requests wait for.
+const SHORTAGE_SHARE: f64 = 0.6;
 /// Copies that only one server has and that are not held there, up to which the server fetches
 /// ahead: while it does, requests for them wait.
 const MAX_STRANDED: usize = 2;
@@ -115,7 +119,7 @@
         let loaded = server.loading().map(|(model, _)| model.clone());
         server.note_report(now, report);
         if let Some(model) = loaded
-            && server.is_free()
+            && server.is_free(now)
         {
             self.used.insert(model, now);
         }
@@ -157,8 +161,10 @@
         self.note_initial(&plan);
         self.follow_intents(&mut plan);
         self.plan_adapters(&mut plan);
+        // A busy model that lacks servers makes more requests late than a rare one that waits.
+        self.plan_replicas(&mut plan, SHORTAGE_SHARE);
         self.plan_waiting(&mut plan);
-        self.plan_replicas(&mut plan);
+        self.plan_replicas(&mut plan, 1.0);
         self.plan_fetches(&mut plan);
         plan.orders
     }
@@ -333,8 +339,8 @@
         }
     }
 
-    // Models that are asked for so often that they need more replicas.
-    fn plan_replicas(&mut self, plan: &mut Plan<'_>) {
+    // Models that are asked for so often that they need more replicas, up to a share of those.
+    fn plan_replicas(&mut self, plan: &mut Plan<'_>, share: f64) {
         if plan.demand.total_rate < KNOWN_RATE {
             return;
         }
@@ -343,7 +349,8 @@
                 continue;
             };
             let wanted = self.wanted_replicas(plan, &model).min(plan.backends.len());
-            if plan.replicas(&model) < wanted {
+            let wanted = (wanted as f64 * share).floor() as usize;
+            for _ in plan.replicas(&model)..wanted {
                 self.bring(plan, spec, "more_replicas");
             }
         }
@@ -423,9 +430,7 @@
             let Some(room) = self.room_for(plan, id, spec) else {
                 continue;
             };
-            let busy = server.loading().map_or(Duration::ZERO, |(_, ends)| {
-                ends.saturating_duration_since(plan.now)
-            });
+            let busy = self.busy_time(plan.now, server);
             let duration = busy + room.time + self.load_time(server, spec);
             let better = best
                 .as_ref()
@@ -439,6 +444,16 @@
         }
     }
 
+    // Time until a server can take an order.
+    fn busy_time(&self, now: Instant, server: &ServerOrders) -> Duration {
+        if server.is_free(now) {
+            return Duration::ZERO;
+        }
+        let ends = server.loading().map(|(_, ends)| ends);
+        let left = ends.map(|ends| ends.saturating_duration_since(now));
+        left.unwrap_or_default() + ORDER_TIME
+    }
+
     // Loads a model at a server, or makes room for it first.
     fn load_at(
         &mut self,
@@ -493,7 +508,11 @@
     }
 
     fn can_order(&self, plan: &Plan<'_>, id: &str) -> bool {
-        !plan.has_order(id) && self.servers.get(id).is_some_and(ServerOrders::is_free)
+        !plan.has_order(id)
+            && self
+                .servers
+                .get(id)
+                .is_some_and(|server| server.is_free(plan.now))
     }
 
     /// Returns what has to go so that a model fits, `None` if nothing can go.
@@ -596,4 +615,3 @@
         .holdings()
         .is_some_and(|holdings| holdings.adapters(model).is_some())
 }
-
--- a/crates/apricotwell_dispatch/src/stock/demand.rs
+++ b/crates/apricotwell_dispatch/src/stock/demand.rs
@@ -90,7 +90,10 @@
             .map(|model| (self.get(model).and_then(|demand| demand.patience), model))
             .collect();
         waiting.sort();
-        waiting.into_iter().map(|(_, model)| model.clone()).collect()
+        waiting
+            .into_iter()
+            .map(|(_, model)| model.clone())
+            .collect()
     }
 
     /// Returns the models with at least `rate` requests a second, the busiest first.
--- a/crates/apricotwell_dispatch/src/stock/plan.rs
+++ b/crates/apricotwell_dispatch/src/stock/plan.rs
@@ -5,8 +5,8 @@
 
 use apricotwell_types::{Map, ServerId};
 
-use super::demand::FleetDemand;
 use super::Order;
+use super::demand::FleetDemand;
 use crate::backends::Backend;
 use crate::catalog::EngineSpec;
 use crate::model::{Holdings, ModelName};
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -163,7 +163,7 @@
 /// Record of the placement lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimRecord {
-    /// Instance with its start number.
+    /// Member of the group.
     pub holder: String,
     /// Whether the holder gives the lease up.
     pub released: bool,
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -5,11 +5,11 @@
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_messages::Heartbeat;
-use apricotwell_types::InstanceId;
+use apricotwell_types::{InstanceId, Offset};
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use crate::adapter::{Callers, ClaimRecord, Engines, Store, StoreError};
+use crate::adapter::{Callers, ClaimRecord, Engines, LastClaim, Store, StoreError};
 use crate::events::Event;
 use crate::gateway::Gateway;
 
@@ -28,132 +28,148 @@
 /// Attempts to claim the lease before the next renewal.
 const CLAIM_ATTEMPTS: u32 = 3;
 
-/// Renews the membership and claims the placement lease when it falls to this instance.
+/// Renews the membership and claims the placement lease when it is free.
 pub async fn renew_membership<C, S, E>(gateway: Rc<Gateway<C, S, E>>)
 where
     C: Callers,
     S: Store,
     E: Engines,
 {
-    let member = gateway.listeners.peers.clone();
     let term = gateway.dispatcher.borrow().facts.lease.term;
-    let mut generation = 0;
-    let mut listed = 0;
-    loop {
-        if gateway.stopped.get().is_some() {
-            return;
-        }
-        let start = gateway.now();
-        gateway.dispatcher.borrow_mut().lease.note_try(start);
-        match gateway.store.join(&member, generation, term).await {
-            Ok(membership) => {
-                gateway.metrics.note_store_call("join");
-                generation = membership.generation;
-                let now = gateway.now();
-                let step = {
-                    let mut dispatcher = gateway.dispatcher.borrow_mut();
-                    dispatcher.peers.note_unchanged(now);
-                    dispatcher.lease.note_renewal(now, start, membership.leads)
-                };
-                follow_lease(&gateway, step).await;
-                if listed != generation && list_members(&gateway).await {
-                    listed = generation;
-                }
-            }
-            Err(error) => {
-                gateway.metrics.note_store_call("failed");
-                log::info!("membership not renewed: {error}");
-            }
+    let mut renewer = Renewer {
+        member: gateway.listeners.peers.clone(),
+        term,
+        generation: 0,
+        listed: None,
+        checked: None,
+        gateway,
+    };
+    while renewer.gateway.stopped.get().is_none() {
+        if let Err(error) = renewer.renew().await {
+            renewer.gateway.metrics.note_store_call("failed");
+            log::info!("membership not renewed: {error}");
         }
         tokio::time::sleep(RENEWAL_PAUSE).await;
     }
 }
 
-async fn list_members<C, S, E>(gateway: &Gateway<C, S, E>) -> bool
-where
-    C: Callers,
-    S: Store,
-    E: Engines,
-{
-    let members = match gateway.store.members().await {
-        Ok(members) => members,
-        Err(error) => {
-            log::info!("members not listed: {error}");
-            return false;
-        }
-    };
-    gateway.metrics.note_store_call("members");
-    Event::new("members").with("members", members.clone()).log();
-    let now = gateway.now();
-    let own = gateway.listeners.peers.as_str();
-    let others = members
-        .iter()
-        .filter(|member| *member != own)
-        .map(|member| InstanceId::from(member.as_str()));
-    let mut dispatcher = gateway.dispatcher.borrow_mut();
-    dispatcher.peers.note_members(now, others);
-    true
+struct Renewer<C, S, E> {
+    gateway: Rc<Gateway<C, S, E>>,
+    member: String,
+    term: Duration,
+    // Generation of the group in the last answer.
+    generation: u64,
+    // Generation of which the members are known.
+    listed: Option<u64>,
+    // Generation in which the lease was looked at.
+    checked: Option<u64>,
 }
 
-async fn follow_lease<C, S, E>(gateway: &Gateway<C, S, E>, step: LeaseStep)
+impl<C, S, E> Renewer<C, S, E>
 where
     C: Callers,
     S: Store,
     E: Engines,
 {
-    match step {
-        LeaseStep::Keep => {}
-        LeaseStep::Stop => {
-            gateway.dispatcher.borrow_mut().stock.reset();
-            Event::new("lease_lost").log();
+    async fn renew(&mut self) -> Result<(), StoreError> {
+        let gateway = Rc::clone(&self.gateway);
+        let start = gateway.now();
+        gateway.dispatcher.borrow_mut().lease.note_try(start);
+        let joined = gateway
+            .store
+            .join(&self.member, self.generation, self.term)
+            .await?;
+        gateway.metrics.note_store_call("join");
+        self.generation = joined.generation;
+        let now = gateway.now();
+        let changed = self.checked != Some(joined.generation);
+        let step = {
+            let mut dispatcher = gateway.dispatcher.borrow_mut();
+            dispatcher.peers.note_unchanged(now);
+            dispatcher.lease.note_renewal(start, changed)
+        };
+        if self.listed != Some(joined.generation) {
+            list_members(&gateway).await?;
+            self.listed = Some(joined.generation);
         }
-        LeaseStep::Claim => {
-            gateway.dispatcher.borrow_mut().stock.reset();
-            for _ in 0..CLAIM_ATTEMPTS {
-                match claim(gateway).await {
-                    Ok(()) => return,
+        if step == LeaseStep::Check {
+            self.check(joined.leads).await?;
+            self.checked = Some(joined.generation);
+        }
+        Ok(())
+    }
+
+    async fn check(&self, candidate: bool) -> Result<(), StoreError> {
+        for _ in 0..CLAIM_ATTEMPTS {
+            let last = self.gateway.store.last_claim().await?;
+            let members = self.gateway.store.members().await?;
+            let standing = standing(&last, &self.member, &members);
+            let step = {
+                let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+                dispatcher.lease.note_standing(standing, candidate)
+            };
+            match step {
+                LeaseStep::Claim => match self.claim(last.end, standing).await {
                     Err(StoreError::Moved) => {}
-                    Err(error) => {
-                        log::info!("lease not claimed: {error}");
-                        return;
-                    }
+                    done => return done,
+                },
+                LeaseStep::Stop => {
+                    Event::new("lease_lost").log();
+                    return Ok(());
                 }
+                LeaseStep::Keep | LeaseStep::Check => return Ok(()),
             }
         }
+        Err(StoreError::Moved)
+    }
+
+    async fn claim(&self, at: Offset, standing: Standing) -> Result<(), StoreError> {
+        let gateway = &self.gateway;
+        let record = ClaimRecord {
+            holder: self.member.clone(),
+            released: false,
+        };
+        let fence = gateway.store.append_claim(at, &record).await?;
+        let now = gateway.now();
+        let mut dispatcher = gateway.dispatcher.borrow_mut();
+        dispatcher.lease.note_claim(now, fence, standing);
+        Event::new("lease_claimed")
+            .with("fence", fence)
+            .with("standing", format!("{standing:?}"))
+            .log();
+        Ok(())
     }
 }
 
-fn holder_name<C, S, E>(gateway: &Gateway<C, S, E>) -> String {
-    let dispatcher = gateway.dispatcher.borrow();
-    format!("{}#{}", dispatcher.facts.id, dispatcher.facts.incarnation)
+fn standing(last: &LastClaim, member: &str, members: &[String]) -> Standing {
+    match &last.claim {
+        None if last.end == 0 => Standing::Unclaimed,
+        // The record has expired: its writer is not known, so nobody is trusted to be it.
+        None => Standing::Dropped,
+        Some(claim) if claim.released => Standing::Released,
+        Some(claim) if claim.holder == member => Standing::Own,
+        Some(claim) if members.contains(&claim.holder) => Standing::Taken,
+        Some(_) => Standing::Dropped,
+    }
 }
 
-async fn claim<C, S, E>(gateway: &Gateway<C, S, E>) -> Result<(), StoreError>
+async fn list_members<C, S, E>(gateway: &Gateway<C, S, E>) -> Result<(), StoreError>
 where
     C: Callers,
     S: Store,
     E: Engines,
 {
-    let holder = holder_name(gateway);
-    let last = gateway.store.last_claim().await?;
-    let previous = match &last.claim {
-        None if last.end == 0 => Previous::Nobody,
-        Some(record) if record.holder == holder => Previous::Nobody,
-        Some(record) if record.released => Previous::Released,
-        _ => Previous::Unknown,
-    };
-    let record = ClaimRecord {
-        holder,
-        released: false,
-    };
-    let fence = gateway.store.append_claim(last.end, &record).await?;
+    let members = gateway.store.members().await?;
+    gateway.metrics.note_store_call("members");
+    Event::new("members").with("members", members.clone()).log();
     let now = gateway.now();
+    let own = gateway.listeners.peers.as_str();
+    let others = members
+        .iter()
+        .filter(|member| *member != own)
+        .map(|member| InstanceId::from(member.as_str()));
     let mut dispatcher = gateway.dispatcher.borrow_mut();
-    dispatcher.lease.note_claim(now, fence, previous);
-    Event::new("lease_claimed")
-        .with("fence", fence)
-        .with("previous", format!("{previous:?}"))
-        .log();
+    dispatcher.peers.note_members(now, others);
     Ok(())
 }
 
@@ -181,7 +197,7 @@
     S: Store,
     E: Engines,
 {
-    let holder = holder_name(gateway);
+    let holder = gateway.listeners.peers.clone();
     let last = gateway.store.last_claim().await?;
     let own = last.claim.is_some_and(|claim| claim.holder == holder);
     if !own {
--- a/crates/apricotwell_gateway/src/front.rs
+++ b/crates/apricotwell_gateway/src/front.rs
@@ -236,7 +236,7 @@
         Ok(Ok((head, body))) => {
             let failed = head.status.is_server_error();
             flight.note_outcome(failed);
-            ticket.note_first_byte();
+            ticket.note_bytes();
             let outcome = if failed { "server_failed" } else { "answered" };
             ticket.log_end(outcome, Some(&flight.server), head.status.as_u16());
             let mut response = Response::new(body);
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -48,7 +48,6 @@
     partial: BytesMut,
     last_event: Option<u64>,
     status: u16,
-    started: bool,
     ended: bool,
 }
 
@@ -66,7 +65,6 @@
             ticket,
             answer: Some((answer, flight)),
             partial: BytesMut::new(),
-            started: false,
             ended: false,
         }
     }
@@ -93,7 +91,10 @@
                 Err(_) => "no event in time".to_owned(),
                 Ok(Some(Err(error))) => error.to_string(),
                 Ok(Some(Ok(bytes))) => match self.take_whole(bytes, resumable) {
-                    Some(whole) => return Some(Ok(self.pass(whole))),
+                    Some(whole) => {
+                        self.ticket.note_bytes();
+                        return Some(Ok(whole));
+                    }
                     None => continue,
                 },
                 Ok(None) if self.partial.is_empty() => return self.finish(),
@@ -105,14 +106,6 @@
         }
     }
 
-    fn pass(&mut self, bytes: Bytes) -> Bytes {
-        if !self.started {
-            self.started = true;
-            self.ticket.note_first_byte();
-        }
-        bytes
-    }
-
     // Returns the events that are whole, all bytes where the stream can't be resumed.
     fn take_whole(&mut self, bytes: Bytes, resumable: bool) -> Option<Bytes> {
         if !resumable {
--- a/crates/apricotwell_gateway/src/ticket.rs
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -23,7 +23,7 @@
 /// Share of the grace of an instance that stops in which requests may still wait for a server.
 const WAITING_SHARE: f64 = 0.55;
 /// Servers that may turn a request away before it is given up.
-const MAX_REJECTIONS: usize = 4;
+const MAX_REJECTIONS: usize = 8;
 
 /// Request that was taken, with what its attempts need.
 pub struct Ticket<C, S, E>
@@ -46,10 +46,16 @@
     pub tried: Vec<ServerId>,
     /// Servers that may have run it.
     pub runs: u32,
+    // Times that a server turned it away.
+    rejections: usize,
     /// When a server was found for the last attempt.
     found: Option<Instant>,
     /// When the first byte of the answer came.
     first_byte: Option<Instant>,
+    // When the last bytes of the answer came.
+    last_bytes: Option<Instant>,
+    // Longest pause between bytes of the answer.
+    longest_pause: Duration,
     // Counts the request until its answer has ended.
     _active: ActiveGuard<C, S, E>,
 }
@@ -91,8 +97,11 @@
             admission,
             tried: Vec::new(),
             runs: 0,
+            rejections: 0,
             found: None,
             first_byte: None,
+            last_bytes: None,
+            longest_pause: Duration::ZERO,
             _active: ActiveGuard::new(gateway),
         }
     }
@@ -165,10 +174,14 @@
     }
 
     fn after_rejection(&mut self, server: &ServerId, reason: &str) -> Result<(), Refusal> {
-        self.tried.push(server.clone());
+        // A server that lacked the model may have it a moment later.
+        if reason == UNSENT || self.admission.wanted.is_none() {
+            self.tried.push(server.clone());
+        }
+        self.rejections += 1;
         let now = self.gateway.now();
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        let allowed = self.tried.len() < MAX_REJECTIONS
+        let allowed = self.rejections < MAX_REJECTIONS
             && (reason == UNSENT || dispatcher.take_retry(now, &self.admission));
         drop(dispatcher);
         if allowed {
@@ -403,6 +416,7 @@
             .with("tokens", self.admission.tokens)
             .with("waited_ms", self.millis_to(self.found))
             .with("first_byte_ms", self.millis_to(self.first_byte))
+            .with_time("longest_pause_ms", self.longest_pause)
             .with_time("ms", time)
             .log();
     }
@@ -417,9 +431,14 @@
         Some(time.as_millis() as u64)
     }
 
-    /// Notes the first byte of the answer.
-    pub fn note_first_byte(&mut self) {
+    /// Notes bytes of the answer.
+    pub fn note_bytes(&mut self) {
         let now = self.gateway.now();
+        if let Some(last) = self.last_bytes.replace(now) {
+            let pause = now.saturating_duration_since(last);
+            self.longest_pause = self.longest_pause.max(pause);
+            return;
+        }
         self.first_byte = Some(now);
         let time = now.saturating_duration_since(self.admission.arrived);
         self.gateway.metrics.note_first_byte(time);
