Wake the planner when a server wants attention, and retry an order that meets an unload

Cause: an unload of an idle model takes 50 to 100 ms, the planner looked again after 200 ms or, after a conflict, after a report. Change: orders pause 70 ms after an unload and after a conflict with it; the planner wakes at the next due time.

--- a/crates/apricotwell_dispatch/src/orders.rs
+++ b/crates/apricotwell_dispatch/src/orders.rs
@@ -17,8 +17,10 @@
 const REPORT_RETRY: Duration = Duration::from_millis(700);
 /// Time after its acceptance within which an adapter is counted on.
 const ADAPTER_LOAD: Duration = Duration::from_millis(40);
-/// Time between an unload and the next order.
-const UNLOAD_PAUSE: Duration = Duration::from_millis(25);
+/// Time between an unload and the next order, and between attempts at that order.
+const UNLOAD_PAUSE: Duration = Duration::from_millis(70);
+/// Time for which a conflict after an unload is taken to be that unload's.
+const LONGEST_UNLOAD: Duration = Duration::from_millis(500);
 /// Time after the expected end of a load from which requests are sent.
 const LOAD_MARGIN: Duration = Duration::from_millis(30);
 /// Time by which an entry of the list may be older than a report.
@@ -120,6 +122,8 @@
     pending: Option<Pending>,
     // Until when no order is given, after an unload.
     pause: Option<Instant>,
+    // When the last unload was accepted.
+    unloaded: Option<Instant>,
     // When to ask for the next report; `None` while one is under way or nothing is open.
     report_due: Option<Instant>,
     // When the report that is under way was asked for.
@@ -140,6 +144,7 @@
             holdings: None,
             pending: None,
             pause: None,
+            unloaded: None,
             report_due: Some(now),
             asked: None,
             reported: None,
@@ -256,6 +261,11 @@
                 self.note_accepted(now, operation, duration);
             }
             OrderReply::Holds => self.note_holds(now),
+            // The unload before this order has not ended.
+            OrderReply::Conflict if self.is_unloading(now) => {
+                self.pending = None;
+                self.pause = Some(now + UNLOAD_PAUSE);
+            }
             OrderReply::Conflict
             | OrderReply::Fenced
             | OrderReply::Refused
@@ -279,6 +289,7 @@
                 holdings.models.retain(|(name, _)| *name != model);
                 self.pending = None;
                 self.pause = Some(now + UNLOAD_PAUSE);
+                self.unloaded = Some(now);
             }
             Operation::LoadAdapter(model, adapter) => {
                 add_adapter(holdings, &model, &adapter);
@@ -296,6 +307,11 @@
         }
     }
 
+    fn is_unloading(&self, now: Instant) -> bool {
+        self.unloaded
+            .is_some_and(|at| now.saturating_duration_since(at) < LONGEST_UNLOAD)
+    }
+
     fn note_holds(&mut self, now: Instant) {
         let Some(pending) = self.pending.take() else {
             return;
@@ -317,6 +333,14 @@
         }
     }
 
+    /// Returns when the server next wants attention, if nothing else happens.
+    pub fn next_due(&self) -> Option<Instant> {
+        let ends = self.pending.as_ref().and_then(|pending| pending.ends);
+        let loaded = ends.map(|ends| ends + LOAD_MARGIN);
+        let pause = self.pause.filter(|_| self.pending.is_none());
+        [self.report_due, loaded, pause].into_iter().flatten().min()
+    }
+
     /// Takes the due report, if one is due.
     pub fn take_due_report(&mut self, now: Instant) -> bool {
         let due = self.asked.is_none() && self.report_due.is_some_and(|due| due <= now);
--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -102,6 +102,13 @@
         });
     }
 
+    /// Returns the time until some server next wants attention.
+    pub fn next_due(&self, now: Instant) -> Option<Duration> {
+        let due = self.servers.values().filter_map(ServerOrders::next_due);
+        let next = due.filter(|due| *due > now).min()?;
+        Some(next.saturating_duration_since(now))
+    }
+
     /// Takes the servers that are to be asked for a report now.
     pub fn take_due_reports(&mut self, now: Instant) -> Vec<ServerId> {
         let due = self
--- a/crates/apricotwell_gateway/src/placing.rs
+++ b/crates/apricotwell_gateway/src/placing.rs
@@ -28,8 +28,12 @@
             step(&gateway);
         }
         tokio::time::sleep(LEAST_PAUSE).await;
+        let due = gateway.dispatcher.borrow().stock.next_due(gateway.now());
+        let pause = due.map_or(PLAN_PAUSE, |due| due.min(PLAN_PAUSE));
         // Without a change the plan is looked at again after the pause.
-        let _ = tokio::time::timeout(PLAN_PAUSE, gateway.planning.notified()).await;
+        let _ = tokio::time::timeout(pause, gateway.planning.notified()).await;
+        // What becomes due may change what servers hold.
+        gateway.restocked.notify_one();
     }
 }
 
