--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -5,8 +5,19 @@
 use apricotwell_messages::{Heartbeat, ModelUse};
 use apricotwell_types::{Fence, InstanceId, Map};
 
-/// Silence after which callers are no longer sent to an instance.
-const SILENCE: Duration = Duration::from_millis(1600);
+/// Pause between heartbeats of a small fleet.
+const HEARTBEAT_PAUSE: Duration = Duration::from_millis(400);
+/// Part of the pause between heartbeats that each instance of a large fleet adds.
+const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(12);
+/// Heartbeats that may be lost before an instance counts as silent.
+const SILENCE_HEARTBEATS: u32 = 4;
+
+/// Returns the pause between heartbeats in a fleet of so many instances: the larger it is, the rarer
+/// they are, so that each instance's share of the traffic stays the same.
+pub fn heartbeat_pause(instances: u32) -> Duration {
+    HEARTBEAT_PAUSE.max(PAUSE_PER_INSTANCE * instances)
+}
+
 /// Time for which an instance that fell silent may still serve on what it knows.
 const MEMORY: Duration = Duration::from_secs(5);
 
@@ -110,7 +121,7 @@
         let holders = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.fence > 0 && is_heard(now, peer));
+            .filter(|(_, peer)| peer.fence > 0 && self.is_heard(now, peer));
         holders
             .max_by_key(|(_, peer)| peer.fence)
             .map(|(id, _)| id.clone())
@@ -120,7 +131,7 @@
     pub fn ready_addresses(&self, now: Instant) -> impl Iterator<Item = &str> {
         self.peers
             .values()
-            .filter(move |peer| peer.ready && is_heard(now, peer))
+            .filter(move |peer| peer.ready && self.is_heard(now, peer))
             .map(|peer| peer.address.as_str())
     }
 
@@ -129,7 +140,7 @@
         1 + self
             .peers
             .values()
-            .filter(|peer| is_heard(now, peer))
+            .filter(|peer| self.is_heard(now, peer))
             .count()
     }
 
@@ -142,11 +153,14 @@
     pub fn model_uses(&self, now: Instant) -> impl Iterator<Item = &ModelUse> {
         self.peers
             .values()
-            .filter(move |peer| is_heard(now, peer))
+            .filter(move |peer| self.is_heard(now, peer))
             .flat_map(|peer| &peer.models)
     }
-}
 
-fn is_heard(now: Instant, peer: &Peer) -> bool {
-    now.saturating_duration_since(peer.heard) < SILENCE
+    // Whether callers can be sent to an instance and its word counts.
+    fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
+        let instances = 1 + self.peers.len() as u32;
+        let silence = heartbeat_pause(instances) * SILENCE_HEARTBEATS;
+        now.saturating_duration_since(peer.heard) < silence
+    }
 }
--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/engines/engines.rs
@@ -0,0 +1,458 @@
+//! Model engines in virtual time: loads from store, disk and memory, one order at a time, reports
+//! that lag, lost and late orders.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use apricotwell_dispatch::backends::{BackendTable, Entry};
+use apricotwell_dispatch::catalog::{EngineSpec, ModelSpec, Service};
+use apricotwell_dispatch::model::Holdings;
+use apricotwell_dispatch::orders::{Operation, OrderReply, Report};
+use apricotwell_dispatch::stock::{Order, StockPlanner};
+use apricotwell_messages::ModelUse;
+
+const TICK: Duration = Duration::from_millis(20);
+const REPORT_LAG: Duration = Duration::from_millis(200);
+const UNLOAD: Duration = Duration::from_millis(60);
+const STORE_LOAD: Duration = Duration::from_millis(8700);
+const DISK_LOAD: Duration = Duration::from_millis(2000);
+const MEMORY_LOAD: Duration = Duration::from_millis(1150);
+const ADAPTER_LOAD: Duration = Duration::from_millis(20);
+const ADAPTER_SLOTS: usize = 8;
+const WEIGHTS: f64 = 72_000.0;
+/// Time by which a late order is carried out.
+const LATE: Duration = Duration::from_secs(4);
+/// Models whose weights fit into a server's memory besides those it runs.
+const MEMORY_COPIES: usize = 2;
+
+/// Size of a deployment.
+#[derive(Clone, Copy)]
+pub(crate) struct Setup {
+    pub(crate) servers: usize,
+    pub(crate) models: usize,
+    pub(crate) busy: usize,
+    pub(crate) places: usize,
+    pub(crate) copies: usize,
+}
+
+struct Engine {
+    born: u64,
+    orders: u64,
+    models: Vec<(String, Vec<String>)>,
+    disk: Vec<String>,
+    memory: Vec<String>,
+    under_way: Option<(Operation, Instant, bool)>,
+    late: Vec<(Instant, Order)>,
+    // What a report tells: states with the time since which they held.
+    history: Vec<(Instant, Report)>,
+}
+
+pub(crate) struct Engines {
+    now: Instant,
+    setup: Setup,
+    service: Service,
+    engines: BTreeMap<String, Engine>,
+    table: BackendTable,
+    planner: StockPlanner,
+    rates: BTreeMap<String, f64>,
+    waiting: BTreeMap<(String, String), u32>,
+    lost: f64,
+    random: u64,
+    pub(crate) orders: Vec<Operation>,
+    pub(crate) overloaded: usize,
+    pub(crate) fetches: usize,
+    pub(crate) most_fetches: usize,
+}
+
+impl Engines {
+    pub(crate) fn new(setup: Setup, seed: u64) -> Self {
+        let names: Vec<String> = (0..setup.models)
+            .map(|index| match index < setup.busy {
+                true => format!("busy-{index}"),
+                false => format!("rare-{index}"),
+            })
+            .collect();
+        let mut engines = Self {
+            now: Instant::now(),
+            setup,
+            service: service(&names, setup),
+            engines: BTreeMap::new(),
+            table: BackendTable::default(),
+            planner: StockPlanner::default(),
+            rates: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            lost: 0.0,
+            random: seed | 1,
+            orders: Vec::new(),
+            overloaded: 0,
+            fetches: 0,
+            most_fetches: 0,
+        };
+        engines.place(&names);
+        engines
+    }
+
+    // Busy models on a third of the servers, each rare one on one; copies spread at random.
+    fn place(&mut self, names: &[String]) {
+        let mut rare = names[self.setup.busy..].iter();
+        for index in 0..self.setup.servers {
+            let mut held = vec![names[index % self.setup.busy.max(1)].clone()];
+            held.extend(rare.by_ref().take(self.setup.places - 1).cloned());
+            let mut disk = held.clone();
+            while disk.len() < self.setup.copies {
+                let other = names[self.draw(names.len())].clone();
+                if !disk.contains(&other) {
+                    disk.push(other);
+                }
+            }
+            let engine = Engine {
+                born: 1,
+                orders: 0,
+                memory: held.iter().take(MEMORY_COPIES).cloned().collect(),
+                models: held.into_iter().map(|name| (name, Vec::new())).collect(),
+                disk,
+                under_way: None,
+                late: Vec::new(),
+                history: Vec::new(),
+            };
+            self.engines.insert(format!("server-{index}"), engine);
+        }
+    }
+
+    fn draw(&mut self, limit: usize) -> usize {
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.random >> 33) as usize % limit
+    }
+
+    pub(crate) fn lose_answers(&mut self, share: f64) {
+        self.lost = share;
+    }
+
+    pub(crate) fn set_rate(&mut self, model: &str, rate: f64) {
+        self.rates.insert(model.to_owned(), rate);
+    }
+
+    pub(crate) fn unheld_model(&self) -> String {
+        let names = self.service.engine.as_ref().unwrap().models.keys();
+        let mut unheld = names.filter(|name| self.holders(name) == 0);
+        unheld.next().unwrap().to_string()
+    }
+
+    pub(crate) fn holders(&self, model: &str) -> usize {
+        let holds = |engine: &&Engine| engine.models.iter().any(|(name, _)| name == model);
+        self.engines.values().filter(holds).count()
+    }
+
+    pub(crate) fn restart(&mut self, server: &str) {
+        let engine = self.engines.get_mut(server).unwrap();
+        engine.born += 1;
+        engine.orders = 0;
+        engine.models.clear();
+        engine.memory.clear();
+        engine.under_way = None;
+        engine.late.clear();
+        engine.history.clear();
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    pub(crate) fn wait_for(&mut self, model: &str) -> Duration {
+        self.wait(model, "")
+    }
+
+    pub(crate) fn wait_for_adapter(&mut self, model: &str, adapter: &str) -> Duration {
+        self.wait(model, adapter)
+    }
+
+    fn wait(&mut self, model: &str, adapter: &str) -> Duration {
+        let begun = self.now;
+        let key = (model.to_owned(), adapter.to_owned());
+        self.waiting.insert(key.clone(), 1);
+        while !self.can_send(model, adapter) && self.now < begun + Duration::from_secs(60) {
+            self.tick();
+        }
+        self.waiting.remove(&key);
+        self.now - begun
+    }
+
+    /// Plays requests for rare models, evenly drawn; returns how long each waited for its model.
+    pub(crate) fn play_rare(&mut self, time: Duration, rate: f64) -> Vec<Duration> {
+        let end = self.now + time;
+        let rare = self.setup.models - self.setup.busy;
+        let (mut open, mut waits, mut due) = (Vec::new(), Vec::new(), 0.0);
+        while self.now < end || (!open.is_empty() && self.now < end + Duration::from_secs(30)) {
+            if self.now < end {
+                due += rate * TICK.as_secs_f64();
+            }
+            while due >= 1.0 {
+                due -= 1.0;
+                let model = format!("rare-{}", self.setup.busy + self.draw(rare));
+                *self.waiting.entry((model.clone(), String::new())).or_default() += 1;
+                open.push((model, self.now));
+            }
+            self.tick();
+            let now = self.now;
+            open.retain(|(model, begun)| {
+                let served = self.can_send(model, "");
+                if served {
+                    waits.push(now - *begun);
+                    self.waiting.remove(&(model.clone(), String::new()));
+                }
+                !served
+            });
+        }
+        waits
+    }
+
+    fn can_send(&self, model: &str, adapter: &str) -> bool {
+        self.planner.servers().any(|(id, server)| {
+            let holdings = server.servable(self.now).unwrap_or_default();
+            let adapters = holdings.adapters(model);
+            let told = adapters.is_some_and(|adapters| {
+                adapter.is_empty() || adapters.iter().any(|name| **name == *adapter)
+            });
+            let held = self.engines[&**id].models.iter();
+            told && held.into_iter().any(|(name, _)| name == model)
+        })
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        let ids: Vec<String> = self.engines.keys().cloned().collect();
+        for id in &ids {
+            self.advance(id);
+            let entry = self.entry(id);
+            self.table.note_entry(self.now, entry);
+        }
+        self.planner.follow(self.now, &self.table, &self.service);
+        for id in self.planner.take_due_reports(self.now) {
+            let report = self.report(&id);
+            self.planner.note_report(self.now, &id, report);
+        }
+        let uses = self.uses();
+        let orders = self
+            .planner
+            .plan(self.now, &self.service, &self.table, &uses);
+        for order in orders {
+            self.orders.push(order.operation.clone());
+            let reply = self.give(&order);
+            self.planner.note_reply(self.now, &order.server, reply);
+        }
+        let fetching = |engine: &&Engine| matches!(engine.under_way, Some((_, _, true)));
+        let fetches = self.engines.values().filter(fetching).count();
+        self.most_fetches = self.most_fetches.max(fetches);
+    }
+
+    fn uses(&self) -> Vec<ModelUse> {
+        let usage = |model: &str, adapter: &str, waiting, rate: f64| ModelUse {
+            service: self.service.name.to_string(),
+            model: model.to_owned(),
+            adapter: adapter.to_owned(),
+            waiting,
+            rate: (rate * 1000.0) as u32,
+            patience: 10_000,
+        };
+        let waiting = self.waiting.iter();
+        let rates = self.rates.iter();
+        waiting
+            .map(|((model, adapter), count)| usage(model, adapter, *count, 0.0))
+            .chain(rates.map(|(model, rate)| usage(model, "", 0, *rate)))
+            .collect()
+    }
+
+    fn entry(&self, id: &str) -> Entry {
+        let engine = &self.engines[id];
+        Entry {
+            id: id.into(),
+            service: self.service.name.clone(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: "zone".into(),
+            slots: 64,
+            leaving: false,
+            remaining: None,
+            born: engine.born,
+            holdings: engine.holdings(0),
+        }
+    }
+
+    fn report(&mut self, id: &str) -> Option<Report> {
+        let seen = self.now - REPORT_LAG;
+        let engine = &self.engines[id];
+        let old = engine.history.iter().rev().find(|(since, _)| *since <= seen);
+        let first = engine.history.first();
+        old.or(first).map(|(_, report)| report.clone())
+    }
+
+    fn advance(&mut self, id: &str) {
+        let now = self.now;
+        let engine = self.engines.get_mut(id).unwrap();
+        if let Some((operation, ends, _)) = engine.under_way.clone()
+            && ends <= now
+        {
+            engine.under_way = None;
+            engine.finish(&operation);
+        }
+        let due: Vec<Order> = engine
+            .late
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, order)| order.clone())
+            .collect();
+        engine.late.retain(|(at, _)| *at > now);
+        for order in due {
+            self.carry_out(&order);
+        }
+        let engine = self.engines.get_mut(id).unwrap();
+        let report = Report {
+            busy: engine.under_way.is_some(),
+            holdings: engine.holdings(engine.orders),
+            incoming: 0,
+        };
+        engine.history.push((now, report));
+    }
+
+    fn give(&mut self, order: &Order) -> OrderReply {
+        let lost = self.lost > 0.0 && (self.draw(1000) as f64) < self.lost * 1000.0;
+        if !lost {
+            return self.carry_out(order);
+        }
+        let late = self.now + LATE.mul_f64(self.draw(100) as f64 / 100.0);
+        let engine = self.engines.get_mut(&*order.server).unwrap();
+        engine.late.push((late, order.clone()));
+        OrderReply::Unknown
+    }
+
+    fn carry_out(&mut self, order: &Order) -> OrderReply {
+        let now = self.now;
+        let places = self.setup.places;
+        let engine = self.engines.get_mut(&*order.server).unwrap();
+        if engine.under_way.is_some() || engine.orders != order.expected {
+            return OrderReply::Conflict;
+        }
+        engine.orders += 1;
+        let (duration, fetches) = engine.duration(&order.operation);
+        match &order.operation {
+            Operation::LoadModel(_) if engine.models.len() >= places => self.overloaded += 1,
+            Operation::LoadAdapter(..) if engine.adapters() >= ADAPTER_SLOTS => {
+                self.overloaded += 1;
+            }
+            _ => {}
+        }
+        if fetches {
+            self.fetches += 1;
+        }
+        match &order.operation {
+            Operation::UnloadAdapter(..) => {
+                engine.finish(&order.operation);
+                OrderReply::Holds
+            }
+            Operation::LoadAdapter(..) => {
+                engine.finish(&order.operation);
+                OrderReply::Accepted
+            }
+            _ => {
+                engine.under_way = Some((order.operation.clone(), now + duration, fetches));
+                OrderReply::Accepted
+            }
+        }
+    }
+}
+
+impl Engine {
+    fn adapters(&self) -> usize {
+        self.models.iter().map(|(_, adapters)| adapters.len()).sum()
+    }
+
+    fn duration(&self, operation: &Operation) -> (Duration, bool) {
+        let model = operation.model().to_string();
+        match operation {
+            Operation::LoadModel(_) if self.memory.contains(&model) => (MEMORY_LOAD, false),
+            Operation::LoadModel(_) if self.disk.contains(&model) => (DISK_LOAD, false),
+            Operation::LoadModel(_) => (STORE_LOAD, true),
+            Operation::UnloadModel(_) => (UNLOAD, false),
+            _ => (ADAPTER_LOAD, false),
+        }
+    }
+
+    fn finish(&mut self, operation: &Operation) {
+        let model = operation.model().to_string();
+        match operation {
+            Operation::LoadModel(_) => {
+                self.memory.retain(|name| *name != model);
+                self.memory.push(model.clone());
+                if self.memory.len() > MEMORY_COPIES {
+                    self.memory.remove(0);
+                }
+                if !self.disk.contains(&model) {
+                    self.disk.push(model.clone());
+                }
+                self.models.push((model, Vec::new()));
+            }
+            Operation::UnloadModel(_) => self.models.retain(|(name, _)| *name != model),
+            Operation::LoadAdapter(_, adapter) => {
+                for (name, adapters) in &mut self.models {
+                    if *name == model {
+                        adapters.push(adapter.to_string());
+                    }
+                }
+            }
+            Operation::UnloadAdapter(_, adapter) => {
+                for (_, adapters) in &mut self.models {
+                    adapters.retain(|name| **name != **adapter);
+                }
+            }
+        }
+    }
+
+    fn holdings(&self, orders: u64) -> Holdings {
+        let names = |names: &[String]| names.iter().map(|name| name.as_str().into()).collect();
+        Holdings {
+            orders,
+            models: self
+                .models
+                .iter()
+                .map(|(name, adapters)| {
+                    let adapters = adapters.iter().map(|name| name.as_str().into());
+                    (name.as_str().into(), adapters.collect())
+                })
+                .collect(),
+            in_memory: names(&self.memory),
+            on_disk: names(&self.disk),
+        }
+    }
+}
+
+fn service(names: &[String], setup: Setup) -> Service {
+    let spec = |name: &String| ModelSpec {
+        name: name.as_str().into(),
+        weights: WEIGHTS,
+        store_load: STORE_LOAD,
+        disk_load: DISK_LOAD,
+        memory_load: MEMORY_LOAD,
+        adapter_weights: 66.0,
+        adapters: 60,
+    };
+    Service {
+        name: "engines".into(),
+        max_connections: 370,
+        engine: Some(EngineSpec {
+            slots: 64,
+            weights: WEIGHTS * setup.places as f64 + 2_000.0,
+            adapter_slots: ADAPTER_SLOTS,
+            loads_per_second: 2.1,
+            kv_tokens: 130_000,
+            models: names
+                .iter()
+                .map(|name| (name.as_str().into(), spec(name)))
+                .collect(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/lease.rs
@@ -0,0 +1,147 @@
+//! The placement lease: who may order, and from when.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_dispatch::lease::{Lease, LeaseStep, LeaseTerms, Standing};
+
+const TERMS: LeaseTerms = LeaseTerms {
+    term: Duration::from_millis(1800),
+    pause: Duration::from_millis(3000),
+    renewal: Duration::from_millis(700),
+    fenced: true,
+};
+const UNFENCED: LeaseTerms = LeaseTerms {
+    fenced: false,
+    ..TERMS
+};
+const RENEWAL: Duration = Duration::from_millis(500);
+
+fn renew(lease: &mut Lease, now: Instant, changed: bool) -> LeaseStep {
+    lease.note_try(now);
+    lease.note_renewal(now, changed)
+}
+
+fn holder(terms: LeaseTerms, now: Instant) -> Lease {
+    let mut lease = Lease::new(terms);
+    assert_eq!(renew(&mut lease, now, true), LeaseStep::Check);
+    assert_eq!(
+        lease.note_standing(Standing::Unclaimed, true),
+        LeaseStep::Claim
+    );
+    lease.note_claim(now, 1, Standing::Unclaimed);
+    assert_eq!(lease.fence(now), Some(1));
+    lease
+}
+
+#[test]
+fn only_the_candidate_claims_a_free_lease() {
+    for standing in [Standing::Unclaimed, Standing::Released, Standing::Dropped] {
+        let mut lease = Lease::new(TERMS);
+        assert_eq!(lease.note_standing(standing, false), LeaseStep::Keep);
+        assert_eq!(lease.note_standing(standing, true), LeaseStep::Claim);
+    }
+    let mut lease = Lease::new(TERMS);
+    assert_eq!(lease.note_standing(Standing::Taken, true), LeaseStep::Keep);
+}
+
+#[test]
+fn a_restarted_holder_takes_its_lease_back_at_once() {
+    let now = Instant::now();
+    let mut lease = Lease::new(TERMS);
+    assert_eq!(lease.note_standing(Standing::Own, false), LeaseStep::Claim);
+    lease.note_renewal(now, true);
+    lease.note_claim(now, 5, Standing::Own);
+    assert_eq!(lease.fence(now), Some(5));
+}
+
+#[test]
+fn a_successor_waits_for_the_pause_between_two_holders() {
+    let now = Instant::now();
+    for (terms, standing, least) in [
+        (TERMS, Standing::Released, TERMS.pause),
+        (UNFENCED, Standing::Released, TERMS.pause),
+        (UNFENCED, Standing::Dropped, TERMS.pause),
+        // The group drops a member after the term; its last order came at most one renewal later.
+        (TERMS, Standing::Dropped, TERMS.pause + TERMS.renewal - TERMS.term),
+    ] {
+        let mut lease = Lease::new(terms);
+        lease.note_renewal(now, true);
+        lease.note_claim(now, 2, standing);
+        let early = now + least - Duration::from_millis(1);
+        keep_alive(&mut lease, now, early);
+        assert_eq!(lease.fence(early), None, "{standing:?}");
+        keep_alive(&mut lease, early, now + least);
+        assert_eq!(lease.fence(now + least), Some(2), "{standing:?}");
+    }
+}
+
+fn keep_alive(lease: &mut Lease, from: Instant, until: Instant) {
+    let mut now = from;
+    while now <= until {
+        assert_eq!(renew(lease, now, false), LeaseStep::Keep);
+        now += RENEWAL;
+    }
+}
+
+#[test]
+fn an_unfenced_holder_stops_within_its_term() {
+    let now = Instant::now();
+    let lease = holder(UNFENCED, now);
+    assert_eq!(lease.fence(now + Duration::from_millis(1400)), Some(1));
+    assert_eq!(lease.fence(now + UNFENCED.term), None);
+}
+
+#[test]
+fn a_fenced_holder_goes_on_while_the_store_is_silent() {
+    let now = Instant::now();
+    let mut lease = holder(TERMS, now);
+    let mut tried = now;
+    while tried < now + Duration::from_secs(9) {
+        tried += RENEWAL;
+        lease.note_try(tried);
+    }
+    assert_eq!(lease.fence(tried), Some(1));
+    assert_eq!(lease.fence(now + Duration::from_secs(13)), None);
+    lease.note_other(2);
+    assert_eq!(lease.fence(tried), None, "a successor orders");
+}
+
+#[test]
+fn a_paused_holder_does_not_order_when_it_wakes() {
+    let now = Instant::now();
+    let mut lease = holder(TERMS, now);
+    let awake = now + Duration::from_secs(4);
+    assert_eq!(lease.fence(awake), None, "before it has tried to renew");
+    lease.note_try(awake);
+    assert_eq!(lease.fence(awake), None, "before the store has answered");
+    assert_eq!(lease.note_renewal(awake, true), LeaseStep::Check);
+    assert_eq!(lease.note_standing(Standing::Taken, true), LeaseStep::Keep);
+    assert_eq!(lease.fence(awake), None);
+}
+
+#[test]
+fn a_holder_looks_at_the_log_after_a_gap_in_its_renewals() {
+    let now = Instant::now();
+    let mut lease = holder(TERMS, now);
+    let mut tried = now;
+    for _ in 0..5 {
+        tried += RENEWAL;
+        lease.note_try(tried);
+    }
+    assert_eq!(lease.note_renewal(tried, false), LeaseStep::Check);
+    let mut replaced = lease;
+    assert_eq!(
+        replaced.note_standing(Standing::Taken, true),
+        LeaseStep::Stop
+    );
+    assert_eq!(replaced.fence(tried), None);
+}
+
+#[test]
+fn a_refused_fence_ends_the_claim() {
+    let now = Instant::now();
+    let mut lease = holder(TERMS, now);
+    lease.note_fenced();
+    assert_eq!(lease.fence(now), None);
+    assert!(!lease.is_held(now));
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/placing.rs
@@ -0,0 +1,101 @@
+//! Plays loads against the placement planner, with servers that load as the users' engines do, and
+//! checks what callers get.
+
+#[path = "engines/engines.rs"]
+mod engines;
+
+use std::time::Duration;
+
+use apricotwell_dispatch::orders::Operation;
+use engines::{Engines, Setup};
+
+/// Aim of requests for rare models: from arrival until the model can be sent to.
+const RARE_AIM: Duration = Duration::from_millis(3800);
+
+fn small() -> Setup {
+    Setup {
+        servers: 9,
+        models: 50,
+        busy: 2,
+        places: 3,
+        copies: 19,
+    }
+}
+
+#[test]
+fn a_rare_model_comes_from_a_disk_within_its_aim() {
+    let mut engines = Engines::new(small(), 3);
+    engines.run(Duration::from_secs(3));
+    let model = engines.unheld_model();
+    let waited = engines.wait_for(&model);
+    assert!(waited < Duration::from_millis(2500), "{waited:?}");
+}
+
+#[test]
+fn rare_requests_at_the_usual_rate_are_mostly_on_time() {
+    for seed in 1..=10 {
+        let mut engines = Engines::new(small(), seed);
+        engines.run(Duration::from_secs(3));
+        // As many a second as the users' summaries, for any of the rare models.
+        let waits = engines.play_rare(Duration::from_secs(40), 1.1);
+        let late = waits.iter().filter(|wait| **wait > RARE_AIM).count();
+        assert!(late * 10 <= waits.len(), "{late} of {} late", waits.len());
+        assert_eq!(engines.overloaded, 0, "more ordered than fits");
+    }
+}
+
+#[test]
+fn a_busy_model_gets_replicas_though_rare_requests_wait() {
+    let mut engines = Engines::new(small(), 5);
+    engines.run(Duration::from_secs(3));
+    let busy = engines.unheld_model();
+    engines.set_rate(&busy, 12.0);
+    engines.play_rare(Duration::from_secs(12), 1.5);
+    let replicas = engines.holders(&busy);
+    assert!(replicas >= 3, "{replicas} replicas at 12 requests a second");
+}
+
+#[test]
+fn a_model_without_any_copy_is_fetched_ahead() {
+    let setup = Setup {
+        copies: 3,
+        ..small()
+    };
+    let mut engines = Engines::new(setup, 2);
+    engines.run(Duration::from_secs(30));
+    let fetches = engines.fetches;
+    assert!(fetches >= 4, "{fetches} fetches ahead");
+    assert!(engines.most_fetches <= 4, "more at once than run at full speed");
+}
+
+#[test]
+fn no_server_is_ordered_beyond_its_memory_when_orders_are_lost_and_late() {
+    for seed in 1..=20 {
+        let mut engines = Engines::new(small(), seed);
+        engines.lose_answers(0.3);
+        engines.play_rare(Duration::from_secs(40), 1.5);
+        assert_eq!(engines.overloaded, 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn adapters_make_room_for_each_other_within_their_places() {
+    let mut engines = Engines::new(small(), 4);
+    engines.run(Duration::from_secs(3));
+    for number in 1..=48 {
+        let waited = engines.wait_for_adapter("busy-0", &format!("a{number}"));
+        assert!(waited < Duration::from_millis(700), "a{number}: {waited:?}");
+    }
+    assert_eq!(engines.overloaded, 0);
+    let unloads = |operation: &Operation| matches!(operation, Operation::UnloadAdapter(..));
+    assert!(engines.orders.iter().any(unloads));
+}
+
+#[test]
+fn a_restarted_server_is_asked_before_it_is_ordered() {
+    let mut engines = Engines::new(small(), 6);
+    engines.run(Duration::from_secs(3));
+    engines.restart("server-0");
+    engines.play_rare(Duration::from_secs(20), 1.0);
+    assert_eq!(engines.overloaded, 0);
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -0,0 +1,214 @@
+//! Rates over the fleet, with several instances that hear each other late or not at all.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_dispatch::catalog::Organisation;
+use apricotwell_dispatch::quota::{QuotaBounds, QuotaTable};
+use apricotwell_types::{InstanceId, Tokens};
+use proptest::prelude::*;
+
+const BOUNDS: QuotaBounds = QuotaBounds {
+    window: Duration::from_secs(8),
+    excess: 0.1,
+    slack: 11_000.0,
+};
+const INSTANCES: usize = 9;
+const STEP: Duration = Duration::from_millis(20);
+/// Steps between two heartbeats.
+const HEARTBEAT_STEPS: u64 = 20;
+
+fn organisation(rate: Tokens, burst: Tokens) -> Organisation {
+    Organisation {
+        name: "kitchens".into(),
+        priority: None,
+        rate,
+        burst,
+        plain_tokens: 200,
+    }
+}
+
+struct Fleet {
+    start: Instant,
+    organisation: Organisation,
+    tables: Vec<QuotaTable>,
+    spent: Vec<(Duration, Tokens)>,
+}
+
+impl Fleet {
+    fn new(organisation: Organisation) -> Self {
+        Self {
+            start: Instant::now(),
+            organisation,
+            tables: (0..INSTANCES)
+                .map(|_| QuotaTable::new(BOUNDS, true))
+                .collect(),
+            spent: Vec::new(),
+        }
+    }
+
+    fn ask(&mut self, at: Duration, instance: usize, tokens: Tokens) -> bool {
+        let now = self.start + at;
+        let allowed = self.tables[instance]
+            .spend(now, &self.organisation, tokens)
+            .is_ok();
+        if allowed {
+            self.spent.push((at, tokens));
+        }
+        allowed
+    }
+
+    fn is_tight(&mut self, at: Duration, instance: usize) -> bool {
+        self.tables[instance].is_tight(self.start + at, &self.organisation)
+    }
+
+    fn tell(&mut self, at: Duration, from: usize) {
+        let spent: Tokens = self.tables[from].spending().map(|(_, spent)| spent).sum();
+        let name: InstanceId = format!("instance-{from}").into();
+        for to in (0..INSTANCES).filter(|to| *to != from) {
+            let now = self.start + at;
+            self.tables[to].note_spending(now, &name, 1, &self.organisation, spent);
+        }
+    }
+
+    fn most_in_a_window(&self) -> Tokens {
+        let in_window = |from: Duration| {
+            let until = from + BOUNDS.window;
+            let spent = self.spent.iter();
+            spent
+                .filter(|(at, _)| *at >= from && *at < until)
+                .map(|(_, tokens)| tokens)
+                .sum()
+        };
+        self.spent
+            .iter()
+            .map(|(at, _)| in_window(*at))
+            .max()
+            .unwrap_or_default()
+    }
+
+    fn allowed(&self) -> f64 {
+        let rate = self.organisation.rate as f64 * BOUNDS.window.as_secs_f64();
+        let limit = rate + self.organisation.burst as f64;
+        limit * (1.0 + BOUNDS.excess) + BOUNDS.slack
+    }
+}
+
+/// Plays `seconds` of demand at `load` times the rate; returns the share that was admitted.
+fn play(fleet: &mut Fleet, seconds: u64, load: f64, seed: u64) -> f64 {
+    let steps = seconds * 1000 / STEP.as_millis() as u64;
+    let cost = 1600.0;
+    let per_step = fleet.organisation.rate as f64 * load * STEP.as_secs_f64() / cost;
+    let (mut asked, mut admitted, mut due) = (0, 0, 0.0);
+    let mut random = seed | 1;
+    for step in 0..steps {
+        let at = STEP * step as u32;
+        due += per_step;
+        while due >= 1.0 {
+            due -= 1.0;
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let instance = (random >> 33) as usize % INSTANCES;
+            let tokens = 200 + (random >> 40) % 2800;
+            asked += 1;
+            admitted += u64::from(fleet.ask(at, instance, tokens));
+            if fleet.is_tight(at, instance) {
+                fleet.tell(at, instance);
+            }
+        }
+        if step % HEARTBEAT_STEPS == 0 {
+            (0..INSTANCES).for_each(|from| fleet.tell(at, from));
+        }
+    }
+    admitted as f64 / asked.max(1) as f64
+}
+
+#[test]
+fn nothing_is_refused_within_the_rate() {
+    for rate in [2_600, 8_669, 28_246] {
+        let mut fleet = Fleet::new(organisation(rate, rate));
+        let share = play(&mut fleet, 20, 0.6, 11);
+        assert!(share == 1.0, "{share} of the requests at rate {rate}");
+    }
+}
+
+#[test]
+fn a_flood_stays_within_the_allowed_excess() {
+    for (rate, load) in [(2_600, 8.0), (8_669, 7.5), (28_246, 5.0)] {
+        for seed in 1..=10 {
+            let mut fleet = Fleet::new(organisation(rate, rate));
+            play(&mut fleet, 24, load, seed);
+            let most = fleet.most_in_a_window() as f64;
+            assert!(most <= fleet.allowed(), "{most} of {}", fleet.allowed());
+        }
+    }
+}
+
+#[test]
+fn instances_that_hear_nobody_use_their_part_only() {
+    let mut fleet = Fleet::new(organisation(10_000, 10_000));
+    for table in &mut fleet.tables {
+        table.set_part(1, INSTANCES);
+    }
+    for step in 0..1000 {
+        for instance in 0..INSTANCES {
+            fleet.ask(STEP * step, instance, 500);
+        }
+    }
+    assert!(fleet.most_in_a_window() as f64 <= fleet.allowed());
+}
+
+#[test]
+fn a_lower_limit_lets_some_through_at_once() {
+    let start = Instant::now();
+    let mut table = QuotaTable::new(BOUNDS, true);
+    let high = organisation(20_000, 20_000);
+    assert!(table.spend(start, &high, 90_000).is_ok());
+    let low = organisation(5_000, 5_000);
+    let now = start + Duration::from_millis(100);
+    assert!(table.spend(now, &low, 2_000).is_ok());
+}
+
+#[test]
+fn a_refund_can_be_spent_again() {
+    let now = Instant::now();
+    let organisation = organisation(1_000, 1_000);
+    let mut table = QuotaTable::new(BOUNDS, true);
+    while table.spend(now, &organisation, 1_000).is_ok() {}
+    table.refund(now, &organisation, 1_000);
+    assert!(table.spend(now, &organisation, 1_000).is_ok());
+}
+
+#[test]
+fn a_restarted_instance_takes_the_window_as_spent() {
+    let now = Instant::now();
+    let organisation = organisation(10_000, 10_000);
+    let mut table = QuotaTable::new(BOUNDS, false);
+    let shortage = table.spend(now, &organisation, 30_000).unwrap_err();
+    assert!(shortage.wait > Duration::ZERO && shortage.wait < BOUNDS.window);
+    let later = now + shortage.wait + BOUNDS.window / 16;
+    assert!(table.spend(later, &organisation, 30_000).is_ok());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Late, repeated and reordered heartbeats of one instance never make tokens.
+    #[test]
+    fn heartbeats_never_make_tokens(order in proptest::collection::vec(0usize..6, 1..24)) {
+        let now = Instant::now();
+        let organisation = organisation(1_000, 1_000);
+        let sums = [0, 500, 900, 900, 2_500, 4_000];
+        let mut table = QuotaTable::new(BOUNDS, true);
+        let name: InstanceId = "other".into();
+        table.note_spending(now, &name, 1, &organisation, 0);
+        for index in &order {
+            table.note_spending(now, &name, 1, &organisation, sums[*index]);
+        }
+        let last = order.last().map_or(0, |index| sums[*index]);
+        let mut spent = 0;
+        while table.spend(now, &organisation, 100).is_ok() {
+            spent += 100;
+        }
+        let limit = (9_000.0 + 0.4 * (900.0 + 11_000.0)) as u64;
+        prop_assert!(spent + last <= limit + 100);
+    }
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/retries.rs
@@ -0,0 +1,41 @@
+//! The budget of second attempts, kept without a message between instances.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_dispatch::retries::{RetryBounds, RetryWindow};
+
+const BOUNDS: RetryBounds = RetryBounds {
+    ratio: 0.2,
+    window: Duration::from_secs(10),
+    slack: 58.0,
+};
+const INSTANCES: usize = 9;
+
+#[test]
+fn a_storm_over_all_instances_stays_within_the_bounds() {
+    let now = Instant::now();
+    let mut windows: Vec<RetryWindow> = (0..INSTANCES).map(|_| RetryWindow::new(BOUNDS)).collect();
+    let (mut requests, mut retries) = (0, 0);
+    for second in 0..10 {
+        let at = now + Duration::from_secs(second);
+        for window in &mut windows {
+            for _ in 0..20 {
+                window.note_request(at);
+                requests += 1;
+                retries += u32::from(window.take(at, INSTANCES));
+            }
+        }
+    }
+    let allowed = BOUNDS.ratio * f64::from(requests) + BOUNDS.slack;
+    assert!(f64::from(retries) <= allowed, "{retries} of {allowed}");
+    assert!(f64::from(retries) > allowed / 2.0, "{retries} of {allowed}");
+}
+
+#[test]
+fn retries_leave_the_window() {
+    let now = Instant::now();
+    let mut window = RetryWindow::new(BOUNDS);
+    while window.take(now, INSTANCES) {}
+    assert!(!window.take(now + BOUNDS.window, INSTANCES));
+    assert!(window.take(now + BOUNDS.window * 2, INSTANCES));
+}
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -11,9 +11,10 @@
 use crate::gateway::Gateway;
 
 /// Longest wait of one read of the configuration; bounds the age of the view on a quiet day.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1800);
-/// Pause between reads of the list of servers: a worker's leave must be known within two seconds.
-const SERVERS_PAUSE: Duration = Duration::from_millis(1000);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(2200);
+/// Share of the time within which a leaving server must get no more work, that passes between two
+/// reads of the list of servers.
+const SERVERS_SHARE: f64 = 0.5;
 /// Pause after a call that the store did not serve.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Time after an outage of the store in which servers that left the list are still used: the entries
@@ -107,7 +108,7 @@
             dispatcher.freshness.note_current(current);
         }
         match self.feed {
-            Feed::Servers if is_end => SERVERS_PAUSE,
+            Feed::Servers if is_end => self.gateway.times.drain.mul_f64(SERVERS_SHARE),
             _ => Duration::ZERO,
         }
     }
@@ -188,12 +189,20 @@
     }
 }
 
+fn same_models(one: &Holdings, other: &Holdings) -> bool {
+    one.models.len() == other.models.len()
+        && one
+            .models
+            .iter()
+            .all(|(model, _)| other.adapters(model).is_some())
+}
+
 fn log_entry(known: &BackendTable, entry: &Entry) {
     let before = known.get(&entry.id).map(|server| &server.entry);
     let changed = before.is_none_or(|before| {
         before.leaving != entry.leaving
             || before.born != entry.born
-            || before.holdings.models != entry.holdings.models
+            || !same_models(&before.holdings, &entry.holdings)
     });
     if changed {
         let models: Vec<&str> = entry
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -1,8 +1,9 @@
 //! Tasks that keep an instance in touch with the others.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use apricotwell_dispatch::peers::heartbeat_pause;
 use apricotwell_dispatch::prelude::*;
 use apricotwell_messages::Heartbeat;
 use apricotwell_types::{InstanceId, Offset};
@@ -15,16 +16,16 @@
 
 /// Pause between renewals of the membership.
 pub const RENEWAL_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between heartbeats.
-const HEARTBEAT_PAUSE: Duration = Duration::from_millis(400);
 /// Least time between heartbeats that tell of a change.
 const GOSSIP_PAUSE: Duration = Duration::from_millis(30);
-/// Part of the pause between heartbeats that each instance of the fleet adds.
-const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(12);
 /// Part of the least time between heartbeats that each instance adds.
 const GOSSIP_PER_INSTANCE: Duration = Duration::from_millis(4);
 /// Bytes of the largest heartbeat.
 const MAX_HEARTBEAT_BYTES: usize = 60 << 10;
+/// Least pause between two lists of the members.
+const LIST_PAUSE: Duration = Duration::from_millis(900);
+/// Part of that pause that each instance of the fleet adds.
+const LIST_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(25);
 /// Attempts to claim the lease before the next renewal.
 const CLAIM_ATTEMPTS: u32 = 3;
 
@@ -41,6 +42,7 @@
         term,
         generation: 0,
         listed: None,
+        listed_at: None,
         checked: None,
         gateway,
     };
@@ -61,6 +63,8 @@
     generation: u64,
     // Generation of which the members are known.
     listed: Option<u64>,
+    // When they were listed.
+    listed_at: Option<Instant>,
     // Generation in which the lease was looked at.
     checked: Option<u64>,
 }
@@ -82,15 +86,18 @@
         gateway.metrics.note_store_call("join");
         self.generation = joined.generation;
         let now = gateway.now();
-        let changed = self.checked != Some(joined.generation);
+        // A free lease falls to one member only: the others need not look.
+        let changed = self.checked.is_none()
+            || (joined.leads && self.checked != Some(joined.generation));
         let step = {
             let mut dispatcher = gateway.dispatcher.borrow_mut();
             dispatcher.peers.note_unchanged(now);
             dispatcher.lease.note_renewal(start, changed)
         };
-        if self.listed != Some(joined.generation) {
+        if self.listed != Some(joined.generation) && self.may_list(now) {
             list_members(&gateway).await?;
             self.listed = Some(joined.generation);
+            self.listed_at = Some(now);
         }
         if step == LeaseStep::Check {
             self.check(joined.leads).await?;
@@ -99,6 +106,15 @@
         Ok(())
     }
 
+    // While a large fleet starts, its group changes with each member: a list for each change would
+    // be read by all.
+    fn may_list(&self, now: Instant) -> bool {
+        let members = self.gateway.dispatcher.borrow().peers.possible() as u32;
+        let pause = LIST_PAUSE.max(LIST_PAUSE_PER_INSTANCE * members);
+        self.listed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= pause)
+    }
+
     async fn check(&self, candidate: bool) -> Result<(), StoreError> {
         for _ in 0..CLAIM_ATTEMPTS {
             let last = self.gateway.store.last_claim().await?;
@@ -236,7 +252,7 @@
         let instances = gateway.dispatcher.borrow().peers.possible() as u32;
         send(&gateway, &socket, &mut news, audience).await;
         // The larger the fleet, the rarer the heartbeats: each instance's share stays the same.
-        let pause = HEARTBEAT_PAUSE.max(PAUSE_PER_INSTANCE * instances);
+        let pause = heartbeat_pause(instances);
         tokio::time::sleep(match audience {
             Audience::Everyone => GOSSIP_PAUSE.max(GOSSIP_PER_INSTANCE * instances),
             Audience::LeaseHolder => GOSSIP_PAUSE,
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -33,6 +33,8 @@
 pub struct Times {
     /// Time between a request to stop and the end of the process.
     pub grace: Duration,
+    /// Time within which a leaving server must get no more work.
+    pub drain: Duration,
     /// Lifetime of answers to look-ups.
     pub look_up: Duration,
 }
