--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -34,6 +34,8 @@
 const KNOWN_RATE: f64 = 4.0;
 /// Time that an unload takes when nothing runs.
 const UNLOAD_TIME: Duration = Duration::from_millis(60);
+/// Time that a request of a model runs.
+const RUN_TIME: Duration = Duration::from_secs(2);
 /// Time from the end of an order until the server is known to be free.
 const ORDER_TIME: Duration = Duration::from_millis(300);
 /// Share of its replicas below which a busy model goes before rare ones that requests wait for.
@@ -545,9 +547,11 @@
                 .then(one.1.cmp(&other.1))
                 .then(one.2.cmp(other.2))
         })?;
+        let running = (plan.demand.rate(victim) * RUN_TIME.as_secs_f64()).min(1.0);
         Some(Room {
             victim: Some(victim.clone()),
-            time: UNLOAD_TIME,
+            // An unload waits for what runs.
+            time: UNLOAD_TIME + RUN_TIME.mul_f64(running),
             cost,
         })
     }
