Give replicas of busy models to free servers only

Cause: each plan chose the server where the model would be there first, often one that was busy, and gave no order: 4 replicas at 40 requests a second for ten seconds. Change: replicas go to free servers; only requests that wait for a model with no holder may wait for one.

--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -343,7 +343,7 @@
                 continue;
             };
             if plan.replicas(&model) == 0 {
-                self.bring(plan, spec, "requests_wait");
+                self.bring(plan, spec, Patience::AnyServer, "requests_wait");
             }
         }
     }
@@ -360,7 +360,7 @@
             let wanted = self.wanted_replicas(plan, &model).min(plan.backends.len());
             let wanted = (wanted as f64 * share).floor() as usize;
             for _ in plan.replicas(&model)..wanted {
-                self.bring(plan, spec, "more_replicas");
+                self.bring(plan, spec, Patience::FreeOnly, "more_replicas");
             }
         }
     }
@@ -427,7 +427,13 @@
     }
 
     // Loads a model where it is there first.
-    fn bring(&mut self, plan: &mut Plan<'_>, spec: &ModelSpec, reason: &'static str) {
+    fn bring(
+        &mut self,
+        plan: &mut Plan<'_>,
+        spec: &ModelSpec,
+        patience: Patience,
+        reason: &'static str,
+    ) {
         let mut best: Option<(Duration, f64, ServerId)> = None;
         for id in plan.backends.keys() {
             let Some(server) = self.servers.get(id) else {
@@ -436,6 +442,9 @@
             if self.keeps(id, &spec.name) || self.intents.contains_key(id) || plan.has_order(id) {
                 continue;
             }
+            if patience == Patience::FreeOnly && !server.is_free(plan.now) {
+                continue;
+            }
             let Some(room) = self.room_for(plan, id, spec) else {
                 continue;
             };
@@ -608,6 +617,15 @@
     }
 }
 
+/// Whether a load may wait for a server that is busy with another order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Patience {
+    /// It may, if the model is there sooner.
+    AnyServer,
+    /// It may not: one more replica is wanted now, wherever.
+    FreeOnly,
+}
+
 /// What has to go so that a model fits on a server.
 struct Room {
     victim: Option<ModelName>,
--- a/crates/apricotwell_dispatch/tests/engines/engines.rs
+++ b/crates/apricotwell_dispatch/tests/engines/engines.rs
@@ -195,7 +195,10 @@
             while due >= 1.0 {
                 due -= 1.0;
                 let model = format!("rare-{}", self.setup.busy + self.draw(rare));
-                *self.waiting.entry((model.clone(), String::new())).or_default() += 1;
+                *self
+                    .waiting
+                    .entry((model.clone(), String::new()))
+                    .or_default() += 1;
                 open.push((model, self.now));
             }
             self.tick();
@@ -286,7 +289,11 @@
     fn report(&mut self, id: &str) -> Option<Report> {
         let seen = self.now - REPORT_LAG;
         let engine = &self.engines[id];
-        let old = engine.history.iter().rev().find(|(since, _)| *since <= seen);
+        let old = engine
+            .history
+            .iter()
+            .rev()
+            .find(|(since, _)| *since <= seen);
         let first = engine.history.first();
         old.or(first).map(|(_, report)| report.clone())
     }
--- a/crates/apricotwell_dispatch/tests/freshness.rs
+++ b/crates/apricotwell_dispatch/tests/freshness.rs
@@ -23,7 +23,10 @@
     freshness.note_current(now);
     let cut = (0..5000).find(|ms| !freshness.is_usable(now + Duration::from_millis(*ms)));
     let unready = (0..5000).find(|ms| !freshness.is_ready(now + Duration::from_millis(*ms)));
-    assert!(cut.is_some_and(|cut| cut > 3000), "served while that is safe");
+    assert!(
+        cut.is_some_and(|cut| cut > 3000),
+        "served while that is safe"
+    );
     assert!(unready < cut);
 }
 
--- a/crates/apricotwell_dispatch/tests/lease.rs
+++ b/crates/apricotwell_dispatch/tests/lease.rs
@@ -62,7 +62,11 @@
         (UNFENCED, Standing::Released, TERMS.pause),
         (UNFENCED, Standing::Dropped, TERMS.pause),
         // The group drops a member after the term; its last order came at most one renewal later.
-        (TERMS, Standing::Dropped, TERMS.pause + TERMS.renewal - TERMS.term),
+        (
+            TERMS,
+            Standing::Dropped,
+            TERMS.pause + TERMS.renewal - TERMS.term,
+        ),
     ] {
         let mut lease = Lease::new(terms);
         lease.note_renewal(now, true);
--- a/crates/apricotwell_dispatch/tests/orders.rs
+++ b/crates/apricotwell_dispatch/tests/orders.rs
@@ -74,7 +74,11 @@
 fn an_unused_adapter_is_gone_with_the_answer() {
     let now = Instant::now();
     let mut server = known(now, holdings(4, &[("m", &["a1"])]));
-    server.note_sent(now, Operation::UnloadAdapter("m".into(), "a1".into()), false);
+    server.note_sent(
+        now,
+        Operation::UnloadAdapter("m".into(), "a1".into()),
+        false,
+    );
     server.note_reply(now, OrderReply::Holds, Duration::ZERO);
     assert_eq!(server.holdings().unwrap().adapter_count(), 0);
     assert_eq!(server.expected_orders(), 5);
@@ -114,10 +118,7 @@
 
 #[test]
 fn an_order_without_an_answer_is_settled_by_a_report() {
-    for (orders, models, loaded) in [
-        (3, &[][..], false),
-        (4, &[("m", &[][..])][..], true),
-    ] {
+    for (orders, models, loaded) in [(3, &[][..], false), (4, &[("m", &[][..])][..], true)] {
         let now = Instant::now();
         let mut server = known(now, holdings(3, &[]));
         server.note_sent(now, Operation::LoadModel("m".into()), false);
--- a/crates/apricotwell_dispatch/tests/placing.rs
+++ b/crates/apricotwell_dispatch/tests/placing.rs
@@ -65,7 +65,10 @@
     engines.run(Duration::from_secs(30));
     let fetches = engines.fetches;
     assert!(fetches >= 4, "{fetches} fetches ahead");
-    assert!(engines.most_fetches <= 4, "more at once than run at full speed");
+    assert!(
+        engines.most_fetches <= 4,
+        "more at once than run at full speed"
+    );
 }
 
 #[test]
--- a/crates/apricotwell_dispatch/tests/quota.rs
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -105,7 +105,9 @@
         due += per_step;
         while due >= 1.0 {
             due -= 1.0;
-            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            random = random
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
             let instance = (random >> 33) as usize % INSTANCES;
             let tokens = 200 + (random >> 40) % 2800;
             asked += 1;
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -87,8 +87,8 @@
         self.generation = joined.generation;
         let now = gateway.now();
         // A free lease falls to one member only: the others need not look.
-        let changed = self.checked.is_none()
-            || (joined.leads && self.checked != Some(joined.generation));
+        let changed =
+            self.checked.is_none() || (joined.leads && self.checked != Some(joined.generation));
         let step = {
             let mut dispatcher = gateway.dispatcher.borrow_mut();
             dispatcher.peers.note_unchanged(now);
