--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotwell_messages::{Heartbeat, ModelUse, ServerUse, Spending};
+use apricotwell_messages::{FleetSpending, Heartbeat, ModelUse, ServerUse, Spending};
 use apricotwell_types::{InstanceId, Map, OrgId, Refusal, RefusalKind, ServerId, Tokens, ZoneId};
 
 use crate::backends::{Backend, BackendTable};
@@ -305,6 +305,21 @@
             .is_some_and(|organisation| self.quotas.is_tight(now, organisation))
     }
 
+    /// Returns what the fleet spent in the last window, to be kept in the store.
+    pub fn fleet_spending(&mut self, now: Instant) -> FleetSpending {
+        self.quotas.snapshot(now)
+    }
+
+    /// Takes over what the store kept of the fleet's spending.
+    pub fn restore_spending(&mut self, now: Instant, spending: &FleetSpending) {
+        self.quotas.restore(now, spending);
+    }
+
+    /// Returns whether some organisation is close to its limit.
+    pub fn is_any_tight(&self) -> bool {
+        self.quotas.is_any_tight()
+    }
+
     /// Takes a second attempt from the budget of the request's service.
     pub fn take_retry(&mut self, now: Instant, admission: &Admission) -> bool {
         let instances = self.peers.possible();
--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use apricotwell_messages::{FleetSpending, OrganisationSpending};
 use apricotwell_types::{InstanceId, Map, OrgId, Tokens};
 
 use crate::catalog::Organisation;
@@ -46,7 +47,7 @@
 /// What an organisation spent in the last window, and how much it may.
 #[derive(Debug)]
 struct Window {
-    // Tokens allowed in one window.
+    // Tokens allowed in one window; unlimited before the configuration is known.
     limit: f64,
     // Tokens by span, the current one last; may be negative after a refund. Never empty.
     spans: VecDeque<f64>,
@@ -86,7 +87,7 @@
     // A lower limit takes hold of what is spent from now on: what was spent under the old one is
     // scaled with it.
     fn set_limit(&mut self, limit: f64) {
-        if limit < self.limit {
+        if limit < self.limit && self.limit < f64::MAX {
             let scale = limit / self.limit;
             self.spans.iter_mut().for_each(|span| *span *= scale);
         }
@@ -123,8 +124,9 @@
 #[derive(Debug)]
 pub struct QuotaTable {
     bounds: QuotaBounds,
-    // Whether the fleet starts now and has spent nothing; else it may have spent all it may.
-    first_start: bool,
+    // Whether what the fleet spent before is known: nothing at its first start, or what the store
+    // kept. Else it may have spent all that it may.
+    known: bool,
     windows: Map<OrgId, Window>,
     // Part of rate and burst that this instance's view stands for.
     part: f64,
@@ -135,7 +137,7 @@
     pub fn new(bounds: QuotaBounds, first_start: bool) -> Self {
         Self {
             bounds,
-            first_start,
+            known: first_start,
             windows: Map::default(),
             part: 1.0,
         }
@@ -196,6 +198,54 @@
         window.level(part) < window.limit * TIGHT_SHARE
     }
 
+    /// Returns what the fleet spent in the last window, as far as this instance knows.
+    pub fn snapshot(&mut self, now: Instant) -> FleetSpending {
+        let span = self.span();
+        let organisations = self.windows.iter_mut().map(|(name, window)| {
+            window.advance(now, span);
+            OrganisationSpending {
+                organisation: name.to_string(),
+                spans: window.spans.iter().copied().collect(),
+            }
+        });
+        FleetSpending {
+            organisations: organisations.collect(),
+        }
+    }
+
+    /// Takes over what the fleet spent before this instance started, as of now at the earliest: its
+    /// age is not known.
+    pub fn restore(&mut self, now: Instant, spending: &FleetSpending) {
+        self.known = true;
+        let spent = std::mem::take(&mut self.windows);
+        for known in &spending.organisations {
+            let mut window = Window::new(now, f64::MAX, 0.0);
+            let skipped = known.spans.len().saturating_sub(SPANS as usize);
+            let spans = known.spans.iter().skip(skipped).copied();
+            window.spans = spans.chain([0.0]).collect();
+            self.windows
+                .insert(known.organisation.as_str().into(), window);
+        }
+        // What was spent since the start stays spent.
+        for (name, before) in spent {
+            let window = self
+                .windows
+                .entry(name)
+                .or_insert_with(|| Window::new(now, f64::MAX, 0.0));
+            window.add(before.spent as f64);
+            window.spent = before.spent;
+            window.told = before.told;
+        }
+    }
+
+    /// Returns whether some organisation is close to its limit.
+    pub fn is_any_tight(&self) -> bool {
+        let part = self.part;
+        self.windows
+            .values()
+            .any(|window| window.level(part) < window.limit * TIGHT_SHARE)
+    }
+
     /// Returns what this instance has spent of each organisation since its start.
     pub fn spending(&self) -> impl Iterator<Item = (&OrgId, Tokens)> {
         self.windows
@@ -244,7 +294,7 @@
 
     fn window(&mut self, now: Instant, organisation: &Organisation) -> &mut Window {
         let (limit, span) = (self.limit(organisation), self.span());
-        let spent = if self.first_start { 0.0 } else { 1.0 };
+        let spent = if self.known { 0.0 } else { 1.0 };
         let window = self
             .windows
             .entry(organisation.name.clone())
--- a/crates/apricotwell_dispatch/tests/quota.rs
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -32,6 +32,8 @@
     organisation: Organisation,
     tables: Vec<QuotaTable>,
     spent: Vec<(Duration, Tokens)>,
+    // Time that was played before.
+    skip: Duration,
 }
 
 impl Fleet {
@@ -43,6 +45,7 @@
                 .map(|_| QuotaTable::new(BOUNDS, true))
                 .collect(),
             spent: Vec::new(),
+            skip: Duration::ZERO,
         }
     }
 
@@ -101,7 +104,7 @@
     let (mut asked, mut admitted, mut due) = (0, 0, 0.0);
     let mut random = seed | 1;
     for step in 0..steps {
-        let at = STEP * step as u32;
+        let at = fleet.skip + STEP * step as u32;
         due += per_step;
         while due >= 1.0 {
             due -= 1.0;
@@ -169,6 +172,37 @@
     assert!(table.spend(now, &low, 2_000).is_ok());
 }
 
+#[test]
+fn a_fleet_that_restarts_at_once_does_not_spend_its_limit_twice() {
+    for seed in 1..=10 {
+        let mut fleet = Fleet::new(organisation(20_000, 20_000));
+        play(&mut fleet, 12, 7.0, seed);
+        let killed = Duration::from_secs(12);
+        let kept = fleet.tables[0].snapshot(fleet.start + killed);
+        let back = killed + Duration::from_millis(700);
+        for table in &mut fleet.tables {
+            *table = QuotaTable::new(BOUNDS, false);
+            table.restore(fleet.start + back, &kept);
+        }
+        fleet.skip = back;
+        play(&mut fleet, 8, 7.0, seed);
+        let most = fleet.most_in_a_window() as f64;
+        assert!(most <= fleet.allowed(), "{most} of {}", fleet.allowed());
+    }
+}
+
+#[test]
+fn an_instance_that_starts_among_others_refuses_nothing_within_the_rate() {
+    let mut fleet = Fleet::new(organisation(10_000, 10_000));
+    assert_eq!(play(&mut fleet, 10, 0.6, 3), 1.0);
+    let at = Duration::from_secs(10);
+    let kept = fleet.tables[0].snapshot(fleet.start + at);
+    fleet.tables[4] = QuotaTable::new(BOUNDS, false);
+    fleet.tables[4].restore(fleet.start + at, &kept);
+    fleet.skip = at;
+    assert_eq!(play(&mut fleet, 10, 0.6, 4), 1.0);
+}
+
 #[test]
 fn a_refund_can_be_spent_again() {
     let now = Instant::now();
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -190,6 +190,12 @@
         term: Duration,
     ) -> impl Future<Output = Result<Membership, StoreError>>;
 
+    /// Keeps what the fleet spent, in place of what was kept before.
+    fn keep_spending(&self, spending: &[u8]) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Returns what was kept last, `None` if nothing was.
+    fn kept_spending(&self) -> impl Future<Output = Result<Option<Vec<u8>>, StoreError>>;
+
     /// Leaves the group.
     fn leave(&self, member: &str) -> impl Future<Output = Result<(), StoreError>>;
 
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -19,7 +19,7 @@
 use crate::adapter::{Callers, Engines, Feed, Store};
 use crate::events::{Event, FLUSH_INTERVAL, LineWriter};
 use crate::gateway::Gateway;
-use crate::{feeds, fleet, front, placing, pool};
+use crate::{feeds, fleet, front, placing, pool, spending};
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 512;
@@ -38,16 +38,21 @@
 /// Pause after a failure to accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Runs an instance until it is told to stop.
+/// Runs an instance until `stop` ends, and then for as long as its requests need.
 ///
 /// # Errors
 ///
 /// Fails when an address can't be listened on.
-pub async fn run<C, S, E>(gateway: Rc<Gateway<C, S, E>>, lines: LineWriter) -> std::io::Result<()>
+pub async fn run<C, S, E, F>(
+    gateway: Rc<Gateway<C, S, E>>,
+    lines: LineWriter,
+    stop: F,
+) -> std::io::Result<()>
 where
     C: Callers,
     S: Store,
     E: Engines,
+    F: Future<Output = std::io::Result<()>>,
 {
     let listeners = gateway.listeners.clone();
     let socket = Rc::new(UdpSocket::bind(&listeners.peers).await?);
@@ -64,6 +69,7 @@
     actix::spawn(fleet::tell(Rc::clone(&gateway), Rc::clone(&socket)));
     actix::spawn(fleet::listen(Rc::clone(&gateway), socket));
     actix::spawn(placing::place(Rc::clone(&gateway)));
+    actix::spawn(spending::keep(Rc::clone(&gateway)));
     actix::spawn(accept(Rc::clone(&gateway), readiness, questions::<C, S, E>));
     actix::spawn(accept(Rc::clone(&gateway), look_up, questions::<C, S, E>));
     if let Some(address) = &listeners.metrics {
@@ -76,8 +82,8 @@
         serve_callers::<C, S, E>,
     ));
     actix::spawn(keep_house(Rc::clone(&gateway), lines.clone()));
-    wait_for_stop(&gateway).await?;
-    stop(&gateway).await;
+    stop.await?;
+    finish(&gateway).await;
     lines.flush();
     let begun = Instant::now();
     while !lines.is_written() && begun.elapsed() < LAST_LINES_TIMEOUT {
@@ -241,32 +247,32 @@
     }
 }
 
-async fn wait_for_stop<C, S, E>(gateway: &Gateway<C, S, E>) -> std::io::Result<()>
-where
-    C: Callers,
-    S: Store,
-    E: Engines,
-{
+/// Ends when the process is told to stop; a hangup is only noted, since the settings that may change
+/// concern the next start.
+///
+/// # Errors
+///
+/// Fails when signals can't be received.
+pub async fn stop_signal() -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
             _ = reload.recv() => Event::new("reload").log(),
         }
     }
-    gateway.stopped.set(Some(gateway.now()));
-    Ok(())
 }
 
-async fn stop<C, S, E>(gateway: &Rc<Gateway<C, S, E>>)
+async fn finish<C, S, E>(gateway: &Rc<Gateway<C, S, E>>)
 where
     C: Callers,
     S: Store,
     E: Engines,
 {
+    gateway.stopped.set(Some(gateway.now()));
     Event::new("stopping")
         .with("active", gateway.active.get())
         .log();
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placing;
 pub mod pool;
 pub mod relay;
+pub mod spending;
 pub mod ticket;
 
 /// What nearly every user of the crate needs.
--- /dev/null
+++ b/crates/apricotwell_gateway/src/spending.rs
@@ -0,0 +1,80 @@
+//! Keeps what organisations spent through a restart of the whole fleet.
+//!
+//! Instances know from each other's heartbeats what was spent in the last window. When all of them
+//! are killed that knowledge is gone, and a flood could spend its rate twice; so the lease holder
+//! keeps it in the store, and every instance that starts takes it over.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use apricotwell_messages::FleetSpending;
+use prost::Message;
+
+use crate::adapter::{Callers, Engines, Store};
+use crate::events::Event;
+use crate::gateway::Gateway;
+
+/// Pause between two writes while some organisation is close to its limit.
+const TIGHT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two writes otherwise, and after a failure.
+const CALM_PAUSE: Duration = Duration::from_millis(2500);
+/// Pause between attempts to take over what was kept.
+const RESTORE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Takes over what was kept, then keeps the store current while this instance holds the lease.
+pub async fn keep<C, S, E>(gateway: Rc<Gateway<C, S, E>>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    if !gateway.dispatcher.borrow().facts.first_start {
+        restore(&gateway).await;
+    }
+    loop {
+        let tight = gateway.dispatcher.borrow().is_any_tight();
+        tokio::time::sleep(if tight { TIGHT_PAUSE } else { CALM_PAUSE }).await;
+        let now = gateway.now();
+        let spending = {
+            let mut dispatcher = gateway.dispatcher.borrow_mut();
+            let holds = dispatcher.lease.fence(now).is_some();
+            holds.then(|| dispatcher.fleet_spending(now))
+        };
+        let Some(spending) = spending else {
+            continue;
+        };
+        gateway.metrics.note_store_call("keep");
+        if let Err(error) = gateway.store.keep_spending(&spending.encode_to_vec()).await {
+            log::info!("spending not kept: {error}");
+            tokio::time::sleep(CALM_PAUSE).await;
+        }
+    }
+}
+
+async fn restore<C, S, E>(gateway: &Gateway<C, S, E>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    loop {
+        let kept = gateway.store.kept_spending().await;
+        gateway.metrics.note_store_call("kept");
+        let error = match kept.map(|kept| kept.as_deref().map(FleetSpending::decode)) {
+            Ok(None) => return,
+            Ok(Some(Ok(spending))) => {
+                let now = gateway.now();
+                let mut dispatcher = gateway.dispatcher.borrow_mut();
+                dispatcher.restore_spending(now, &spending);
+                Event::new("spending_restored")
+                    .with("organisations", spending.organisations.len())
+                    .log();
+                return;
+            }
+            Ok(Some(Err(error))) => error.to_string(),
+            Err(error) => error.to_string(),
+        };
+        log::info!("spending not restored: {error}");
+        tokio::time::sleep(RESTORE_PAUSE).await;
+    }
+}
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -116,3 +116,22 @@
     #[prost(message, repeated, tag = "10")]
     pub stock: Vec<ServerStock>,
 }
+
+/// What one organisation spent in the last window, over the whole fleet.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct OrganisationSpending {
+    /// Organisation.
+    #[prost(string, tag = "1")]
+    pub organisation: String,
+    /// Tokens by span of the window, the newest last.
+    #[prost(double, repeated, tag = "2")]
+    pub spans: Vec<f64>,
+}
+
+/// What the fleet spent in the last window, kept in the store for instances that start.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FleetSpending {
+    /// Organisations that spent anything.
+    #[prost(message, repeated, tag = "1")]
+    pub organisations: Vec<OrganisationSpending>,
+}
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -24,7 +24,10 @@
     Ack, Demand, DemandItem, Envelope, HeardEvidence, LogEvidence, Message, Ping, PingFor, Reclaim,
     RecordsAsk, RecordsReply, SnapshotAsk, SnapshotChunk,
 };
-pub use heartbeat::{Heartbeat, ModelHeld, ModelUse, ServerStock, ServerUse, Spending};
+pub use heartbeat::{
+    FleetSpending, Heartbeat, ModelHeld, ModelUse, OrganisationSpending, ServerStock, ServerUse,
+    Spending,
+};
 pub use news::News;
 pub use tokens::{BucketState, GrantLeft, TokenAsk, TokenGrant};
 
