--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotwell_messages::{FleetSpending, Heartbeat, ModelUse, ServerUse, Spending};
+use apricotwell_messages::{FleetSpending, Heartbeat, ServerUse, Spending};
 use apricotwell_types::{InstanceId, Map, OrgId, Refusal, RefusalKind, ServerId, Tokens, ZoneId};
 
 use crate::backends::{Backend, BackendTable};
@@ -19,7 +19,7 @@
 use crate::prompts::PromptTable;
 use crate::quota::{QuotaBounds, QuotaTable};
 use crate::retries::{RetryBounds, RetryWindow};
-use crate::stock::StockPlanner;
+use crate::stock::{Order, StockPlanner};
 
 /// Delay that a request in another zone is taken to add, in ms: bytes between zones cost as much.
 const ZONE_COST_MS: f64 = 20.0;
@@ -516,11 +516,21 @@
         self.backends.expire(now);
     }
 
-    /// Returns the demand for models over the whole fleet.
-    pub fn fleet_demand(&mut self, now: Instant) -> Vec<ModelUse> {
-        let mut uses = self.demand.uses(now);
-        uses.extend(self.peers.model_uses(now).cloned());
-        uses
+    /// Plans what the servers of every service hold, and returns the orders and the servers to be
+    /// asked for a report.
+    pub fn plan(&mut self, now: Instant) -> (Vec<Order>, Vec<ServerId>) {
+        let Some(catalog) = self.catalog.clone() else {
+            return Default::default();
+        };
+        let own = self.demand.uses(now);
+        let mut orders = Vec::new();
+        let engines = catalog.services().filter(|service| service.engine.is_some());
+        for service in engines {
+            self.stock.follow(now, &self.backends, service);
+            let uses = own.iter().chain(self.peers.model_uses(now));
+            orders.extend(self.stock.plan(now, service, &self.backends, uses));
+        }
+        (orders, self.stock.take_due_reports(now))
     }
 }
 
--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -247,7 +247,7 @@
                 .filter(|model| Some(*model) != dropped)
                 .chain(loading)
                 .chain(intended);
-            plan.note_holder(kept, &holdings.on_disk);
+            plan.note_holder(&id, kept, &holdings.on_disk);
         }
     }
 
@@ -422,7 +422,7 @@
         let Some(holdings) = self.servers.get(id).and_then(ServerOrders::holdings) else {
             return 0;
         };
-        let only_here = |model: &&ModelName| plan.replicas(model) == 0 && plan.copies(model) == 1;
+        let only_here = |model: &&ModelName| plan.replicas(model) == 0 && plan.copies(model).len() == 1;
         holdings.on_disk.iter().filter(only_here).count()
     }
 
@@ -434,8 +434,28 @@
         patience: Patience,
         reason: &'static str,
     ) {
+        let copies = plan.copies(&spec.name).iter();
+        let best = self
+            .best_server(plan, copies, spec, patience)
+            .or_else(|| self.best_server(plan, plan.backends.keys(), spec, patience));
+        if let Some(id) = best {
+            self.load_at(plan, &id, spec, reason);
+        }
+    }
+
+    // Returns the server among `ids` where a model would be there first.
+    fn best_server<'a, I>(
+        &self,
+        plan: &Plan<'_>,
+        ids: I,
+        spec: &ModelSpec,
+        patience: Patience,
+    ) -> Option<ServerId>
+    where
+        I: Iterator<Item = &'a ServerId>,
+    {
         let mut best: Option<(Duration, f64, ServerId)> = None;
-        for id in plan.backends.keys() {
+        for id in ids {
             let Some(server) = self.servers.get(id) else {
                 continue;
             };
@@ -457,9 +477,7 @@
                 best = Some((duration, room.cost, id.clone()));
             }
         }
-        if let Some((_, _, id)) = best {
-            self.load_at(plan, &id, spec, reason);
-        }
+        best.map(|(_, _, id)| id)
     }
 
     // Time until a server can take an order.
--- a/crates/apricotwell_dispatch/src/stock/plan.rs
+++ b/crates/apricotwell_dispatch/src/stock/plan.rs
@@ -21,7 +21,7 @@
     // Servers that keep or are about to load a model; follows the orders of the plan.
     replicas: Map<ModelName, usize>,
     // Servers with a copy on disk.
-    copies: Map<ModelName, usize>,
+    copies: Map<ModelName, Vec<ServerId>>,
 }
 
 impl<'a> Plan<'a> {
@@ -49,7 +49,7 @@
     }
 
     /// Counts one server with the models that it keeps and those on its disk.
-    pub(super) fn note_holder<'m, I>(&mut self, kept: I, on_disk: &[ModelName])
+    pub(super) fn note_holder<'m, I>(&mut self, id: &ServerId, kept: I, on_disk: &[ModelName])
     where
         I: Iterator<Item = &'m ModelName>,
     {
@@ -57,7 +57,8 @@
             self.note_kept(model);
         }
         for model in on_disk {
-            *self.copies.entry(model.clone()).or_default() += 1;
+            let copies = self.copies.entry(model.clone()).or_default();
+            copies.push(id.clone());
         }
     }
 
@@ -79,13 +80,13 @@
     }
 
     /// Returns the servers with a copy of a model on disk.
-    pub(super) fn copies(&self, model: &str) -> usize {
-        self.copies.get(model).copied().unwrap_or_default()
+    pub(super) fn copies(&self, model: &str) -> &[ServerId] {
+        self.copies.get(model).map_or(&[], Vec::as_slice)
     }
 
     /// Returns whether some server can serve a model without the weight store.
     pub(super) fn has_copy(&self, model: &str) -> bool {
-        self.replicas(model) > 0 || self.copies(model) > 0
+        self.replicas(model) > 0 || !self.copies(model).is_empty()
     }
 
     /// Returns whether the plan has an order for a server.
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -35,6 +35,8 @@
 const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(100);
 /// Pause between looks whether they are written.
 const LAST_LINES_PAUSE: Duration = Duration::from_millis(5);
+/// Batches of log lines between two lines that sum up the instance's state.
+const FLUSHES_PER_STATUS: u32 = 40;
 /// Pause after a failure to accept, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -239,14 +241,39 @@
     S: Store,
     E: Engines,
 {
+    let mut flushes = 0;
     loop {
         tokio::time::sleep(FLUSH_INTERVAL).await;
+        flushes += 1;
+        if flushes % FLUSHES_PER_STATUS == 0 {
+            log_status(&gateway);
+        }
         gateway.pool.expire();
         gateway.metrics.note_dropped_lines(lines.dropped());
         lines.flush();
     }
 }
 
+fn log_status<C, S, E>(gateway: &Gateway<C, S, E>)
+where
+    C: Callers,
+    S: Store,
+    E: Engines,
+{
+    let now = gateway.now();
+    let dispatcher = gateway.dispatcher.borrow();
+    let mut event = Event::new("status")
+        .with("ready", dispatcher.is_ready(now))
+        .with("active", gateway.active.get())
+        .with("heard", dispatcher.peers.heard(now))
+        .with("possible", dispatcher.peers.possible())
+        .with("fence", dispatcher.lease.fence(now));
+    for (kind, calls) in gateway.metrics.store_calls() {
+        event = event.with(&format!("store_{kind}"), calls);
+    }
+    event.log();
+}
+
 /// Ends when the process is told to stop; a hangup is only noted, since the settings that may change
 /// concern the next start.
 ///
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -23,9 +23,9 @@
 /// Bytes of the largest heartbeat.
 const MAX_HEARTBEAT_BYTES: usize = 60 << 10;
 /// Least pause between two lists of the members.
-const LIST_PAUSE: Duration = Duration::from_millis(900);
+const LIST_PAUSE: Duration = Duration::from_millis(3000);
 /// Part of that pause that each instance of the fleet adds.
-const LIST_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(25);
+const LIST_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(60);
 /// Attempts to claim the lease before the next renewal.
 const CLAIM_ATTEMPTS: u32 = 3;
 
@@ -106,8 +106,7 @@
         Ok(())
     }
 
-    // While a large fleet starts, its group changes with each member: a list for each change would
-    // be read by all.
+    // Members announce themselves by heartbeats; the list only makes good what was lost.
     fn may_list(&self, now: Instant) -> bool {
         let members = self.gateway.dispatcher.borrow().peers.possible() as u32;
         let pause = LIST_PAUSE.max(LIST_PAUSE_PER_INSTANCE * members);
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -76,6 +76,16 @@
         count(&self.store_calls, outcome);
     }
 
+    /// Returns the calls to the store so far, by kind.
+    pub fn store_calls(&self) -> [(&'static str, u64); 6] {
+        ["read", "join", "members", "keep", "kept", "failed"].map(|kind| {
+            let labels = EndLabels {
+                outcome: kind.to_owned(),
+            };
+            (kind, self.store_calls.get_or_create(&labels).get())
+        })
+    }
+
     /// Counts an order.
     pub fn note_order(&self, outcome: &str) {
         count(&self.orders, outcome);
--- a/crates/apricotwell_gateway/src/placing.rs
+++ b/crates/apricotwell_gateway/src/placing.rs
@@ -14,7 +14,7 @@
 /// Pause between plans when nothing changes.
 const PLAN_PAUSE: Duration = Duration::from_millis(200);
 /// Least pause between plans.
-const LEAST_PAUSE: Duration = Duration::from_millis(20);
+const LEAST_PAUSE: Duration = Duration::from_millis(25);
 
 /// Plans and orders while this instance holds the lease.
 pub async fn place<C, S, E>(gateway: Rc<Gateway<C, S, E>>)
@@ -50,22 +50,7 @@
         dispatcher.stock.reset();
         return;
     };
-    let Some(catalog) = dispatcher.catalog.clone() else {
-        return;
-    };
-    let uses = dispatcher.fleet_demand(now);
-    let Dispatcher {
-        stock, backends, ..
-    } = &mut *dispatcher;
-    let mut orders = Vec::new();
-    for service in catalog.services() {
-        if service.engine.is_none() {
-            continue;
-        }
-        stock.follow(now, backends, service);
-        orders.extend(stock.plan(now, service, backends, &uses));
-    }
-    let reports = stock.take_due_reports(now);
+    let (orders, reports) = dispatcher.plan(now);
     drop(dispatcher);
     for server in reports {
         actix::spawn(report(Rc::clone(gateway), server));
