--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -524,7 +524,9 @@
         };
         let own = self.demand.uses(now);
         let mut orders = Vec::new();
-        let engines = catalog.services().filter(|service| service.engine.is_some());
+        let engines = catalog
+            .services()
+            .filter(|service| service.engine.is_some());
         for service in engines {
             self.stock.follow(now, &self.backends, service);
             let uses = own.iter().chain(self.peers.model_uses(now));
--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -359,7 +359,8 @@
             };
             let wanted = self.wanted_replicas(plan, &model).min(plan.backends.len());
             let wanted = (wanted as f64 * share).floor() as usize;
-            for _ in plan.replicas(&model)..wanted {
+            // The first replica is brought for those who wait, on whatever server has it first.
+            for _ in plan.replicas(&model).max(1)..wanted {
                 self.bring(plan, spec, Patience::FreeOnly, "more_replicas");
             }
         }
@@ -422,7 +423,8 @@
         let Some(holdings) = self.servers.get(id).and_then(ServerOrders::holdings) else {
             return 0;
         };
-        let only_here = |model: &&ModelName| plan.replicas(model) == 0 && plan.copies(model).len() == 1;
+        let only_here =
+            |model: &&ModelName| plan.replicas(model) == 0 && plan.copies(model).len() == 1;
         holdings.on_disk.iter().filter(only_here).count()
     }
 
@@ -434,10 +436,14 @@
         patience: Patience,
         reason: &'static str,
     ) {
-        let copies = plan.copies(&spec.name).iter();
-        let best = self
-            .best_server(plan, copies, spec, patience)
-            .or_else(|| self.best_server(plan, plan.backends.keys(), spec, patience));
+        let copies = plan.copies(&spec.name);
+        // The weight store is slow: it is asked only for what no further server has a copy of.
+        let is_used_up = copies.iter().all(|id| self.keeps(id, &spec.name));
+        let best = if is_used_up {
+            self.best_server(plan, plan.backends.keys(), spec, patience)
+        } else {
+            self.best_server(plan, copies.iter(), spec, patience)
+        };
         if let Some(id) = best {
             self.load_at(plan, &id, spec, reason);
         }
--- a/crates/apricotwell_dispatch/tests/engines/engines.rs
+++ b/crates/apricotwell_dispatch/tests/engines/engines.rs
@@ -60,7 +60,7 @@
     random: u64,
     pub(crate) orders: Vec<Operation>,
     pub(crate) overloaded: usize,
-    pub(crate) fetches: usize,
+    pub(crate) fetched: Vec<String>,
     pub(crate) most_fetches: usize,
 }
 
@@ -85,7 +85,7 @@
             random: seed | 1,
             orders: Vec::new(),
             overloaded: 0,
-            fetches: 0,
+            fetched: Vec::new(),
             most_fetches: 0,
         };
         engines.place(&names);
@@ -157,6 +157,36 @@
         engine.history.clear();
     }
 
+    /// Lets every server with a copy of a model load something else right now.
+    pub(crate) fn occupy_copies(&mut self, model: &str) {
+        let with_copy = |engine: &&Engine| engine.disk.iter().any(|name| name == model);
+        let count = self.engines.values().filter(with_copy).count();
+        let ids: Vec<String> = self.engines.keys().cloned().collect();
+        let mut occupied = 0;
+        for id in ids {
+            if !self.engines[&id].disk.iter().any(|name| name == model) || occupied == count {
+                continue;
+            }
+            let other = self.unheld_copy(&id, model);
+            let begun = self.now;
+            let key = (other.clone(), String::new());
+            self.waiting.insert(key.clone(), 1);
+            while self.engines[&id].under_way.is_none()
+                && self.now < begun + Duration::from_millis(300)
+            {
+                self.tick();
+            }
+            self.waiting.remove(&key);
+            occupied += 1;
+        }
+    }
+
+    fn unheld_copy(&self, id: &str, not: &str) -> String {
+        let disk = self.engines[id].disk.iter();
+        let mut others = disk.filter(|name| *name != not && self.holders(name) == 0);
+        others.next().cloned().unwrap_or_default()
+    }
+
     pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
@@ -354,7 +384,7 @@
             _ => {}
         }
         if fetches {
-            self.fetches += 1;
+            self.fetched.push(order.operation.model().to_string());
         }
         match &order.operation {
             Operation::UnloadAdapter(..) => {
--- a/crates/apricotwell_dispatch/tests/placing.rs
+++ b/crates/apricotwell_dispatch/tests/placing.rs
@@ -63,7 +63,7 @@
     };
     let mut engines = Engines::new(setup, 2);
     engines.run(Duration::from_secs(30));
-    let fetches = engines.fetches;
+    let fetches = engines.fetched.len();
     assert!(fetches >= 4, "{fetches} fetches ahead");
     assert!(
         engines.most_fetches <= 4,
@@ -102,3 +102,17 @@
     engines.play_rare(Duration::from_secs(20), 1.0);
     assert_eq!(engines.overloaded, 0);
 }
+
+#[test]
+fn a_model_with_a_copy_on_a_busy_server_is_not_fetched_from_the_store() {
+    for seed in 1..=10 {
+        let mut engines = Engines::new(small(), seed);
+        engines.run(Duration::from_secs(3));
+        let model = engines.unheld_model();
+        engines.occupy_copies(&model);
+        engines.set_rate(&model, 9.0);
+        let waited = engines.wait_for(&model);
+        assert!(waited < Duration::from_millis(5500), "{waited:?}");
+        assert!(!engines.fetched.contains(&model));
+    }
+}
