--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -14,7 +14,7 @@
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(2200);
 /// Share of the time within which a leaving server must get no more work, that passes between two
 /// reads of the list of servers.
-const SERVERS_SHARE: f64 = 0.5;
+const SERVERS_SHARE: f64 = 0.65;
 /// Pause after a call that the store did not serve.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Time after an outage of the store in which servers that left the list are still used: the entries
