Leave room at the weight store for first replicas; scale what was spent with the part that is heard

Change: further replicas take half of the places; models without a holder are brought by their rate too; what was spent is scaled with the part.

--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -144,8 +144,19 @@
     }
 
     /// Sets which part of the fleet's instances tells what it spends, this one included.
+    ///
+    /// What was spent so far was spent by all: the part that is no longer heard takes its share of it
+    /// along, and brings it back when it is heard again.
     pub fn set_part(&mut self, heard: usize, possible: usize) {
-        self.part = heard as f64 / possible.max(heard).max(1) as f64;
+        let part = heard as f64 / possible.max(heard).max(1) as f64;
+        if part == self.part {
+            return;
+        }
+        let scale = part / self.part;
+        for window in self.windows.values_mut() {
+            window.spans.iter_mut().for_each(|span| *span *= scale);
+        }
+        self.part = part;
     }
 
     /// Spends tokens of an organisation.
--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -28,6 +28,8 @@
 const PARALLEL_ADAPTERS: usize = 16;
 /// Requests a second for which a model gets one more replica.
 const REPLICA_RATE: f64 = 2.5;
+/// Rate from which a model that no server holds is brought though no request waits for it.
+const REFUSED_RATE: f64 = 0.3;
 /// Rate below which a model counts as rare, in requests a second.
 const RARE_RATE: f64 = 0.6;
 /// Requests of a service from which its rates say which models are in use.
@@ -338,7 +340,9 @@
 
     // Models that requests wait for and that no server holds or loads.
     fn plan_waiting(&mut self, plan: &mut Plan<'_>) {
-        for model in plan.demand.most_urgent() {
+        // Requests that were refused for want of the model don't wait, but come back.
+        let refused = plan.demand.busiest(REFUSED_RATE);
+        for model in plan.demand.most_urgent().into_iter().chain(refused) {
             let Some(spec) = plan.engine.model(&model) else {
                 continue;
             };
@@ -525,7 +529,13 @@
         let fetches = server
             .holdings()
             .is_some_and(|holdings| !holdings.is_cached(&spec.name));
-        if fetches && self.fetches() >= PARALLEL_FETCHES {
+        // One more replica must not keep the first one of another model waiting.
+        let limit = if plan.replicas(&spec.name) > 0 {
+            PARALLEL_FETCHES / 2
+        } else {
+            PARALLEL_FETCHES
+        };
+        if fetches && self.fetches() >= limit {
             return;
         }
         let operation = Operation::LoadModel(spec.name.clone());
--- a/crates/apricotwell_dispatch/tests/placing.rs
+++ b/crates/apricotwell_dispatch/tests/placing.rs
@@ -115,3 +115,20 @@
         assert!(waited < Duration::from_millis(5500), "{waited:?}");
     }
 }
+
+#[test]
+fn replicas_leave_room_at_the_store_for_a_model_that_nobody_has() {
+    let setup = Setup {
+        copies: 3,
+        ..small()
+    };
+    let mut engines = Engines::new(setup, 2);
+    engines.run(Duration::from_secs(2));
+    // A busy model is fetched to more and more servers; then requests for another one are refused.
+    engines.set_rate("busy-0", 40.0);
+    engines.run(Duration::from_secs(3));
+    let model = engines.unheld_model();
+    engines.set_rate(&model, 6.0);
+    engines.run(Duration::from_secs(12));
+    assert!(engines.holders(&model) > 0, "{model} is still nowhere");
+}
--- a/crates/apricotwell_dispatch/tests/quota.rs
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -203,6 +203,19 @@
     assert_eq!(play(&mut fleet, 10, 0.6, 4), 1.0);
 }
 
+#[test]
+fn an_instance_that_has_heard_nobody_yet_serves_its_part_of_what_is_left() {
+    let now = Instant::now();
+    let organisation = organisation(10_000, 10_000);
+    let mut before = QuotaTable::new(BOUNDS, true);
+    assert!(before.spend(now, &organisation, 45_000).is_ok());
+    let mut table = QuotaTable::new(BOUNDS, false);
+    table.restore(now, &before.snapshot(now));
+    table.set_part(1, INSTANCES);
+    assert!(table.spend(now, &organisation, 4_000).is_ok());
+    assert!(table.spend(now, &organisation, 9_000).is_err());
+}
+
 #[test]
 fn a_refund_can_be_spent_again() {
     let now = Instant::now();
