Let an instance that stops keep the placement lease for the process that follows it

Cause: a rolling restart of all machines moved the lease each time, with 3 s without orders. Change: the holder orders to its end and stays in the group; the next process on the machine takes the lease back without a pause (orders of one machine are those of one holder), else the group drops it.

--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -35,8 +35,6 @@
     Unclaimed,
     /// The last claim is of this process or of an earlier one on this machine.
     Own,
-    /// The last holder gave it up.
-    Released,
     /// The last holder is no longer in the group and may have ordered until it left.
     Dropped,
     /// Another member holds it.
@@ -121,9 +119,7 @@
         match standing {
             Standing::Own if self.claim.is_some() => LeaseStep::Keep,
             Standing::Own => LeaseStep::Claim,
-            Standing::Unclaimed | Standing::Released | Standing::Dropped if candidate => {
-                LeaseStep::Claim
-            }
+            Standing::Unclaimed | Standing::Dropped if candidate => LeaseStep::Claim,
             _ => match self.claim.take() {
                 Some(_) => LeaseStep::Stop,
                 None => LeaseStep::Keep,
@@ -136,7 +132,7 @@
         let wait = match standing {
             // Orders of one machine are those of one holder.
             Standing::Unclaimed | Standing::Own => Duration::ZERO,
-            Standing::Released | Standing::Taken => self.terms.pause,
+            Standing::Taken => self.terms.pause,
             // The holder was silent for the term, save for the time between two renewals. One that
             // lives on, cut off from the store, is stopped by the higher fence.
             Standing::Dropped if self.terms.fenced => {
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -156,7 +156,7 @@
 pub struct LastClaim {
     /// Offset at which the next record goes.
     pub end: Offset,
-    /// Claimant and whether it has given the lease up; `None` if the record is gone.
+    /// Claimant; `None` if the record is gone.
     pub claim: Option<ClaimRecord>,
 }
 
@@ -165,8 +165,6 @@
 pub struct ClaimRecord {
     /// Member of the group.
     pub holder: String,
-    /// Whether the holder gives the lease up.
-    pub released: bool,
 }
 
 /// The platform's store.
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -46,7 +46,7 @@
         checked: None,
         gateway,
     };
-    while renewer.gateway.stopped.get().is_none() {
+    while renewer.may_renew() {
         if let Err(error) = renewer.renew().await {
             renewer.gateway.metrics.note_store_call("failed");
             log::info!("membership not renewed: {error}");
@@ -75,6 +75,13 @@
     S: Store,
     E: Engines,
 {
+    // An instance that stops stays in the group only for the lease: it orders to its end, and the
+    // process that follows it on this machine takes the lease back without a pause.
+    fn may_renew(&self) -> bool {
+        let now = self.gateway.now();
+        self.gateway.stopped.get().is_none() || self.gateway.dispatcher.borrow().lease.is_held(now)
+    }
+
     async fn renew(&mut self) -> Result<(), StoreError> {
         let gateway = Rc::clone(&self.gateway);
         let start = gateway.now();
@@ -142,7 +149,6 @@
         let gateway = &self.gateway;
         let record = ClaimRecord {
             holder: self.member.clone(),
-            released: false,
         };
         let fence = gateway.store.append_claim(at, &record).await?;
         let now = gateway.now();
@@ -161,7 +167,6 @@
         None if last.end == 0 => Standing::Unclaimed,
         // The record has expired: its writer is not known, so nobody is trusted to be it.
         None => Standing::Dropped,
-        Some(claim) if claim.released => Standing::Released,
         Some(claim) if claim.holder == member => Standing::Own,
         Some(claim) if members.contains(&claim.holder) => Standing::Taken,
         Some(_) => Standing::Dropped,
@@ -188,7 +193,7 @@
     Ok(())
 }
 
-/// Gives the lease up and leaves the group, before the process ends.
+/// Leaves the group, unless this instance holds the placement lease.
 pub async fn leave<C, S, E>(gateway: &Gateway<C, S, E>)
 where
     C: Callers,
@@ -196,39 +201,14 @@
     E: Engines,
 {
     let now = gateway.now();
-    let held = gateway.dispatcher.borrow().lease.is_held(now);
-    gateway.dispatcher.borrow_mut().lease.note_fenced();
-    if held && let Err(error) = release(gateway).await {
-        log::info!("lease not released: {error}");
+    if gateway.dispatcher.borrow().lease.is_held(now) {
+        return;
     }
     if let Err(error) = gateway.store.leave(&gateway.listeners.peers).await {
         log::info!("group not left: {error}");
     }
 }
 
-async fn release<C, S, E>(gateway: &Gateway<C, S, E>) -> Result<(), StoreError>
-where
-    C: Callers,
-    S: Store,
-    E: Engines,
-{
-    let holder = gateway.listeners.peers.clone();
-    let last = gateway.store.last_claim().await?;
-    let own = last.claim.is_some_and(|claim| claim.holder == holder);
-    if !own {
-        return Ok(());
-    }
-    let record = ClaimRecord {
-        holder,
-        released: true,
-    };
-    gateway
-        .store
-        .append_claim(last.end, &record)
-        .await
-        .map(|_| ())
-}
-
 /// Whom a heartbeat goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Audience {
--- a/crates/apricotwell_gateway/src/placing.rs
+++ b/crates/apricotwell_gateway/src/placing.rs
@@ -24,9 +24,7 @@
     E: Engines,
 {
     loop {
-        if gateway.stopped.get().is_none() {
-            step(&gateway);
-        }
+        step(&gateway);
         tokio::time::sleep(LEAST_PAUSE).await;
         let due = gateway.dispatcher.borrow().stock.next_due(gateway.now());
         let pause = due.map_or(PLAN_PAUSE, |due| due.min(PLAN_PAUSE));
