--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -15,8 +15,10 @@
 /// Share of the time within which a leaving server must get no more work, that passes between two
 /// reads of the list of servers.
 const SERVERS_SHARE: f64 = 0.65;
-/// Pause after a call that the store did not serve.
+/// Pause after a first call that the store did not serve; each further one adds as much.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Calls after which the pause grows no more.
+const MAX_PAUSES: u32 = 3;
 /// Time after an outage of the store in which servers that left the list are still used: the entries
 /// of those that live come back by then.
 const RETURN_TIME: Duration = Duration::from_millis(2200);
@@ -33,6 +35,7 @@
         feed,
         next: None,
         failing_since: None,
+        failures: 0,
         outage_end: None,
     };
     loop {
@@ -47,6 +50,8 @@
     // Offset from which to read; unknown before the newest records were read.
     next: Option<Offset>,
     failing_since: Option<Instant>,
+    // Calls in a row that the store did not serve.
+    failures: u32,
     outage_end: Option<Instant>,
 }
 
@@ -75,7 +80,7 @@
             }
             Err(error) => {
                 self.note_failure(&error);
-                RETRY_PAUSE
+                RETRY_PAUSE * self.failures.min(MAX_PAUSES)
             }
         }
     }
@@ -167,6 +172,7 @@
 
     fn note_failure(&mut self, error: &StoreError) {
         self.gateway.metrics.note_store_call("failed");
+        self.failures += 1;
         if self.failing_since.is_none() {
             self.failing_since = Some(self.gateway.now());
             Event::new("store_lost")
@@ -177,6 +183,7 @@
     }
 
     fn note_success(&mut self) {
+        self.failures = 0;
         let Some(since) = self.failing_since.take() else {
             return;
         };
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use crate::adapter::{Callers, ClaimRecord, Engines, LastClaim, Store, StoreError};
+use crate::adapter::{Callers, ClaimRecord, Engines, Store, StoreError};
 use crate::events::Event;
 use crate::gateway::Gateway;
 
@@ -124,8 +124,20 @@
     async fn check(&self, candidate: bool) -> Result<(), StoreError> {
         for _ in 0..CLAIM_ATTEMPTS {
             let last = self.gateway.store.last_claim().await?;
-            let members = self.gateway.store.members().await?;
-            let standing = standing(&last, &self.member, &members);
+            let standing = match &last.claim {
+                Some(claim) if claim.holder != self.member => {
+                    let members = self.gateway.store.members().await?;
+                    if members.contains(&claim.holder) {
+                        Standing::Taken
+                    } else {
+                        Standing::Dropped
+                    }
+                }
+                Some(_) => Standing::Own,
+                None if last.end == 0 => Standing::Unclaimed,
+                // The record has expired: its writer may be any member.
+                None => Standing::Dropped,
+            };
             let step = {
                 let mut dispatcher = self.gateway.dispatcher.borrow_mut();
                 dispatcher.lease.note_standing(standing, candidate)
@@ -162,17 +174,6 @@
     }
 }
 
-fn standing(last: &LastClaim, member: &str, members: &[String]) -> Standing {
-    match &last.claim {
-        None if last.end == 0 => Standing::Unclaimed,
-        // The record has expired: its writer is not known, so nobody is trusted to be it.
-        None => Standing::Dropped,
-        Some(claim) if claim.holder == member => Standing::Own,
-        Some(claim) if members.contains(&claim.holder) => Standing::Taken,
-        Some(_) => Standing::Dropped,
-    }
-}
-
 async fn list_members<C, S, E>(gateway: &Gateway<C, S, E>) -> Result<(), StoreError>
 where
     C: Callers,
