Tell an instance that starts what the fleet spent, and overdraw less

Change: heartbeats carry the fleet's spending, which counts when an instance is first heard; the store is written within 0.5 s of the first organisation close to its limit; overdraft 0.4 to 0.3 of the excess.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -453,9 +453,10 @@
             spending: self
                 .quotas
                 .spending()
-                .map(|(organisation, tokens)| Spending {
+                .map(|(organisation, tokens, fleet)| Spending {
                     organisation: organisation.to_string(),
                     tokens,
+                    fleet,
                 })
                 .collect(),
             models: Vec::new(),
@@ -495,16 +496,17 @@
         instance: &InstanceId,
         heartbeat: &Heartbeat,
     ) {
-        let spending: Map<&str, Tokens> = heartbeat
+        let spending: Map<&str, (Tokens, Tokens)> = heartbeat
             .spending
             .iter()
-            .map(|spending| (spending.organisation.as_str(), spending.tokens))
+            .map(|told| (told.organisation.as_str(), (told.tokens, told.fleet)))
             .collect();
         for organisation in catalog.organisations() {
             let name: &OrgId = &organisation.name;
-            let spent = spending.get(&**name).copied().unwrap_or_default();
+            let (spent, fleet) = spending.get(&**name).copied().unwrap_or_default();
+            let incarnation = heartbeat.incarnation;
             self.quotas
-                .note_spending(now, instance, heartbeat.incarnation, organisation, spent);
+                .note_spending(now, instance, incarnation, organisation, spent, fleet);
         }
     }
 
--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -15,7 +15,7 @@
 use crate::catalog::Organisation;
 
 /// Part of the allowed excess that one instance's view may overdraw.
-const OVERDRAFT_SHARE: f64 = 0.4;
+const OVERDRAFT_SHARE: f64 = 0.3;
 /// Level, as a share of the limit, below which spending is told to the others at once.
 const TIGHT_SHARE: f64 = 0.25;
 
@@ -95,7 +95,11 @@
     }
 
     fn level(&self, part: f64) -> f64 {
-        self.limit * part - self.spans.iter().sum::<f64>()
+        self.limit * part - self.sum()
+    }
+
+    fn sum(&self) -> f64 {
+        self.spans.iter().sum()
     }
 
     fn add(&mut self, tokens: f64) {
@@ -257,15 +261,17 @@
             .any(|window| window.level(part) < window.limit * TIGHT_SHARE)
     }
 
-    /// Returns what this instance has spent of each organisation since its start.
-    pub fn spending(&self) -> impl Iterator<Item = (&OrgId, Tokens)> {
+    /// Returns what this instance has spent since its start and what the fleet spent in the last window,
+    /// of each organisation.
+    pub fn spending(&self) -> impl Iterator<Item = (&OrgId, Tokens, Tokens)> {
         self.windows
             .iter()
-            .filter(|(_, window)| window.spent > 0)
-            .map(|(name, window)| (name, window.spent))
+            .map(|(name, window)| (name, window.spent, window.sum().max(0.0) as Tokens))
+            .filter(|(_, spent, fleet)| *spent > 0 || *fleet > 0)
     }
 
-    /// Applies what another instance has spent since its start `incarnation`.
+    /// Applies what another instance has spent since its start `incarnation`, and what it knows of the
+    /// `fleet`: that counts only when the instance is first heard, as this one may just have started.
     pub fn note_spending(
         &mut self,
         now: Instant,
@@ -273,10 +279,12 @@
         incarnation: u64,
         organisation: &Organisation,
         spent: Tokens,
+        fleet: Tokens,
     ) {
         if organisation.rate == 0 {
             return;
         }
+        let part = self.part;
         let window = self.window(now, organisation);
         let before = match window.told.get(instance) {
             Some((start, _)) if *start > incarnation => return,
@@ -285,6 +293,10 @@
             None => spent,
             Some(_) => 0,
         };
+        if !window.told.contains_key(instance) {
+            let missing = fleet as f64 * part - window.sum();
+            window.add(missing.max(0.0));
+        }
         window.add(spent as f64 - before as f64);
         window.told.insert(instance.clone(), (incarnation, spent));
     }
--- a/crates/apricotwell_dispatch/tests/quota.rs
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -14,6 +14,8 @@
 };
 const INSTANCES: usize = 9;
 const STEP: Duration = Duration::from_millis(20);
+/// Steps until an instance that starts has heard the others.
+const FIRST_HEARD_STEP: u64 = 10;
 /// Steps between two heartbeats.
 const HEARTBEAT_STEPS: u64 = 20;
 
@@ -34,6 +36,8 @@
     spent: Vec<(Duration, Tokens)>,
     // Time that was played before.
     skip: Duration,
+    // Instance that has not heard the others yet.
+    starting: Option<usize>,
 }
 
 impl Fleet {
@@ -46,6 +50,7 @@
                 .collect(),
             spent: Vec::new(),
             skip: Duration::ZERO,
+            starting: None,
         }
     }
 
@@ -65,11 +70,15 @@
     }
 
     fn tell(&mut self, at: Duration, from: usize) {
-        let spent: Tokens = self.tables[from].spending().map(|(_, spent)| spent).sum();
+        let told: Vec<(Tokens, Tokens)> = self.tables[from]
+            .spending()
+            .map(|(_, spent, fleet)| (spent, fleet))
+            .collect();
+        let (spent, fleet) = told.first().copied().unwrap_or_default();
         let name: InstanceId = format!("instance-{from}").into();
         for to in (0..INSTANCES).filter(|to| *to != from) {
             let now = self.start + at;
-            self.tables[to].note_spending(now, &name, 1, &self.organisation, spent);
+            self.tables[to].note_spending(now, &name, 1, &self.organisation, spent, fleet);
         }
     }
 
@@ -119,7 +128,13 @@
                 fleet.tell(at, instance);
             }
         }
-        if step % HEARTBEAT_STEPS == 0 {
+        if step == FIRST_HEARD_STEP
+            && let Some(started) = fleet.starting.take()
+        {
+            (0..INSTANCES).for_each(|from| fleet.tell(at, from));
+            fleet.tables[started].set_part(INSTANCES, INSTANCES);
+        }
+        if step % HEARTBEAT_STEPS == 0 && fleet.starting.is_none() {
             (0..INSTANCES).for_each(|from| fleet.tell(at, from));
         }
     }
@@ -203,6 +218,28 @@
     assert_eq!(play(&mut fleet, 10, 0.6, 4), 1.0);
 }
 
+#[test]
+fn an_instance_that_starts_in_a_flood_learns_what_the_others_spent() {
+    for seed in 1..=10 {
+        let mut fleet = Fleet::new(organisation(12_000, 12_000));
+        play(&mut fleet, 4, 0.6, seed);
+        // What the store kept is from before the flood.
+        let kept = fleet.tables[0].snapshot(fleet.start + Duration::from_secs(4));
+        fleet.skip = Duration::from_secs(4);
+        play(&mut fleet, 3, 7.5, seed);
+        let at = Duration::from_secs(7);
+        fleet.tables[4] = QuotaTable::new(BOUNDS, false);
+        fleet.tables[4].restore(fleet.start + at, &kept);
+        // Until it hears the others it uses its part only.
+        fleet.tables[4].set_part(1, INSTANCES);
+        fleet.starting = Some(4);
+        fleet.skip = at;
+        play(&mut fleet, 8, 7.5, seed + 1);
+        let most = fleet.most_in_a_window() as f64;
+        assert!(most <= fleet.allowed(), "{most} of {}", fleet.allowed());
+    }
+}
+
 #[test]
 fn an_instance_that_has_heard_nobody_yet_serves_its_part_of_what_is_left() {
     let now = Instant::now();
@@ -248,9 +285,9 @@
         let sums = [0, 500, 900, 900, 2_500, 4_000];
         let mut table = QuotaTable::new(BOUNDS, true);
         let name: InstanceId = "other".into();
-        table.note_spending(now, &name, 1, &organisation, 0);
+        table.note_spending(now, &name, 1, &organisation, 0, 0);
         for index in &order {
-            table.note_spending(now, &name, 1, &organisation, sums[*index]);
+            table.note_spending(now, &name, 1, &organisation, sums[*index], 0);
         }
         let last = order.last().map_or(0, |index| sums[*index]);
         let mut spent = 0;
--- a/crates/apricotwell_gateway/src/spending.rs
+++ b/crates/apricotwell_gateway/src/spending.rs
@@ -16,8 +16,8 @@
 
 /// Pause between two writes while some organisation is close to its limit.
 const TIGHT_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between two writes otherwise, and after a failure.
-const CALM_PAUSE: Duration = Duration::from_millis(2500);
+/// Such pauses between two writes otherwise.
+const CALM_PAUSES: u32 = 5;
 /// Pause between attempts to take over what was kept.
 const RESTORE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -31,9 +31,14 @@
     if !gateway.dispatcher.borrow().facts.first_start {
         restore(&gateway).await;
     }
+    let mut pauses = 0;
     loop {
-        let tight = gateway.dispatcher.borrow().is_any_tight();
-        tokio::time::sleep(if tight { TIGHT_PAUSE } else { CALM_PAUSE }).await;
+        tokio::time::sleep(TIGHT_PAUSE).await;
+        pauses += 1;
+        if pauses < CALM_PAUSES && !gateway.dispatcher.borrow().is_any_tight() {
+            continue;
+        }
+        pauses = 0;
         let now = gateway.now();
         let spending = {
             let mut dispatcher = gateway.dispatcher.borrow_mut();
@@ -46,7 +51,6 @@
         gateway.metrics.note_store_call("keep");
         if let Err(error) = gateway.store.keep_spending(&spending.encode_to_vec()).await {
             log::info!("spending not kept: {error}");
-            tokio::time::sleep(CALM_PAUSE).await;
         }
     }
 }
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -23,6 +23,9 @@
     /// Tokens spent since the instance's start.
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
+    /// Tokens that the whole fleet spent in the last window, as far as the instance knows.
+    #[prost(uint64, tag = "3")]
+    pub fleet: u64,
 }
 
 /// Demand for one model or adapter at one instance.
