--- a/crates/apricotwell_gateway/src/front.rs
+++ b/crates/apricotwell_gateway/src/front.rs
@@ -189,7 +189,7 @@
     let last_event = ticket.call.last_event;
     loop {
         let (answer, flight) = match ticket.first_answer(last_event).await {
-            Ok((answer, _, flight)) => (answer, flight),
+            Ok(found) => found,
             Err(refusal) => return refused(&ticket, &refusal),
         };
         if ticket.admission.route.kind.is_stream() && answer.head.status.is_success() {
@@ -205,7 +205,7 @@
 
 fn stream<C, S, E>(
     ticket: Ticket<C, S, E>,
-    answer: Answer,
+    answer: Box<Answer>,
     flight: FlightGuard<C, S, E>,
 ) -> Served<C, S, E>
 where
@@ -223,7 +223,7 @@
 // Returns the whole answer, a refusal, or nothing when another attempt is allowed.
 async fn whole<C, S, E>(
     ticket: &mut Ticket<C, S, E>,
-    answer: Answer,
+    answer: Box<Answer>,
     flight: FlightGuard<C, S, E>,
 ) -> Result<Response<Bytes>, Option<Refusal>>
 where
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -43,7 +43,7 @@
     E: Engines,
 {
     ticket: Ticket<C, S, E>,
-    answer: Option<(Answer, FlightGuard<C, S, E>)>,
+    answer: Option<(Box<Answer>, FlightGuard<C, S, E>)>,
     // Bytes of an event that is not whole yet; kept only where the stream can be resumed.
     partial: BytesMut,
     last_event: Option<u64>,
@@ -58,7 +58,7 @@
     E: Engines,
 {
     /// Returns the relay of an answer whose head has come.
-    pub fn new(ticket: Ticket<C, S, E>, answer: Answer, flight: FlightGuard<C, S, E>) -> Self {
+    pub fn new(ticket: Ticket<C, S, E>, answer: Box<Answer>, flight: FlightGuard<C, S, E>) -> Self {
         Self {
             last_event: ticket.call.last_event,
             status: answer.head.status.as_u16(),
@@ -132,7 +132,7 @@
         }
         let resumed = self.ticket.first_answer(self.last_event).await;
         match resumed {
-            Ok((answer, _, flight)) if answer.head.status.as_u16() == self.status => {
+            Ok((answer, flight)) if answer.head.status.as_u16() == self.status => {
                 crate::events::Event::new("stream_resumed")
                     .with("request", self.ticket.call.attempt.as_str())
                     .with("server", &*flight.server)
--- a/crates/apricotwell_gateway/src/ticket.rs
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::request;
 
-use crate::adapter::{AnswerHead, Attempt, Callers, Engines, Store};
+use crate::adapter::{Attempt, Callers, Engines, Store};
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard, WaitGuard};
@@ -68,7 +68,7 @@
     E: Engines,
 {
     /// An answer to this attempt.
-    Answer(Answer, AnswerHead, FlightGuard<C, S, E>),
+    Answer(Box<Answer>, FlightGuard<C, S, E>),
     /// The server did not run it.
     NotRun(String),
     /// The server may have run it.
@@ -120,14 +120,14 @@
     pub async fn first_answer(
         &mut self,
         last_event: Option<u64>,
-    ) -> Result<(Answer, AnswerHead, FlightGuard<C, S, E>), Refusal> {
+    ) -> Result<(Box<Answer>, FlightGuard<C, S, E>), Refusal> {
         loop {
             let (server, address) = self.find_server().await?;
             let sent = self.send(&server, address, last_event).await;
             match sent {
-                Sent::Answer(answer, head, flight) => {
+                Sent::Answer(answer, flight) => {
                     if !self.should_repeat(&answer) {
-                        return Ok((answer, head, flight));
+                        return Ok((answer, flight));
                     }
                     flight.note_outcome(true);
                     self.tried.push(server);
@@ -330,7 +330,7 @@
             flight.note_outcome(true);
             return Sent::Lost("the answer belongs to another request".to_owned());
         }
-        Sent::Answer(answer, head, flight)
+        Sent::Answer(Box::new(answer), flight)
     }
 
     fn note_denied(&self, server: &ServerId) {
