--- a/crates/apricotwell_dispatch/src/stock.rs
+++ b/crates/apricotwell_dispatch/src/stock.rs
@@ -5,7 +5,9 @@
 //! that hold a few models each: a model that waits for the weight store is late, one that comes
 //! from a server's own disk or memory is on time.
 
+mod adapters;
 mod demand;
+mod loading;
 mod plan;
 
 use std::collections::BTreeMap;
@@ -16,16 +18,15 @@
 
 use crate::backends::BackendTable;
 use crate::catalog::{ModelSpec, Service};
-use crate::model::{AdapterName, ModelName};
+use crate::model::ModelName;
 use crate::orders::{Operation, OrderReply, Report, ServerOrders};
 
 use demand::FleetDemand;
-use plan::{Plan, free_memory};
+use loading::Patience;
+use plan::Plan;
 
 /// Loads from the weight store that run at once at full speed.
 const PARALLEL_FETCHES: usize = 4;
-/// Adapters on their way from the weight store at once, over all servers.
-const PARALLEL_ADAPTERS: usize = 16;
 /// Requests a second for which a model gets one more replica.
 const REPLICA_RATE: f64 = 2.5;
 /// Rate from which a model that no server holds is brought though no request waits for it.
@@ -36,17 +37,11 @@
 const KNOWN_RATE: f64 = 4.0;
 /// Time that an unload takes when nothing runs.
 const UNLOAD_TIME: Duration = Duration::from_millis(60);
-/// Time that a request of a model runs.
-const RUN_TIME: Duration = Duration::from_secs(2);
-/// Time from the end of an order until the server is known to be free.
-const ORDER_TIME: Duration = Duration::from_millis(300);
 /// Share of its replicas below which a busy model goes before rare ones that requests wait for.
 const SHORTAGE_SHARE: f64 = 0.6;
 /// Copies that only one server has and that are not held there, up to which the server fetches
 /// ahead: while it does, requests for them wait.
 const MAX_STRANDED: usize = 2;
-/// Time for which a model that was just loaded or asked for is not dropped.
-const RECENT: Duration = Duration::from_millis(2500);
 
 /// Order to a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -261,83 +256,6 @@
         ((rate / REPLICA_RATE).ceil() as usize).max(1)
     }
 
-    fn plan_adapters(&mut self, plan: &mut Plan<'_>) {
-        let mut wanted = plan.demand.waiting_adapters();
-        wanted.truncate(PARALLEL_ADAPTERS);
-        for (model, adapter) in wanted {
-            self.plan_adapter(plan, &model, &adapter);
-        }
-    }
-
-    fn plan_adapter(&mut self, plan: &mut Plan<'_>, model: &ModelName, adapter: &AdapterName) {
-        let held = plan.backends.keys().any(|id| {
-            let server = self.servers.get(id);
-            server
-                .and_then(ServerOrders::holdings)
-                .and_then(|holdings| holdings.adapters(model))
-                .is_some_and(|adapters| adapters.contains(adapter))
-        });
-        if held {
-            return;
-        }
-        let Some(spec) = plan.engine.model(model) else {
-            return;
-        };
-        let number = adapter.strip_prefix('a').and_then(|n| n.parse().ok());
-        if number.is_none_or(|number: u32| number == 0 || number > spec.adapters) {
-            return;
-        }
-        let best = plan
-            .backends
-            .iter()
-            .filter(|(id, _)| self.can_order(plan, id))
-            .filter_map(|(id, backend)| {
-                let holdings = self.servers.get(id)?.holdings()?;
-                holdings.adapters(model)?;
-                let full = holdings.adapter_count() >= plan.engine.adapter_slots
-                    || free_memory(plan.engine, holdings) < spec.adapter_weights;
-                Some((full, holdings.adapter_count(), backend.in_flight(), id))
-            })
-            .min();
-        let Some((full, _, _, id)) = best else {
-            return;
-        };
-        let id = id.clone();
-        if !full {
-            let operation = Operation::LoadAdapter(model.clone(), adapter.clone());
-            self.order(plan, &id, operation, UNLOAD_TIME, false, "adapter_waits");
-            return;
-        }
-        if let Some(operation) = self.coldest_adapter(plan, &id) {
-            self.order(plan, &id, operation, UNLOAD_TIME, false, "adapter_room");
-        }
-    }
-
-    fn coldest_adapter(&self, plan: &Plan<'_>, id: &str) -> Option<Operation> {
-        let server = self.servers.get(id)?;
-        if server.leaving_adapters() > 0 {
-            return None;
-        }
-        let holdings = server.holdings()?;
-        let rated = holdings.models.iter().flat_map(|(model, adapters)| {
-            let demand = plan.demand.get(model);
-            let staying = adapters
-                .iter()
-                .filter(|adapter| !server.is_leaving(model, adapter));
-            staying.map(move |adapter| {
-                let rate = demand
-                    .and_then(|demand| demand.adapters.get(adapter))
-                    .map_or(0.0, |(waiting, rate)| rate + f64::from(*waiting));
-                (rate, model, adapter)
-            })
-        });
-        let coldest = rated.min_by(|one, other| one.0.total_cmp(&other.0))?;
-        Some(Operation::UnloadAdapter(
-            coldest.1.clone(),
-            coldest.2.clone(),
-        ))
-    }
-
     // Models that requests wait for and that no server holds or loads.
     fn plan_waiting(&mut self, plan: &mut Plan<'_>) {
         // Requests that were refused for want of the model don't wait, but come back.
@@ -432,196 +350,6 @@
         holdings.on_disk.iter().filter(only_here).count()
     }
 
-    // Loads a model where it is there first.
-    fn bring(
-        &mut self,
-        plan: &mut Plan<'_>,
-        spec: &ModelSpec,
-        patience: Patience,
-        reason: &'static str,
-    ) {
-        let copies = plan.copies(&spec.name);
-        // The weight store is slow: it is asked only for what no further server has a copy of.
-        let is_used_up = copies.iter().all(|id| self.keeps(id, &spec.name));
-        let best = if is_used_up {
-            self.best_server(plan, plan.backends.keys(), spec, patience)
-        } else {
-            self.best_server(plan, copies.iter(), spec, patience)
-        };
-        if let Some(id) = best {
-            self.load_at(plan, &id, spec, reason);
-        }
-    }
-
-    // Returns the server among `ids` where a model would be there first.
-    fn best_server<'a, I>(
-        &self,
-        plan: &Plan<'_>,
-        ids: I,
-        spec: &ModelSpec,
-        patience: Patience,
-    ) -> Option<ServerId>
-    where
-        I: Iterator<Item = &'a ServerId>,
-    {
-        let mut best: Option<(Duration, f64, ServerId)> = None;
-        for id in ids {
-            let Some(server) = self.servers.get(id) else {
-                continue;
-            };
-            if self.keeps(id, &spec.name) || self.intents.contains_key(id) || plan.has_order(id) {
-                continue;
-            }
-            if patience == Patience::FreeOnly && !server.is_free(plan.now) {
-                continue;
-            }
-            let Some(room) = self.room_for(plan, id, spec) else {
-                continue;
-            };
-            let busy = self.busy_time(plan.now, server);
-            let duration = busy + room.time + self.load_time(server, spec);
-            let better = best
-                .as_ref()
-                .is_none_or(|(least, cost, _)| (duration, room.cost) < (*least, *cost));
-            if better {
-                best = Some((duration, room.cost, id.clone()));
-            }
-        }
-        best.map(|(_, _, id)| id)
-    }
-
-    // Time until a server can take an order.
-    fn busy_time(&self, now: Instant, server: &ServerOrders) -> Duration {
-        if server.is_free(now) {
-            return Duration::ZERO;
-        }
-        let ends = server.loading().map(|(_, ends)| ends);
-        let left = ends.map(|ends| ends.saturating_duration_since(now));
-        left.unwrap_or_default() + ORDER_TIME
-    }
-
-    // Loads a model at a server, or makes room for it first.
-    fn load_at(
-        &mut self,
-        plan: &mut Plan<'_>,
-        id: &ServerId,
-        spec: &ModelSpec,
-        reason: &'static str,
-    ) {
-        if !self.can_order(plan, id) {
-            return;
-        }
-        let Some(room) = self.room_for(plan, id, spec) else {
-            return;
-        };
-        if let Some(victim) = room.victim {
-            let operation = Operation::UnloadModel(victim);
-            self.order(plan, id, operation, UNLOAD_TIME, false, reason);
-            let model = spec.name.clone();
-            plan.note_kept(&model);
-            self.intents.insert(id.clone(), Intent { model, reason });
-            return;
-        }
-        let Some(server) = self.servers.get(id) else {
-            return;
-        };
-        let duration = self.load_time(server, spec);
-        let fetches = server
-            .holdings()
-            .is_some_and(|holdings| !holdings.is_cached(&spec.name));
-        // One more replica must not keep the first one of another model waiting.
-        let limit = if plan.replicas(&spec.name) > 0 {
-            PARALLEL_FETCHES / 2
-        } else {
-            PARALLEL_FETCHES
-        };
-        if fetches && self.fetches() >= limit {
-            return;
-        }
-        let operation = Operation::LoadModel(spec.name.clone());
-        self.order(plan, id, operation, duration, fetches, reason);
-    }
-
-    fn load_time(&self, server: &ServerOrders, spec: &ModelSpec) -> Duration {
-        let Some(holdings) = server.holdings() else {
-            return spec.store_load;
-        };
-        if holdings.in_memory.contains(&spec.name) {
-            return spec.memory_load;
-        }
-        if holdings.on_disk.contains(&spec.name) {
-            return spec.disk_load;
-        }
-        let behind = (self.fetches() + 1).saturating_sub(PARALLEL_FETCHES);
-        spec.store_load
-            + spec
-                .store_load
-                .mul_f64(behind as f64 / PARALLEL_FETCHES as f64)
-    }
-
-    fn can_order(&self, plan: &Plan<'_>, id: &str) -> bool {
-        !plan.has_order(id)
-            && self
-                .servers
-                .get(id)
-                .is_some_and(|server| server.is_free(plan.now))
-    }
-
-    /// Returns what has to go so that a model fits, `None` if nothing can go.
-    fn room_for(&self, plan: &Plan<'_>, id: &str, spec: &ModelSpec) -> Option<Room> {
-        let server = self.servers.get(id)?;
-        let holdings = server.holdings()?;
-        let free = free_memory(plan.engine, holdings);
-        if free >= spec.weights {
-            return Some(Room {
-                victim: None,
-                time: Duration::ZERO,
-                cost: 0.0,
-            });
-        }
-        let victims = holdings
-            .models
-            .iter()
-            .filter(|(model, _)| !self.is_recent(plan, model))
-            .map(|(model, _)| (self.drop_cost(plan, model), self.used.get(model), model));
-        let (cost, _, victim) = victims.min_by(|one, other| {
-            one.0
-                .total_cmp(&other.0)
-                .then(one.1.cmp(&other.1))
-                .then(one.2.cmp(other.2))
-        })?;
-        let running = (plan.demand.rate(victim) * RUN_TIME.as_secs_f64()).min(1.0);
-        Some(Room {
-            victim: Some(victim.clone()),
-            // An unload waits for what runs.
-            time: UNLOAD_TIME + RUN_TIME.mul_f64(running),
-            cost,
-        })
-    }
-
-    fn is_recent(&self, plan: &Plan<'_>, model: &str) -> bool {
-        let waited = plan
-            .demand
-            .get(model)
-            .is_some_and(|demand| demand.waiting > 0);
-        let used = self.used.get(model);
-        waited || used.is_some_and(|at| plan.now.saturating_duration_since(*at) < RECENT)
-    }
-
-    // Requests a second that would miss the model.
-    fn drop_cost(&self, plan: &Plan<'_>, model: &str) -> f64 {
-        let rate = plan.demand.rate(model);
-        let replicas = plan.replicas(model);
-        if replicas > self.wanted_replicas(plan, model) {
-            return 0.0;
-        }
-        if replicas > 1 {
-            return RARE_RATE + rate / replicas as f64;
-        }
-        // A model that nobody asked for lately may still be asked for next.
-        0.01 + rate
-    }
-
     fn order(
         &mut self,
         plan: &mut Plan<'_>,
@@ -651,22 +379,6 @@
     }
 }
 
-/// Whether a load may wait for a server that is busy with another order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Patience {
-    /// It may, if the model is there sooner.
-    AnyServer,
-    /// It may not: one more replica is wanted now, wherever.
-    FreeOnly,
-}
-
-/// What has to go so that a model fits on a server.
-struct Room {
-    victim: Option<ModelName>,
-    time: Duration,
-    cost: f64,
-}
-
 // Whether a server holds or loads a model and isn't about to drop it.
 fn keeps(server: &ServerOrders, model: &str) -> bool {
     match server.operation() {
--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/dispatcher.rs
@@ -0,0 +1,304 @@
+//! Decisions about single requests: taken, sent, kept waiting or refused.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_dispatch::backends::Entry;
+use apricotwell_dispatch::prelude::*;
+use apricotwell_types::{KeyDigest, RefusalKind};
+
+const REVOCATION: Duration = Duration::from_secs(5);
+
+fn facts() -> InstanceFacts {
+    InstanceFacts {
+        id: "10.0.0.1:7600".into(),
+        incarnation: 1,
+        zone: "a".into(),
+        address: "10.0.0.1:80".to_owned(),
+        first_start: true,
+        revocation: REVOCATION,
+        quota: QuotaBounds {
+            window: Duration::from_secs(8),
+            excess: 0.1,
+            slack: 11_000.0,
+        },
+        retries: RetryBounds {
+            ratio: 0.2,
+            window: Duration::from_secs(10),
+            slack: 58.0,
+        },
+        lease: LeaseTerms {
+            term: Duration::from_secs(2),
+            pause: Duration::from_secs(3),
+            renewal: Duration::from_millis(700),
+            fenced: true,
+        },
+    }
+}
+
+fn model(name: &str) -> ModelSpec {
+    ModelSpec {
+        name: name.into(),
+        weights: 70_000.0,
+        store_load: Duration::from_secs(9),
+        disk_load: Duration::from_secs(2),
+        memory_load: Duration::from_secs(1),
+        adapter_weights: 60.0,
+        adapters: 4,
+    }
+}
+
+fn catalog() -> Catalog {
+    let mut catalog = Catalog::new(3, CallerLimits::default());
+    let engine = EngineSpec {
+        slots: 4,
+        weights: 210_000.0,
+        adapter_slots: 8,
+        loads_per_second: 2.0,
+        kv_tokens: 100_000,
+        models: ["held", "on-disk", "nowhere"]
+            .map(|name| (name.into(), model(name)))
+            .into(),
+    };
+    catalog.add_service(Service {
+        name: "engines".into(),
+        engine: Some(engine),
+        max_connections: 100,
+    });
+    catalog.add_route(Route {
+        name: "draft".into(),
+        host: "h".to_owned(),
+        prefix: "/draft/".to_owned(),
+        kind: RouteKind::Stream,
+        timeout: Duration::from_secs(15),
+        target: Duration::from_secs(1),
+        gap_target: Duration::from_millis(300),
+        priority: 1,
+        services: vec![("engines".into(), 1)],
+        max_attempts: 1,
+        open: false,
+    });
+    let organisation = Organisation {
+        name: "kitchens".into(),
+        priority: None,
+        rate: 10_000,
+        burst: 10_000,
+        plain_tokens: 200,
+    };
+    catalog.add_organisation(organisation, [KeyDigest::of_secret("key")]);
+    catalog
+}
+
+fn entry(id: &str, models: &[&str]) -> Entry {
+    Entry {
+        id: id.into(),
+        service: "engines".into(),
+        address: "10.0.1.1:80".parse().unwrap(),
+        zone: "a".into(),
+        slots: 4,
+        leaving: false,
+        remaining: None,
+        born: 1,
+        holdings: Holdings {
+            models: models
+                .iter()
+                .map(|name| ((*name).into(), Vec::new()))
+                .collect(),
+            on_disk: vec!["on-disk".into()],
+            ..Holdings::default()
+        },
+    }
+}
+
+fn call(attempt: &str, model: &str) -> Call {
+    Call {
+        attempt: attempt.to_owned(),
+        host: "h".to_owned(),
+        path: "/draft/x".to_owned(),
+        key: Some(KeyDigest::of_secret("key")),
+        deadline: None,
+        wanted: Some(Wanted {
+            model: model.into(),
+            adapter: None,
+        }),
+        tokens: Some(1_000),
+        prompt: vec![PromptPart { id: 1, tokens: 900 }],
+        last_event: None,
+    }
+}
+
+fn dispatcher(now: Instant) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(facts());
+    dispatcher.apply_catalog(catalog());
+    dispatcher.freshness.note_current(now);
+    for id in ["one", "two", "three"] {
+        dispatcher.backends.note_entry(now, entry(id, &["held"]));
+    }
+    dispatcher
+}
+
+fn choose(dispatcher: &mut Dispatcher, now: Instant, attempt: &str, model: &str) -> Choice {
+    let call = call(attempt, model);
+    let admission = dispatcher.admit(now, &call).unwrap();
+    dispatcher.choose(now, &admission, &call, &[])
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    let older = Catalog::new(2, CallerLimits::default());
+    assert!(!dispatcher.apply_catalog(older));
+    assert_eq!(dispatcher.catalog.as_ref().unwrap().version, 3);
+}
+
+#[test]
+fn what_an_old_view_lacks_is_not_called_unknown() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    let mut other = call("a", "held");
+    other.path = "/new/x".to_owned();
+    let kind =
+        |dispatcher: &mut Dispatcher, at, call: &Call| dispatcher.admit(at, call).unwrap_err().kind;
+    assert_eq!(
+        kind(&mut dispatcher, now, &other),
+        RefusalKind::RouteNotFound
+    );
+    let later = now + Duration::from_millis(3500);
+    assert_eq!(
+        kind(&mut dispatcher, later, &other),
+        RefusalKind::Unavailable
+    );
+    let mut unknown = call("b", "held");
+    unknown.key = Some(KeyDigest::of_secret("other"));
+    assert_eq!(
+        kind(&mut dispatcher, now, &unknown),
+        RefusalKind::InvalidKey
+    );
+    assert_eq!(
+        kind(&mut dispatcher, later, &unknown),
+        RefusalKind::Unavailable
+    );
+    let stale = now + REVOCATION;
+    assert_eq!(
+        kind(&mut dispatcher, stale, &call("c", "held")),
+        RefusalKind::Unavailable
+    );
+}
+
+#[test]
+fn requests_spread_over_equal_servers() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    let mut counts = std::collections::BTreeMap::new();
+    for number in 0..9 {
+        let Choice::Send(server, _) = choose(&mut dispatcher, now, &number.to_string(), "held")
+        else {
+            panic!("no server");
+        };
+        dispatcher.backends.note_start(now, &server, 900.0);
+        *counts.entry(server).or_insert(0) += 1;
+    }
+    assert_eq!(counts.values().copied().collect::<Vec<u32>>(), [3, 3, 3]);
+}
+
+#[test]
+fn a_server_that_fails_is_avoided_and_tried_again_later() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    let Choice::Send(first, _) = choose(&mut dispatcher, now, "a", "held") else {
+        panic!("no server");
+    };
+    for _ in 0..4 {
+        dispatcher.backends.note_outcome(now, &first, true);
+    }
+    let second = choose(&mut dispatcher, now, "b", "held");
+    assert!(matches!(second, Choice::Send(server, _) if server != first));
+    let later = now + Duration::from_secs(40);
+    dispatcher.freshness.note_current(later);
+    let again = choose(&mut dispatcher, later, "c", "held");
+    assert!(matches!(again, Choice::Send(server, _) if server == first));
+}
+
+#[test]
+fn full_servers_make_requests_wait() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    for id in ["one", "two", "three"] {
+        for _ in 0..4 {
+            dispatcher.backends.note_start(now, id, 0.0);
+        }
+    }
+    assert_eq!(choose(&mut dispatcher, now, "a", "held"), Choice::Wait);
+    dispatcher.backends.note_end("two");
+    let choice = choose(&mut dispatcher, now, "b", "held");
+    assert!(matches!(choice, Choice::Send(server, _) if &*server == "two"));
+}
+
+#[test]
+fn a_request_waits_for_a_model_only_if_it_can_be_there_in_time() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    // Callers of the route stay for four times its target of a second.
+    assert_eq!(choose(&mut dispatcher, now, "a", "on-disk"), Choice::Wait);
+    let Choice::Refuse(refusal) = choose(&mut dispatcher, now, "b", "nowhere") else {
+        panic!("nine seconds are too long");
+    };
+    assert_eq!(refusal.kind, RefusalKind::Overloaded);
+    assert!(refusal.retry_after.unwrap() >= Duration::from_secs(9));
+    let Choice::Refuse(refusal) = choose(&mut dispatcher, now, "c", "unknown") else {
+        panic!("no server can run it");
+    };
+    assert_eq!(refusal.kind, RefusalKind::Overloaded);
+}
+
+#[test]
+fn leaving_and_removed_servers_get_nothing() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    let leaving = Entry {
+        leaving: true,
+        ..entry("one", &["held"])
+    };
+    dispatcher.backends.note_entry(now, leaving);
+    dispatcher.backends.note_removed(now, "two", None);
+    for number in 0..4 {
+        let choice = choose(&mut dispatcher, now, &number.to_string(), "held");
+        assert!(matches!(choice, Choice::Send(server, _) if &*server == "three"));
+    }
+    dispatcher
+        .backends
+        .note_removed(now, "three", Some(Duration::from_secs(2)));
+    let kept = choose(&mut dispatcher, now, "kept", "held");
+    assert!(
+        matches!(kept, Choice::Send(..)),
+        "its entry may come back after an outage"
+    );
+    let gone = now + Duration::from_secs(3);
+    dispatcher.freshness.note_current(gone);
+    let choice = choose(&mut dispatcher, gone, "gone", "held");
+    assert!(matches!(choice, Choice::Refuse(_)));
+}
+
+#[test]
+fn look_ups_name_ready_instances_that_are_heard() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    let mut other = Dispatcher::new(InstanceFacts {
+        id: "10.0.0.2:7600".into(),
+        address: "10.0.0.2:80".to_owned(),
+        ..facts()
+    });
+    other.apply_catalog(catalog());
+    other.freshness.note_current(now);
+    let heartbeat = other.heartbeat(now);
+    assert!(dispatcher.note_heartbeat(now, &heartbeat));
+    assert!(
+        !dispatcher.note_heartbeat(now, &heartbeat),
+        "a repeat changes nothing"
+    );
+    assert_eq!(dispatcher.look_up(now).len(), 2);
+    dispatcher.leave();
+    assert_eq!(dispatcher.look_up(now), ["10.0.0.2:80"]);
+    let silent = now + Duration::from_secs(2);
+    assert!(dispatcher.look_up(silent).is_empty());
+}
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -12,6 +12,16 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request, response};
 
+/// Platform that instances run on.
+pub trait Platform: 'static {
+    /// Requests of callers.
+    type Callers: Callers;
+    /// Store.
+    type Store: Store;
+    /// Model engines.
+    type Engines: Engines;
+}
+
 /// Attempt of a request at one server.
 #[derive(Clone, Debug)]
 pub struct Attempt<'a> {
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::adapter::{Callers, Engines, Feed, Store};
+use crate::adapter::{Callers, Feed, Platform};
 use crate::events::{Event, FLUSH_INTERVAL, LineWriter};
 use crate::gateway::Gateway;
 use crate::{feeds, fleet, front, placing, pool, spending};
@@ -45,15 +45,9 @@
 /// # Errors
 ///
 /// Fails when an address can't be listened on.
-pub async fn run<C, S, E, F>(
-    gateway: Rc<Gateway<C, S, E>>,
-    lines: LineWriter,
-    stop: F,
-) -> std::io::Result<()>
+pub async fn run<P, F>(gateway: Rc<Gateway<P>>, lines: LineWriter, stop: F) -> std::io::Result<()>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
     F: Future<Output = std::io::Result<()>>,
 {
     let listeners = gateway.listeners.clone();
@@ -72,17 +66,13 @@
     actix::spawn(fleet::listen(Rc::clone(&gateway), socket));
     actix::spawn(placing::place(Rc::clone(&gateway)));
     actix::spawn(spending::keep(Rc::clone(&gateway)));
-    actix::spawn(accept(Rc::clone(&gateway), readiness, questions::<C, S, E>));
-    actix::spawn(accept(Rc::clone(&gateway), look_up, questions::<C, S, E>));
+    actix::spawn(accept(Rc::clone(&gateway), readiness, questions::<P>));
+    actix::spawn(accept(Rc::clone(&gateway), look_up, questions::<P>));
     if let Some(address) = &listeners.metrics {
         let metrics = listen(address)?;
-        actix::spawn(accept(Rc::clone(&gateway), metrics, questions::<C, S, E>));
+        actix::spawn(accept(Rc::clone(&gateway), metrics, questions::<P>));
     }
-    actix::spawn(accept(
-        Rc::clone(&gateway),
-        callers,
-        serve_callers::<C, S, E>,
-    ));
+    actix::spawn(accept(Rc::clone(&gateway), callers, serve_callers::<P>));
     actix::spawn(keep_house(Rc::clone(&gateway), lines.clone()));
     stop.await?;
     finish(&gateway).await;
@@ -104,12 +94,10 @@
     socket.listen(BACKLOG)
 }
 
-async fn accept<C, S, E, F, R>(gateway: Rc<Gateway<C, S, E>>, listener: TcpListener, serve: F)
+async fn accept<P, F, R>(gateway: Rc<Gateway<P>>, listener: TcpListener, serve: F)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
-    F: Fn(Rc<Gateway<C, S, E>>, TcpStream) -> R + 'static,
+    P: Platform,
+    F: Fn(Rc<Gateway<P>>, TcpStream) -> R + 'static,
     R: Future<Output = ()> + 'static,
 {
     loop {
@@ -128,11 +116,9 @@
     }
 }
 
-async fn serve_callers<C, S, E>(gateway: Rc<Gateway<C, S, E>>, stream: TcpStream)
+async fn serve_callers<P>(gateway: Rc<Gateway<P>>, stream: TcpStream)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let limits = {
         let dispatcher = gateway.dispatcher.borrow();
@@ -153,13 +139,9 @@
 }
 
 // Drives a connection; when the instance stops, lets the answer under way end and then closes it.
-async fn drive<C, S, E, H, B>(
-    gateway: &Gateway<C, S, E>,
-    connection: http1::Connection<TokioIo<TcpStream>, H>,
-) where
-    C: Callers,
-    S: Store,
-    E: Engines,
+async fn drive<P, H, B>(gateway: &Gateway<P>, connection: http1::Connection<TokioIo<TcpStream>, H>)
+where
+    P: Platform,
     H: hyper::service::HttpService<Incoming, ResBody = B>,
     H::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     B: Body + 'static,
@@ -176,11 +158,9 @@
     }
 }
 
-async fn questions<C, S, E>(gateway: Rc<Gateway<C, S, E>>, stream: TcpStream)
+async fn questions<P>(gateway: Rc<Gateway<P>>, stream: TcpStream)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let service = service_fn(move |request: Request<Incoming>| {
         let answer = question(&gateway, request);
@@ -195,14 +175,9 @@
     }
 }
 
-fn question<C, S, E>(
-    gateway: &Gateway<C, S, E>,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>>
+fn question<P>(gateway: &Gateway<P>, request: Request<Incoming>) -> Response<Full<Bytes>>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let (head, _) = request.into_parts();
     let now = gateway.now();
@@ -212,19 +187,19 @@
         *response.status_mut() = status;
         response
     };
-    if C::is_readiness(&head) {
+    if P::Callers::is_readiness(&head) {
         return empty(if dispatcher.is_ready(now) {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         });
     }
-    if C::is_look_up(&head) {
+    if P::Callers::is_look_up(&head) {
         let addresses = dispatcher.look_up(now);
         if addresses.is_empty() {
             return empty(StatusCode::SERVICE_UNAVAILABLE);
         }
-        return C::encode_look_up(&addresses, gateway.times.look_up).map(Full::new);
+        return P::Callers::encode_look_up(&addresses, gateway.times.look_up).map(Full::new);
     }
     if head.uri.path() == "/metrics" {
         return match gateway.metrics.to_text() {
@@ -235,11 +210,9 @@
     empty(StatusCode::NOT_FOUND)
 }
 
-async fn keep_house<C, S, E>(gateway: Rc<Gateway<C, S, E>>, lines: LineWriter)
+async fn keep_house<P>(gateway: Rc<Gateway<P>>, lines: LineWriter)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let mut flushes = 0;
     loop {
@@ -254,11 +227,9 @@
     }
 }
 
-fn log_status<C, S, E>(gateway: &Gateway<C, S, E>)
+fn log_status<P>(gateway: &Gateway<P>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let now = gateway.now();
     let dispatcher = gateway.dispatcher.borrow();
@@ -293,11 +264,9 @@
     }
 }
 
-async fn finish<C, S, E>(gateway: &Rc<Gateway<C, S, E>>)
+async fn finish<P>(gateway: &Rc<Gateway<P>>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     gateway.stopped.set(Some(gateway.now()));
     Event::new("stopping")
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -6,7 +6,7 @@
 use apricotwell_dispatch::prelude::*;
 use apricotwell_types::Offset;
 
-use crate::adapter::{Callers, Engines, Feed, FeedPart, News, Store, StoreError};
+use crate::adapter::{Feed, FeedPart, News, Platform, Store, StoreError};
 use crate::events::Event;
 use crate::gateway::Gateway;
 
@@ -24,11 +24,9 @@
 const RETURN_TIME: Duration = Duration::from_millis(2200);
 
 /// Follows one feed for ever.
-pub async fn follow<C, S, E>(gateway: Rc<Gateway<C, S, E>>, feed: Feed)
+pub async fn follow<P>(gateway: Rc<Gateway<P>>, feed: Feed)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let mut follower = Follower {
         gateway,
@@ -44,8 +42,11 @@
     }
 }
 
-struct Follower<C, S, E> {
-    gateway: Rc<Gateway<C, S, E>>,
+struct Follower<P>
+where
+    P: Platform,
+{
+    gateway: Rc<Gateway<P>>,
     feed: Feed,
     // Offset from which to read; unknown before the newest records were read.
     next: Option<Offset>,
@@ -55,11 +56,9 @@
     outage_end: Option<Instant>,
 }
 
-impl<C, S, E> Follower<C, S, E>
+impl<P> Follower<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     // Reads once; returns the pause before the next read.
     async fn step(&mut self) -> Duration {
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use crate::adapter::{Callers, ClaimRecord, Engines, Store, StoreError};
+use crate::adapter::{ClaimRecord, Platform, Store, StoreError};
 use crate::events::Event;
 use crate::gateway::Gateway;
 
@@ -30,11 +30,9 @@
 const CLAIM_ATTEMPTS: u32 = 3;
 
 /// Renews the membership and claims the placement lease when it is free.
-pub async fn renew_membership<C, S, E>(gateway: Rc<Gateway<C, S, E>>)
+pub async fn renew_membership<P>(gateway: Rc<Gateway<P>>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let term = gateway.dispatcher.borrow().facts.lease.term;
     let mut renewer = Renewer {
@@ -55,8 +53,11 @@
     }
 }
 
-struct Renewer<C, S, E> {
-    gateway: Rc<Gateway<C, S, E>>,
+struct Renewer<P>
+where
+    P: Platform,
+{
+    gateway: Rc<Gateway<P>>,
     member: String,
     term: Duration,
     // Generation of the group in the last answer.
@@ -69,11 +70,9 @@
     checked: Option<u64>,
 }
 
-impl<C, S, E> Renewer<C, S, E>
+impl<P> Renewer<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     // An instance that stops stays in the group only for the lease: it orders to its end, and the
     // process that follows it on this machine takes the lease back without a pause.
@@ -174,11 +173,9 @@
     }
 }
 
-async fn list_members<C, S, E>(gateway: &Gateway<C, S, E>) -> Result<(), StoreError>
+async fn list_members<P>(gateway: &Gateway<P>) -> Result<(), StoreError>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let members = gateway.store.members().await?;
     gateway.metrics.note_store_call("members");
@@ -195,11 +192,9 @@
 }
 
 /// Leaves the group, unless this instance holds the placement lease.
-pub async fn leave<C, S, E>(gateway: &Gateway<C, S, E>)
+pub async fn leave<P>(gateway: &Gateway<P>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let now = gateway.now();
     if gateway.dispatcher.borrow().lease.is_held(now) {
@@ -220,11 +215,9 @@
 }
 
 /// Tells the other instances what this one does, at intervals and on changes.
-pub async fn tell<C, S, E>(gateway: Rc<Gateway<C, S, E>>, socket: Rc<UdpSocket>)
+pub async fn tell<P>(gateway: Rc<Gateway<P>>, socket: Rc<UdpSocket>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let mut news = StockNews::default();
     let mut audience = Audience::Everyone;
@@ -248,11 +241,9 @@
 }
 
 // Waits until servers hold something else than the others were told.
-async fn next_restock<C, S, E>(gateway: &Gateway<C, S, E>, news: &StockNews)
+async fn next_restock<P>(gateway: &Gateway<P>, news: &StockNews)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     loop {
         gateway.restocked.notified().await;
@@ -264,15 +255,9 @@
     }
 }
 
-async fn send<C, S, E>(
-    gateway: &Gateway<C, S, E>,
-    socket: &UdpSocket,
-    news: &mut StockNews,
-    audience: Audience,
-) where
-    C: Callers,
-    S: Store,
-    E: Engines,
+async fn send<P>(gateway: &Gateway<P>, socket: &UdpSocket, news: &mut StockNews, audience: Audience)
+where
+    P: Platform,
 {
     let now = gateway.now();
     let (heartbeat, demand, holder, targets) = {
@@ -312,11 +297,9 @@
 }
 
 /// Takes the heartbeats of other instances.
-pub async fn listen<C, S, E>(gateway: Rc<Gateway<C, S, E>>, socket: Rc<UdpSocket>)
+pub async fn listen<P>(gateway: Rc<Gateway<P>>, socket: Rc<UdpSocket>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
     loop {
--- a/crates/apricotwell_gateway/src/front.rs
+++ b/crates/apricotwell_gateway/src/front.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-use crate::adapter::{Callers, Engines, Store};
+use crate::adapter::{Callers, Platform};
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::FlightGuard;
@@ -28,14 +28,12 @@
 /// later could be sure to end within the grace.
 const TAKING_AFTER_STOP: Duration = Duration::from_millis(3500);
 
-enum Served<C, S, E>
+enum Served<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     Whole(Response<Bytes>),
-    Stream(Response<()>, Box<Relay<C, S, E>>),
+    Stream(Response<()>, Box<Relay<P>>),
 }
 
 /// Serves one request; never fails, so that the connection's end is the answer's.
@@ -43,17 +41,15 @@
 /// # Errors
 ///
 /// None.
-pub async fn serve<C, S, E>(
-    gateway: Rc<Gateway<C, S, E>>,
+pub async fn serve<P>(
+    gateway: Rc<Gateway<P>>,
     request: Request<Incoming>,
 ) -> Result<
     Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = Result<Frame<Bytes>, RelayError>>>>>,
     Infallible,
 >
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let closing = gateway.stopped.get().is_some();
     let mut response = match answer(&gateway, request).await {
@@ -71,33 +67,26 @@
     Ok(response)
 }
 
-async fn answer<C, S, E>(
-    gateway: &Rc<Gateway<C, S, E>>,
-    request: Request<Incoming>,
-) -> Served<C, S, E>
+async fn answer<P>(gateway: &Rc<Gateway<P>>, request: Request<Incoming>) -> Served<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let (head, body) = request.into_parts();
     match take(gateway, head, body).await {
         Ok(ticket) => run(ticket).await,
-        Err(refusal) => Served::Whole(C::encode_refusal(&refusal)),
+        Err(refusal) => Served::Whole(P::Callers::encode_refusal(&refusal)),
     }
 }
 
-async fn take<C, S, E>(
-    gateway: &Rc<Gateway<C, S, E>>,
+async fn take<P>(
+    gateway: &Rc<Gateway<P>>,
     head: request::Parts,
     body: Incoming,
-) -> Result<Ticket<C, S, E>, Refusal>
+) -> Result<Ticket<P>, Refusal>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
-    let call = C::decode_call(&head)?;
+    let call = P::Callers::decode_call(&head)?;
     let taken = admit(gateway, &head, body, &call).await;
     if let Err(refusal) = &taken {
         log_refusal(gateway, &call, refusal);
@@ -106,16 +95,14 @@
     Ok(Ticket::new(gateway, head, body, call, admission))
 }
 
-async fn admit<C, S, E>(
-    gateway: &Rc<Gateway<C, S, E>>,
+async fn admit<P>(
+    gateway: &Rc<Gateway<P>>,
     head: &request::Parts,
     body: Incoming,
     call: &Call,
 ) -> Result<(Bytes, Admission), Refusal>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     if gateway
         .stopping_for()
@@ -137,11 +124,9 @@
     Ok((body, admission))
 }
 
-fn body_limit<C, S, E>(gateway: &Gateway<C, S, E>) -> usize
+fn body_limit<P>(gateway: &Gateway<P>) -> usize
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let dispatcher = gateway.dispatcher.borrow();
     let catalog = dispatcher.catalog.as_ref();
@@ -180,11 +165,9 @@
     }
 }
 
-async fn run<C, S, E>(mut ticket: Ticket<C, S, E>) -> Served<C, S, E>
+async fn run<P>(mut ticket: Ticket<P>) -> Served<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let last_event = ticket.call.last_event;
     loop {
@@ -203,33 +186,25 @@
     }
 }
 
-fn stream<C, S, E>(
-    ticket: Ticket<C, S, E>,
-    answer: Box<Answer>,
-    flight: FlightGuard<C, S, E>,
-) -> Served<C, S, E>
+fn stream<P>(ticket: Ticket<P>, answer: Box<Answer>, flight: FlightGuard<P>) -> Served<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let mut response = Response::new(());
     *response.status_mut() = answer.head.status;
-    *response.headers_mut() = C::relay_headers(&answer.head.headers);
+    *response.headers_mut() = P::Callers::relay_headers(&answer.head.headers);
     response.headers_mut().remove(http::header::CONTENT_LENGTH);
     Served::Stream(response, Box::new(Relay::new(ticket, answer, flight)))
 }
 
 // Returns the whole answer, a refusal, or nothing when another attempt is allowed.
-async fn whole<C, S, E>(
-    ticket: &mut Ticket<C, S, E>,
+async fn whole<P>(
+    ticket: &mut Ticket<P>,
     answer: Box<Answer>,
-    flight: FlightGuard<C, S, E>,
+    flight: FlightGuard<P>,
 ) -> Result<Response<Bytes>, Option<Refusal>>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let collected = tokio::time::timeout(ticket.remaining(), answer.collect(MAX_ANSWER_BYTES));
     let reason = match collected.await {
@@ -241,7 +216,7 @@
             ticket.log_end(outcome, Some(&flight.server), head.status.as_u16());
             let mut response = Response::new(body);
             *response.status_mut() = head.status;
-            *response.headers_mut() = C::relay_headers(&head.headers);
+            *response.headers_mut() = P::Callers::relay_headers(&head.headers);
             response.headers_mut().remove(http::header::CONTENT_LENGTH);
             return Ok(response);
         }
@@ -263,11 +238,9 @@
     Err(Some(Refusal::not_run(kind, reason).with_ending(ending)))
 }
 
-fn refused<C, S, E>(ticket: &Ticket<C, S, E>, refusal: &Refusal) -> Served<C, S, E>
+fn refused<P>(ticket: &Ticket<P>, refusal: &Refusal) -> Served<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     if ticket.runs == 0 {
         let now = ticket.gateway.now();
@@ -276,14 +249,12 @@
     }
     ticket.log_end(refusal.kind.code(), None, refusal.kind.status());
     log_refusal(&ticket.gateway, &ticket.call, refusal);
-    Served::Whole(C::encode_refusal(refusal))
+    Served::Whole(P::Callers::encode_refusal(refusal))
 }
 
-fn log_refusal<C, S, E>(gateway: &Gateway<C, S, E>, call: &Call, refusal: &Refusal)
+fn log_refusal<P>(gateway: &Gateway<P>, call: &Call, refusal: &Refusal)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let dispatcher = gateway.dispatcher.borrow();
     let now = gateway.now();
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -1,14 +1,13 @@
 //! What all tasks of one instance share.
 
 use std::cell::{Cell, RefCell};
-use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::prelude::*;
 use tokio::sync::Notify;
 
-use crate::adapter::{Callers, Engines, Store};
+use crate::adapter::Platform;
 use crate::clock::BootClock;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -40,7 +39,10 @@
 }
 
 /// Instance with its decisions, its connections and its adapter.
-pub struct Gateway<C, S, E> {
+pub struct Gateway<P>
+where
+    P: Platform,
+{
     /// Decisions.
     pub dispatcher: RefCell<Dispatcher>,
     /// Clock of all decisions.
@@ -48,9 +50,9 @@
     /// Connections to servers.
     pub pool: Rc<Pool>,
     /// Store.
-    pub store: S,
+    pub store: P::Store,
     /// Orders.
-    pub engines: E,
+    pub engines: P::Engines,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Addresses.
@@ -73,14 +75,11 @@
     pub active: Cell<usize>,
     /// When the request to stop came.
     pub stopped: Cell<Option<Instant>>,
-    callers: PhantomData<C>,
 }
 
-impl<C, S, E> Gateway<C, S, E>
+impl<P> Gateway<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     /// Returns an instance that knows nothing yet.
     pub fn new(
@@ -88,8 +87,8 @@
         listeners: Listeners,
         times: Times,
         pool: Rc<Pool>,
-        store: S,
-        engines: E,
+        store: P::Store,
+        engines: P::Engines,
     ) -> Rc<Self> {
         Rc::new(Self {
             dispatcher: RefCell::new(Dispatcher::new(facts)),
@@ -108,7 +107,6 @@
             stopping: Notify::new(),
             active: Cell::new(0),
             stopped: Cell::new(None),
-            callers: PhantomData,
         })
     }
 
--- a/crates/apricotwell_gateway/src/guard.rs
+++ b/crates/apricotwell_gateway/src/guard.rs
@@ -5,27 +5,23 @@
 use apricotwell_dispatch::prelude::*;
 use apricotwell_types::ServerId;
 
-use crate::adapter::{Callers, Engines, Store};
+use crate::adapter::Platform;
 use crate::gateway::Gateway;
 
 /// Counts a request as being served until it is dropped.
-pub struct ActiveGuard<C, S, E>
+pub struct ActiveGuard<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
-    gateway: Rc<Gateway<C, S, E>>,
+    gateway: Rc<Gateway<P>>,
 }
 
-impl<C, S, E> ActiveGuard<C, S, E>
+impl<P> ActiveGuard<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     /// Counts one request.
-    pub fn new(gateway: &Rc<Gateway<C, S, E>>) -> Self {
+    pub fn new(gateway: &Rc<Gateway<P>>) -> Self {
         gateway.active.set(gateway.active.get() + 1);
         Self {
             gateway: Rc::clone(gateway),
@@ -33,11 +29,9 @@
     }
 }
 
-impl<C, S, E> Drop for ActiveGuard<C, S, E>
+impl<P> Drop for ActiveGuard<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     fn drop(&mut self) {
         let active = &self.gateway.active;
@@ -46,25 +40,21 @@
 }
 
 /// Counts a request as in flight at a server until it is dropped.
-pub struct FlightGuard<C, S, E>
+pub struct FlightGuard<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
-    gateway: Rc<Gateway<C, S, E>>,
+    gateway: Rc<Gateway<P>>,
     /// Server.
     pub server: ServerId,
 }
 
-impl<C, S, E> FlightGuard<C, S, E>
+impl<P> FlightGuard<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     /// Counts one request at `server`, which has to read `tokens` of its prompt.
-    pub fn new(gateway: &Rc<Gateway<C, S, E>>, server: ServerId, tokens: f64) -> Self {
+    pub fn new(gateway: &Rc<Gateway<P>>, server: ServerId, tokens: f64) -> Self {
         let now = gateway.now();
         let mut dispatcher = gateway.dispatcher.borrow_mut();
         dispatcher.backends.note_start(now, &server, tokens);
@@ -83,11 +73,9 @@
     }
 }
 
-impl<C, S, E> Drop for FlightGuard<C, S, E>
+impl<P> Drop for FlightGuard<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     fn drop(&mut self) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
@@ -98,26 +86,22 @@
 }
 
 /// Counts a request as waiting for a model until it is dropped.
-pub struct WaitGuard<C, S, E>
+pub struct WaitGuard<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
-    gateway: Rc<Gateway<C, S, E>>,
+    gateway: Rc<Gateway<P>>,
     service: ServiceId,
     wanted: Wanted,
     wait: u64,
 }
 
-impl<C, S, E> WaitGuard<C, S, E>
+impl<P> WaitGuard<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     /// Counts one request, `None` if it wants no model.
-    pub fn new(gateway: &Rc<Gateway<C, S, E>>, admission: &Admission) -> Option<Self> {
+    pub fn new(gateway: &Rc<Gateway<P>>, admission: &Admission) -> Option<Self> {
         let wanted = admission.wanted.clone()?;
         let now = gateway.now();
         let wait = gateway.dispatcher.borrow_mut().demand.begin_wait(
@@ -137,11 +121,9 @@
     }
 }
 
-impl<C, S, E> Drop for WaitGuard<C, S, E>
+impl<P> Drop for WaitGuard<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     fn drop(&mut self) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -27,7 +27,7 @@
 pub mod prelude {
     pub use crate::adapter::{
         AnswerHead, Attempt, Callers, ClaimRecord, Engines, Feed, FeedPart, LastClaim, Membership,
-        News, Store, StoreError,
+        News, Platform, Store, StoreError,
     };
     pub use crate::events::Event;
     pub use crate::gateway::{Gateway, Listeners, Times};
--- a/crates/apricotwell_gateway/src/placing.rs
+++ b/crates/apricotwell_gateway/src/placing.rs
@@ -7,7 +7,7 @@
 use apricotwell_dispatch::stock::Order;
 use apricotwell_types::{Fence, ServerId};
 
-use crate::adapter::{Callers, Engines, Store};
+use crate::adapter::{Engines, Platform};
 use crate::events::Event;
 use crate::gateway::Gateway;
 
@@ -17,11 +17,9 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(25);
 
 /// Plans and orders while this instance holds the lease.
-pub async fn place<C, S, E>(gateway: Rc<Gateway<C, S, E>>)
+pub async fn place<P>(gateway: Rc<Gateway<P>>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     loop {
         step(&gateway);
@@ -35,11 +33,9 @@
     }
 }
 
-fn step<C, S, E>(gateway: &Rc<Gateway<C, S, E>>)
+fn step<P>(gateway: &Rc<Gateway<P>>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let now = gateway.now();
     let mut dispatcher = gateway.dispatcher.borrow_mut();
@@ -58,11 +54,9 @@
     }
 }
 
-async fn report<C, S, E>(gateway: Rc<Gateway<C, S, E>>, server: ServerId)
+async fn report<P>(gateway: Rc<Gateway<P>>, server: ServerId)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let address = {
         let dispatcher = gateway.dispatcher.borrow();
@@ -85,11 +79,9 @@
     gateway.restocked.notify_one();
 }
 
-async fn give<C, S, E>(gateway: Rc<Gateway<C, S, E>>, order: Order, fence: Fence)
+async fn give<P>(gateway: Rc<Gateway<P>>, order: Order, fence: Fence)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     let target = {
         let dispatcher = gateway.dispatcher.borrow();
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use futures_util::Stream;
 use hyper::body::Frame;
 
-use crate::adapter::{Callers, Engines, Store};
+use crate::adapter::Platform;
 use crate::guard::FlightGuard;
 use crate::pool::Answer;
 use crate::ticket::Ticket;
@@ -36,14 +36,12 @@
 impl std::error::Error for RelayError {}
 
 /// Stream of one answer.
-pub struct Relay<C, S, E>
+pub struct Relay<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
-    ticket: Ticket<C, S, E>,
-    answer: Option<(Box<Answer>, FlightGuard<C, S, E>)>,
+    ticket: Ticket<P>,
+    answer: Option<(Box<Answer>, FlightGuard<P>)>,
     // Bytes of an event that is not whole yet; kept only where the stream can be resumed.
     partial: BytesMut,
     last_event: Option<u64>,
@@ -51,14 +49,12 @@
     ended: bool,
 }
 
-impl<C, S, E> Relay<C, S, E>
+impl<P> Relay<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     /// Returns the relay of an answer whose head has come.
-    pub fn new(ticket: Ticket<C, S, E>, answer: Box<Answer>, flight: FlightGuard<C, S, E>) -> Self {
+    pub fn new(ticket: Ticket<P>, answer: Box<Answer>, flight: FlightGuard<P>) -> Self {
         Self {
             last_event: ticket.call.last_event,
             status: answer.head.status.as_u16(),
--- a/crates/apricotwell_gateway/src/spending.rs
+++ b/crates/apricotwell_gateway/src/spending.rs
@@ -10,7 +10,7 @@
 use apricotwell_messages::FleetSpending;
 use prost::Message;
 
-use crate::adapter::{Callers, Engines, Store};
+use crate::adapter::{Platform, Store};
 use crate::events::Event;
 use crate::gateway::Gateway;
 
@@ -22,11 +22,9 @@
 const RESTORE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Takes over what was kept, then keeps the store current while this instance holds the lease.
-pub async fn keep<C, S, E>(gateway: Rc<Gateway<C, S, E>>)
+pub async fn keep<P>(gateway: Rc<Gateway<P>>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     if !gateway.dispatcher.borrow().facts.first_start {
         restore(&gateway).await;
@@ -55,11 +53,9 @@
     }
 }
 
-async fn restore<C, S, E>(gateway: &Gateway<C, S, E>)
+async fn restore<P>(gateway: &Gateway<P>)
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     loop {
         let kept = gateway.store.kept_spending().await;
--- a/crates/apricotwell_gateway/src/ticket.rs
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::request;
 
-use crate::adapter::{Attempt, Callers, Engines, Store};
+use crate::adapter::{Attempt, Callers, Platform};
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard, WaitGuard};
@@ -26,14 +26,12 @@
 const MAX_REJECTIONS: usize = 8;
 
 /// Request that was taken, with what its attempts need.
-pub struct Ticket<C, S, E>
+pub struct Ticket<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     /// Instance.
-    pub gateway: Rc<Gateway<C, S, E>>,
+    pub gateway: Rc<Gateway<P>>,
     /// Head as it came.
     pub head: request::Parts,
     /// Body as it came.
@@ -57,33 +55,29 @@
     // Longest pause between bytes of the answer.
     longest_pause: Duration,
     // Counts the request until its answer has ended.
-    _active: ActiveGuard<C, S, E>,
+    _active: ActiveGuard<P>,
 }
 
 /// What came of one attempt.
-pub enum Sent<C, S, E>
+pub enum Sent<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     /// An answer to this attempt.
-    Answer(Box<Answer>, FlightGuard<C, S, E>),
+    Answer(Box<Answer>, FlightGuard<P>),
     /// The server did not run it.
     NotRun(String),
     /// The server may have run it.
     Lost(String),
 }
 
-impl<C, S, E> Ticket<C, S, E>
+impl<P> Ticket<P>
 where
-    C: Callers,
-    S: Store,
-    E: Engines,
+    P: Platform,
 {
     /// Returns the ticket of a request that was just taken.
     pub fn new(
-        gateway: &Rc<Gateway<C, S, E>>,
+        gateway: &Rc<Gateway<P>>,
         head: request::Parts,
         body: Bytes,
         call: Call,
@@ -120,7 +114,7 @@
     pub async fn first_answer(
         &mut self,
         last_event: Option<u64>,
-    ) -> Result<(Box<Answer>, FlightGuard<C, S, E>), Refusal> {
+    ) -> Result<(Box<Answer>, FlightGuard<P>), Refusal> {
         loop {
             let (server, address) = self.find_server().await?;
             let sent = self.send(&server, address, last_event).await;
@@ -257,7 +251,7 @@
         server: &ServerId,
         address: std::net::SocketAddr,
         last_event: Option<u64>,
-    ) -> Sent<C, S, E> {
+    ) -> Sent<P> {
         let tokens = self.note_prompt(server);
         let flight = FlightGuard::new(&self.gateway, server.clone(), tokens);
         let attempt = Attempt {
@@ -271,7 +265,8 @@
             priority: None,
             last_event,
         };
-        let request = C::encode_attempt(&self.head, &self.call, &attempt, self.body.clone());
+        let request =
+            P::Callers::encode_attempt(&self.head, &self.call, &attempt, self.body.clone());
         let reuse = if self.admission.route.kind.is_repeatable() {
             Reuse::Any
         } else {
@@ -297,8 +292,8 @@
     fn judge(
         &mut self,
         sent: Result<Result<Answer, SendError>, tokio::time::error::Elapsed>,
-        flight: FlightGuard<C, S, E>,
-    ) -> Sent<C, S, E> {
+        flight: FlightGuard<P>,
+    ) -> Sent<P> {
         let answer = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(SendError::Unsent(_))) => {
@@ -316,7 +311,7 @@
                 return Sent::Lost("no answer in time".to_owned());
             }
         };
-        let head = C::decode_answer(&answer.head, &self.call);
+        let head = P::Callers::decode_answer(&answer.head, &self.call);
         if head.misdirected {
             self.note_denied(&flight.server);
             return Sent::NotRun("misdirected".to_owned());
