Bound callers' connections and the bytes of their bodies; leave more of the grace for the end

Cause: nothing bounded what all callers together take of memory and descriptors; one process in several hundred was still there at the end of its grace.

--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -28,7 +28,7 @@
 /// Time in which an idle connection for questions is closed.
 const QUESTION_IDLE: Duration = Duration::from_secs(10);
 /// Part of the grace that is left for the process to end.
-const END_MARGIN: Duration = Duration::from_millis(600);
+const END_MARGIN: Duration = Duration::from_millis(900);
 /// Least time after a request to stop in which callers that just looked up may still connect.
 const LEAST_LINGER: Duration = Duration::from_millis(3200);
 /// Time that the last lines of the log get.
@@ -120,6 +120,11 @@
 where
     P: Platform,
 {
+    let Some(_connection) = gateway.connections.take(1) else {
+        // The caller is told by the close and connects elsewhere.
+        log::warn!("connection of a caller closed: too many; add instances");
+        return;
+    };
     let limits = {
         let dispatcher = gateway.dispatcher.borrow();
         dispatcher
--- a/crates/apricotwell_gateway/src/front.rs
+++ b/crates/apricotwell_gateway/src/front.rs
@@ -9,10 +9,11 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use http::{Request, Response, request};
-use http_body_util::{BodyExt, Either, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 
 use crate::adapter::{Callers, Platform};
+use crate::budget::{Budget, Share};
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::FlightGuard;
@@ -100,7 +101,7 @@
     head: &request::Parts,
     body: Incoming,
     call: &Call,
-) -> Result<(Bytes, Admission), Refusal>
+) -> Result<(HeldBody, Admission), Refusal>
 where
     P: Platform,
 {
@@ -114,7 +115,7 @@
         );
     }
     let limit = body_limit(gateway);
-    let body = read_body(head, body, limit, call.deadline).await?;
+    let body = read_body(head, body, limit, &gateway.bodies, call.deadline).await?;
     let now = gateway.now();
     let mut dispatcher = gateway.dispatcher.borrow_mut();
     let admission = dispatcher.admit(now, call)?;
@@ -135,34 +136,70 @@
     })
 }
 
+/// Body of a request with its share of the bytes that all bodies may take.
+pub struct HeldBody {
+    /// Body.
+    pub bytes: Bytes,
+    _share: Share,
+}
+
 async fn read_body(
     head: &request::Parts,
     body: Incoming,
     limit: usize,
+    budget: &Budget,
     deadline: Option<Duration>,
-) -> Result<Bytes, Refusal> {
+) -> Result<HeldBody, Refusal> {
     let announced = head
         .headers
         .get(http::header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    let too_large = || Refusal::not_run(RefusalKind::TooLarge, "the body is over the limit");
     if announced.is_some_and(|announced| announced > limit) {
         return Err(too_large());
     }
     let wait = deadline.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
-    let collected = tokio::time::timeout(wait, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => {
+    let collected = tokio::time::timeout(wait, collect(body, limit, budget)).await;
+    collected.unwrap_or_else(|_| {
+        let text = "the body did not come in time";
+        Err(Refusal::not_run(RefusalKind::TooSlow, text))
+    })
+}
+
+async fn collect(mut body: Incoming, limit: usize, budget: &Budget) -> Result<HeldBody, Refusal> {
+    let Some(mut share) = budget.take(0) else {
+        return Err(too_many_bytes());
+    };
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
             let text = format!("the body is not whole: {error}");
-            Err(Refusal::not_run(RefusalKind::BadRequest, text))
+            Refusal::not_run(RefusalKind::BadRequest, text)
+        })?;
+        // Trailers concern the connection only.
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limit {
+            return Err(too_large());
         }
-        Err(_) => {
-            let text = "the body did not come in time";
-            Err(Refusal::not_run(RefusalKind::TooSlow, text))
+        if !share.grow(data.len()) {
+            return Err(too_many_bytes());
         }
+        whole.extend_from_slice(&data);
     }
+    Ok(HeldBody {
+        bytes: whole.into(),
+        _share: share,
+    })
+}
+
+fn too_large() -> Refusal {
+    Refusal::not_run(RefusalKind::TooLarge, "the body is over the limit")
+}
+
+fn too_many_bytes() -> Refusal {
+    let text = "the bodies of all requests take too much memory; come back later";
+    Refusal::not_run(RefusalKind::Overloaded, text).with_retry_after(Duration::from_millis(500))
 }
 
 async fn run<P>(mut ticket: Ticket<P>) -> Served<P>
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -8,10 +8,16 @@
 use tokio::sync::Notify;
 
 use crate::adapter::Platform;
+use crate::budget::Budget;
 use crate::clock::BootClock;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 
+/// Connections of callers at once: of some four thousand descriptors, the rest is for servers.
+const MAX_CONNECTIONS: usize = 2500;
+/// Bytes of bodies held at once, well below an instance's memory.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
 /// Addresses on which an instance listens.
 #[derive(Clone, Debug)]
 pub struct Listeners {
@@ -71,6 +77,10 @@
     pub planning: Notify,
     /// Told once when the process is to stop.
     pub stopping: Notify,
+    /// Connections of callers.
+    pub connections: Budget,
+    /// Bytes of requests' bodies.
+    pub bodies: Budget,
     /// Requests being served.
     pub active: Cell<usize>,
     /// When the request to stop came.
@@ -105,6 +115,8 @@
             restocked: Notify::new(),
             planning: Notify::new(),
             stopping: Notify::new(),
+            connections: Budget::new(MAX_CONNECTIONS),
+            bodies: Budget::new(MAX_BODY_BYTES),
             active: Cell::new(0),
             stopped: Cell::new(None),
         })
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! request waits; `docs/design/platform.md` gives the measurement against `actix-web` and `awc`.
 
 pub mod adapter;
+pub mod budget;
 pub mod clock;
 pub mod daemon;
 pub mod events;
--- a/crates/apricotwell_gateway/src/ticket.rs
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -5,11 +5,11 @@
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_types::{Ending, Refusal, RefusalKind, ServerId};
-use bytes::Bytes;
 use http::request;
 
 use crate::adapter::{Attempt, Callers, Platform};
 use crate::events::Event;
+use crate::front::HeldBody;
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard, WaitGuard};
 use crate::pool::{Answer, Reuse, SendError};
@@ -35,7 +35,7 @@
     /// Head as it came.
     pub head: request::Parts,
     /// Body as it came.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Head decoded.
     pub call: Call,
     /// Decision to take it.
@@ -79,7 +79,7 @@
     pub fn new(
         gateway: &Rc<Gateway<P>>,
         head: request::Parts,
-        body: Bytes,
+        body: HeldBody,
         call: Call,
         admission: Admission,
     ) -> Self {
@@ -266,7 +266,7 @@
             last_event,
         };
         let request =
-            P::Callers::encode_attempt(&self.head, &self.call, &attempt, self.body.clone());
+            P::Callers::encode_attempt(&self.head, &self.call, &attempt, self.body.bytes.clone());
         let reuse = if self.admission.route.kind.is_repeatable() {
             Reuse::Any
         } else {
