Let a holder that dropped its claim look whether it may claim anew; list what is open

Cause: a holder held up for 1.7 s dropped its claim but stayed in the group, whose generation did not change, so nobody ever looked at the lease again; a server's failure was repeated at the same server when no other was there. Change: a dropped claim asks for a look at the log; the server that answered is left out.

--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -69,6 +69,8 @@
     // Start of the last renewal, answered or not.
     tried: Option<Instant>,
     claim: Option<Claim>,
+    // Whether a claim was dropped without a look at the log.
+    unsure: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -85,6 +87,7 @@
             renewed: None,
             tried: None,
             claim: None,
+            unsure: false,
         }
     }
 
@@ -92,7 +95,7 @@
     pub fn note_try(&mut self, now: Instant) {
         // A renewal that comes late was held up with the whole process, and others may have moved on.
         if self.is_stalled(now) {
-            self.claim = None;
+            self.drop_claim();
         }
         self.tried = Some(now);
     }
@@ -108,7 +111,7 @@
         if self.claim.is_some() && unbroken {
             return LeaseStep::Keep;
         }
-        if self.claim.is_none() && !changed {
+        if self.claim.is_none() && !changed && !self.unsure {
             return LeaseStep::Keep;
         }
         LeaseStep::Check
@@ -116,6 +119,7 @@
 
     /// Notes who holds the lease; `candidate` says whether a free one falls to this instance.
     pub fn note_standing(&mut self, standing: Standing, candidate: bool) -> LeaseStep {
+        self.unsure = false;
         match standing {
             Standing::Own if self.claim.is_some() => LeaseStep::Keep,
             Standing::Own => LeaseStep::Claim,
@@ -148,16 +152,20 @@
 
     /// Drops the claim, after a server refused its fence.
     pub fn note_fenced(&mut self) {
-        self.claim = None;
+        self.drop_claim();
     }
 
     /// Drops the claim if another instance orders with a higher fence.
     pub fn note_other(&mut self, fence: Fence) {
         if self.claim.is_some_and(|claim| claim.fence < fence) {
-            self.claim = None;
+            self.drop_claim();
         }
     }
 
+    fn drop_claim(&mut self) {
+        self.unsure |= self.claim.take().is_some();
+    }
+
     /// Returns the fence for an order given right now.
     pub fn fence(&self, now: Instant) -> Option<Fence> {
         let claim = self.claim?;
--- a/crates/apricotwell_dispatch/tests/lease.rs
+++ b/crates/apricotwell_dispatch/tests/lease.rs
@@ -121,6 +121,22 @@
     assert_eq!(lease.fence(awake), None);
 }
 
+#[test]
+fn a_holder_that_dropped_its_claim_looks_whether_it_may_claim_anew() {
+    let now = Instant::now();
+    let mut lease = holder(TERMS, now);
+    // Held up for longer than a renewal, but not so long that the group dropped it.
+    let awake = now + Duration::from_millis(1750);
+    lease.note_try(awake);
+    assert_eq!(lease.fence(awake), None);
+    assert_eq!(lease.note_renewal(awake, false), LeaseStep::Check);
+    assert_eq!(lease.note_standing(Standing::Own, false), LeaseStep::Claim);
+    lease.note_claim(awake, 2, Standing::Own);
+    assert_eq!(lease.fence(awake), Some(2));
+    let next = awake + RENEWAL;
+    assert_eq!(renew(&mut lease, next, false), LeaseStep::Keep);
+}
+
 #[test]
 fn a_holder_looks_at_the_log_after_a_gap_in_its_renewals() {
     let now = Instant::now();
--- a/crates/apricotwell_gateway/src/pool.rs
+++ b/crates/apricotwell_gateway/src/pool.rs
@@ -254,17 +254,16 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
-    let unsent = |error: &dyn fmt::Display| SendError::Unsent(error.to_string());
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| SendError::Unsent("no connection in time".to_owned()))?
-        .map_err(|error| unsent(&error))?;
-    watch(&stream).map_err(|error| unsent(&error))?;
+        .map_err(unsent)?;
+    watch(&stream).map_err(unsent)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| unsent(&error))?;
+        .map_err(unsent)?;
     actix::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to {address} ended: {error}");
@@ -273,6 +272,13 @@
     Ok(sender)
 }
 
+fn unsent<E>(error: E) -> SendError
+where
+    E: fmt::Display,
+{
+    SendError::Unsent(error.to_string())
+}
+
 /// Lets a connection end when its other end has silently gone.
 ///
 /// # Errors
--- a/crates/apricotwell_gateway/src/ticket.rs
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -120,7 +120,7 @@
             let sent = self.send(&server, address, last_event).await;
             match sent {
                 Sent::Answer(answer, flight) => {
-                    if !self.should_repeat(&answer) {
+                    if !self.should_repeat(&server, &answer) {
                         return Ok((answer, flight));
                     }
                     flight.note_outcome(true);
@@ -153,15 +153,13 @@
     }
 
     // A server's failure is passed on unless another server may do better.
-    fn should_repeat(&mut self, answer: &Answer) -> bool {
-        answer.head.status.is_server_error() && self.has_other_server() && self.may_repeat()
+    fn should_repeat(&self, server: &ServerId, answer: &Answer) -> bool {
+        answer.head.status.is_server_error() && self.has_other_server(server) && self.may_repeat()
     }
 
-    fn has_other_server(&self) -> bool {
+    fn has_other_server(&self, server: &ServerId) -> bool {
         let mut tried = self.tried.clone();
-        if let Some(last) = self.tried.last() {
-            tried.push(last.clone());
-        }
+        tried.push(server.clone());
         let dispatcher = self.gateway.dispatcher.borrow();
         let choice = dispatcher.choose(self.gateway.now(), &self.admission, &self.call, &tried);
         matches!(choice, Choice::Send(..))
