Let a stream that breaks late go on too

Cause: a resumed stream kept the patience of its beginning, so one that broke after it was cut instead of resumed. Found by reading. Change: the caller's patience counts anew from each break.

--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -126,6 +126,7 @@
         if !self.ticket.may_repeat() {
             return false;
         }
+        self.ticket.renew_patience();
         let resumed = self.ticket.first_answer(self.last_event).await;
         match resumed {
             Ok((answer, flight)) if answer.head.status.as_u16() == self.status => {
--- a/crates/apricotwell_gateway/src/ticket.rs
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -106,6 +106,12 @@
         self.admission.deadline.saturating_duration_since(now)
     }
 
+    /// Counts the caller's patience from now on, after bytes of the answer have reached it.
+    pub fn renew_patience(&mut self) {
+        let patience = self.admission.route.patience();
+        self.admission.silence = (self.gateway.now() + patience).min(self.admission.deadline);
+    }
+
     /// Finds a server and gets its answer's head.
     ///
     /// # Errors
