Let the only server of a model go on after a break or a silence

Cause: a stream that could be resumed was taken from its server after 1.5 s of silence, and after a break the server was left out, also when no other one had the model: the caller waited its patience for nothing. Change: a server is left out only while another one can be sent to.

--- a/crates/apricotwell_gateway/src/front.rs
+++ b/crates/apricotwell_gateway/src/front.rs
@@ -261,7 +261,7 @@
         Err(_) => "the deadline passed during the answer".to_owned(),
     };
     flight.note_outcome(true);
-    ticket.tried.push(flight.server.clone());
+    ticket.leave_out(&flight.server);
     drop(flight);
     if ticket.may_repeat() {
         return Err(None);
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -78,12 +78,14 @@
             return None;
         }
         loop {
-            let (answer, _) = self.answer.as_mut()?;
+            let (answer, flight) = self.answer.as_mut()?;
             let limit = self.ticket.remaining();
             let resumable = self.ticket.admission.route.kind.is_repeatable();
             let wait = if resumable { limit.min(STALL) } else { limit };
             let reason = match tokio::time::timeout(wait, answer.next()).await {
                 Err(_) if limit <= wait => return self.fail(RelayError::Deadline),
+                // Silence alone is no reason to give up the only server that can go on.
+                Err(_) if !self.ticket.has_other_server(&flight.server) => continue,
                 Err(_) => "no event in time".to_owned(),
                 Ok(Some(Err(error))) => error.to_string(),
                 Ok(Some(Ok(bytes))) => match self.take_whole(bytes, resumable) {
@@ -121,7 +123,7 @@
         drop(answer);
         flight.note_outcome(true);
         self.partial.clear();
-        self.ticket.tried.push(flight.server.clone());
+        self.ticket.leave_out(&flight.server);
         drop(flight);
         if !self.ticket.may_repeat() {
             return false;
--- a/crates/apricotwell_gateway/src/ticket.rs
+++ b/crates/apricotwell_gateway/src/ticket.rs
@@ -163,7 +163,15 @@
         answer.head.status.is_server_error() && self.has_other_server(server) && self.may_repeat()
     }
 
-    fn has_other_server(&self, server: &ServerId) -> bool {
+    /// Leaves a server out of further attempts, unless no other one can be sent to right now.
+    pub fn leave_out(&mut self, server: &ServerId) {
+        if self.has_other_server(server) {
+            self.tried.push(server.clone());
+        }
+    }
+
+    /// Returns whether another server could be sent to right now.
+    pub fn has_other_server(&self, server: &ServerId) -> bool {
         let mut tried = self.tried.clone();
         tried.push(server.clone());
         let dispatcher = self.gateway.dispatcher.borrow();
@@ -190,7 +198,7 @@
     }
 
     fn after_loss(&mut self, server: &ServerId, reason: &str) -> Result<(), Refusal> {
-        self.tried.push(server.clone());
+        self.leave_out(server);
         if self.may_repeat() {
             return Ok(());
         }
