--- a/crates/apricotwell_dispatch/src/orders.rs
+++ b/crates/apricotwell_dispatch/src/orders.rs
@@ -95,8 +95,8 @@
     pub busy: bool,
     /// What it holds.
     pub holdings: Holdings,
-    /// Adapters on their way to it.
-    pub incoming: usize,
+    /// Adapters on their way to it; they take places as if they were there.
+    pub incoming: Vec<(ModelName, AdapterName)>,
 }
 
 #[derive(Clone, Debug)]
@@ -392,7 +392,11 @@
             self.note_busy(now, report);
             return;
         }
-        self.holdings = Some(report.holdings);
+        let mut held = report.holdings;
+        for (model, adapter) in &report.incoming {
+            add_adapter(&mut held, model, adapter);
+        }
+        self.holdings = Some(held);
         self.pending = None;
         self.adapters_from.retain(|(_, _, from)| now < *from);
         let holdings = &self.holdings;
@@ -413,6 +417,9 @@
         };
         if report.holdings.orders > holdings.orders {
             *holdings = report.holdings;
+            for (model, adapter) in &report.incoming {
+                add_adapter(holdings, model, adapter);
+            }
         }
     }
 }
--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -18,6 +18,8 @@
     HEARTBEAT_PAUSE.max(PAUSE_PER_INSTANCE * instances)
 }
 
+/// Heartbeats, in tenths, after which what an instance spends counts as not told.
+const TELLING_TENTHS: u32 = 24;
 /// Time for which an instance that fell silent may still serve on what it knows.
 const MEMORY: Duration = Duration::from_secs(5);
 
@@ -140,7 +142,7 @@
         1 + self
             .peers
             .values()
-            .filter(|peer| self.is_heard(now, peer))
+            .filter(|peer| self.is_heard_within(now, peer, TELLING_TENTHS))
             .count()
     }
 
@@ -159,8 +161,12 @@
 
     // Whether callers can be sent to an instance and its word counts.
     fn is_heard(&self, now: Instant, peer: &Peer) -> bool {
+        self.is_heard_within(now, peer, SILENCE_HEARTBEATS * 10)
+    }
+
+    fn is_heard_within(&self, now: Instant, peer: &Peer, tenths: u32) -> bool {
         let instances = 1 + self.peers.len() as u32;
-        let silence = heartbeat_pause(instances) * SILENCE_HEARTBEATS;
+        let silence = heartbeat_pause(instances) * tenths / 10;
         now.saturating_duration_since(peer.heard) < silence
     }
 }
--- a/crates/apricotwell_dispatch/tests/engines/engines.rs
+++ b/crates/apricotwell_dispatch/tests/engines/engines.rs
@@ -351,7 +351,7 @@
         let report = Report {
             busy: engine.under_way.is_some(),
             holdings: engine.holdings(engine.orders),
-            incoming: 0,
+            incoming: Vec::new(),
         };
         engine.history.push((now, report));
     }
--- a/crates/apricotwell_dispatch/tests/orders.rs
+++ b/crates/apricotwell_dispatch/tests/orders.rs
@@ -28,7 +28,7 @@
     Some(Report {
         busy,
         holdings,
-        incoming: 0,
+        incoming: Vec::new(),
     })
 }
 
@@ -70,6 +70,21 @@
     assert_eq!(server.leaving_adapters(), 0);
 }
 
+#[test]
+fn adapters_on_their_way_take_places() {
+    let now = Instant::now();
+    let mut server = known(now, holdings(4, &[("m", &["a1"])]));
+    server.note_listed(now + LATER, &holdings(0, &[]));
+    assert!(server.take_due_report(now + LATER));
+    let report = Report {
+        busy: false,
+        holdings: holdings(5, &[("m", &["a1"])]),
+        incoming: vec![("m".into(), "a2".into())],
+    };
+    server.note_report(now + LATER, Some(report));
+    assert_eq!(server.holdings().unwrap().adapter_count(), 2);
+}
+
 #[test]
 fn an_unused_adapter_is_gone_with_the_answer() {
     let now = Instant::now();
