Let the test of a second signal wait for the stream's first event

Traced: the second signal came before the first byte, and the caller got a whole, truthful refusal (503, outcome unknown) instead of a torn stream; the test waited only for the request to be open. That case is allowed, so the test now waits until an event has passed; what it checks is unchanged.

--- a/crates/apricotwell_entry/tests/sessions.rs
+++ b/crates/apricotwell_entry/tests/sessions.rs
@@ -157,9 +157,13 @@
     let long = chat(true).replace("\"max_tokens\":3", "\"max_tokens\":2000");
     let answer = std::thread::scope(|scope| {
         let stream = scope.spawn(|| fleet.chat(0, "hadegisbru", &long));
-        fleet.wait_until("the stream runs", |fleet| {
+        // Before its first event the answer is a whole refusal: there is nothing to tear.
+        fleet.wait_until("the stream's first event has passed", |fleet| {
             let metrics = fleet.get(0, "/metrics").body;
-            metrics.contains("apricotwell_open_requests 1")
+            let events = metrics
+                .lines()
+                .find_map(|line| line.strip_prefix("apricotwell_stream_events_total "));
+            events.is_some_and(|events| events != "0")
         });
         fleet.signal(0, "TERM");
         fleet.wait_until("it leaves", |fleet| fleet.get(0, "/readyz").status == 503);
@@ -167,7 +171,10 @@
         stream.join()
     });
     let answer = answer.expect("an answer");
-    assert!(answer.torn, "half an answer must not look whole");
+    assert!(
+        answer.torn,
+        "half an answer must not look whole: {answer:?}"
+    );
     let told = answer.body.contains("\"outcome\":\"outcome_unknown\"");
     assert!(told, "{}", answer.body);
 }
