Provoke what two void or red tests were meant to provoke

Change: the first now replaces the only server with a copy by an empty one during a rush of replicas. The second waits until the engine runs the stream; a new one holds that what waits is refused as not run.

--- a/crates/apricotwell_dispatch/tests/engines/engines.rs
+++ b/crates/apricotwell_dispatch/tests/engines/engines.rs
@@ -157,6 +157,23 @@
         engine.history.clear();
     }
 
+    /// Puts a server with an empty disk into the place of another one.
+    pub(crate) fn replace(&mut self, server: &str) {
+        self.restart(server);
+        let engine = self.engines.get_mut(server).unwrap();
+        engine.disk.clear();
+    }
+
+    /// Returns a model that no other server has a copy of.
+    pub(crate) fn sole_copy(&self, server: &str) -> String {
+        let elsewhere = |name: &String| {
+            let mut others = self.engines.iter().filter(|(id, _)| *id != server);
+            others.any(|(_, engine)| engine.disk.contains(name))
+        };
+        let mut own = self.engines[server].disk.iter();
+        own.find(|name| !elsewhere(name)).unwrap().clone()
+    }
+
     /// Lets every server with a copy of a model load something else right now.
     pub(crate) fn occupy_copies(&mut self, model: &str) {
         let with_copy = |engine: &&Engine| engine.disk.iter().any(|name| name == model);
--- a/crates/apricotwell_dispatch/tests/placing.rs
+++ b/crates/apricotwell_dispatch/tests/placing.rs
@@ -11,6 +11,8 @@
 
 /// Aim of requests for rare models: from arrival until the model can be sent to.
 const RARE_AIM: Duration = Duration::from_millis(3800);
+/// Time of one fetch from the weight store, with what it takes to see that a server is empty.
+const FETCH_AIM: Duration = Duration::from_millis(8700 + 1500);
 
 fn small() -> Setup {
     Setup {
@@ -118,17 +120,21 @@
 
 #[test]
 fn replicas_leave_room_at_the_store_for_a_model_that_nobody_has() {
-    let setup = Setup {
-        copies: 3,
-        ..small()
-    };
-    let mut engines = Engines::new(setup, 2);
-    engines.run(Duration::from_secs(2));
-    // A busy model is fetched to more and more servers; then requests for another one are refused.
-    engines.set_rate("busy-0", 40.0);
-    engines.run(Duration::from_secs(3));
-    let model = engines.unheld_model();
-    engines.set_rate(&model, 6.0);
-    engines.run(Duration::from_secs(10));
-    assert!(engines.holders(&model) > 0, "{model} is still nowhere");
+    for seed in 1..=5 {
+        let setup = Setup {
+            copies: 3,
+            models: 20,
+            ..small()
+        };
+        let mut engines = Engines::new(setup, seed);
+        engines.run(Duration::from_secs(2));
+        // A busy model is fetched to more and more servers.
+        engines.set_rate("busy-0", 60.0);
+        engines.run(Duration::from_secs(2));
+        // Then the only server with a copy of another one is replaced by an empty one.
+        let model = engines.sole_copy("server-8");
+        engines.replace("server-8");
+        let waited = engines.wait_for(&model);
+        assert!(waited < FETCH_AIM, "{model} after {waited:?}, seed {seed}");
+    }
 }
--- a/crates/apricotwell_entry/tests/sessions.rs
+++ b/crates/apricotwell_entry/tests/sessions.rs
@@ -132,9 +132,9 @@
     let long = chat(true).replace("\"max_tokens\":3", "\"max_tokens\":15");
     let answer = std::thread::scope(|scope| {
         let stream = scope.spawn(|| fleet.chat(0, "hadegisbru", &long));
-        fleet.wait_until("the stream runs", |fleet| {
-            let metrics = fleet.get(0, "/metrics").body;
-            metrics.contains("apricotwell_open_requests 1")
+        // Until the engine has the request, "not run" would be true as well.
+        fleet.wait_until("the engine runs the stream", |fleet| {
+            fleet.audit(fleet.engine(0))["requests"] == 2
         });
         fleet.signal(0, "TERM");
         fleet.wait_until("the look-up leaves it out", |fleet| {
@@ -173,3 +173,26 @@
     let told = answer.body.contains("\"outcome\":\"outcome_unknown\"");
     assert!(told, "{}", answer.body);
 }
+
+#[test]
+fn a_second_signal_refuses_what_waits_as_not_run() {
+    let mut options = options("second-signal-waiting");
+    options.load_ms = 60_000;
+    let fleet = LocalFleet::start(options);
+    let answer = std::thread::scope(|scope| {
+        let waiting = scope.spawn(|| fleet.chat(0, "hadegisbru", &chat(false)));
+        fleet.wait_until("the request waits for its model", |fleet| {
+            let metrics = fleet.get(0, "/metrics").body;
+            metrics.contains("apricotwell_open_requests 1")
+        });
+        fleet.signal(0, "TERM");
+        fleet.wait_until("it leaves", |fleet| fleet.get(0, "/readyz").status == 503);
+        fleet.signal(0, "TERM");
+        waiting.join()
+    });
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 503, "{answer:?}");
+    let told = answer.body.contains("\"outcome\":\"not_run\"");
+    assert!(told, "{}", answer.body);
+    assert_eq!(fleet.audit(fleet.engine(0))["requests"], 0);
+}
