Let one instance of a zone read the store's feeds for the others

Change: the ready instance of a zone with the lowest id reads the store, the others ask it by datagram. Its answer brings only what changed and the age of its view, which counts from the time of the question, so that no late answer makes a view look younger. Whoever gets no answer, or an old one, reads the store.

--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -186,6 +186,13 @@
         server.entry = entry;
     }
 
+    /// Returns whether an entry says something new.
+    pub fn is_news(&self, entry: &Entry) -> bool {
+        self.servers
+            .get(&entry.id)
+            .is_none_or(|server| server.ends.is_some() || server.entry != *entry)
+    }
+
     /// Notes that a server left the list; `keep` bounds how long it is still used.
     pub fn note_removed(&mut self, now: Instant, id: &str, keep: Option<Duration>) {
         if let Some(server) = self.servers.get_mut(id) {
@@ -197,6 +204,15 @@
     pub fn expire(&mut self, now: Instant) {
         self.servers
             .retain(|_, server| server.own > 0 || server.ends.is_none_or(|ends| now < ends));
+        let is_old = |told: Instant| now.saturating_duration_since(told) >= STOCK_LIFETIME;
+        for server in self.servers.values_mut() {
+            // Without the lease holder's word the list's counts.
+            if server.told.is_some_and(is_old) {
+                server.told = None;
+                server.loading = None;
+                server.holdings = server.entry.holdings.clone();
+            }
+        }
     }
 
     /// Returns the ids of all servers in the list.
--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -15,6 +15,7 @@
 use crate::call::Call;
 use crate::catalog::{Catalog, Organisation, Route, ServiceId};
 use crate::demand::DemandTable;
+use crate::feeds::{FeedViews, Source};
 use crate::freshness::Freshness;
 use crate::lease::{Lease, LeaseTerms};
 use crate::model::Wanted;
@@ -93,6 +94,8 @@
     pub catalog: Option<Arc<Catalog>>,
     /// Age of the view.
     pub freshness: Freshness,
+    /// Views of the store's feeds.
+    pub feeds: FeedViews,
     /// Backend servers.
     pub backends: BackendTable,
     /// Other instances.
@@ -117,6 +120,7 @@
         Self {
             catalog: None,
             freshness: Freshness::new(facts.revocation),
+            feeds: FeedViews::default(),
             backends: BackendTable::default(),
             peers: PeerTable::default(),
             demand: DemandTable::default(),
@@ -156,6 +160,15 @@
         !self.leaving && self.catalog.is_some() && self.freshness.is_ready(now)
     }
 
+    /// Returns where to learn what is new in the store's feeds.
+    pub fn feed_source(&self, now: Instant) -> Source {
+        let reader = self.peers.first_ready(now, &self.facts.zone);
+        match reader {
+            Some(reader) if reader < self.facts.id || !self.is_ready(now) => Source::Peer(reader),
+            _ => Source::Store,
+        }
+    }
+
     /// Returns the addresses to which callers should connect.
     pub fn look_up(&self, now: Instant) -> Vec<String> {
         let mut addresses: Vec<String> =
--- a/crates/apricotwell_dispatch/src/dispatcher/telling.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/telling.rs
@@ -38,6 +38,7 @@
             models: Vec::new(),
             fence: fence.unwrap_or_default(),
             stock: Vec::new(),
+            zone: self.facts.zone.to_string(),
         }
     }
 
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod catalog;
 pub mod demand;
 pub mod dispatcher;
+pub mod feeds;
 pub mod freshness;
 pub mod lease;
 pub mod model;
@@ -43,6 +44,7 @@
         ServiceId,
     };
     pub use crate::dispatcher::{Admission, Choice, Dispatcher, InstanceFacts};
+    pub use crate::feeds::{Feed, ListChange, Source};
     pub use crate::freshness::Freshness;
     pub use crate::lease::{Lease, LeaseStep, LeaseTerms, Standing};
     pub use crate::model::{AdapterName, Holdings, ModelName, Wanted};
--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_messages::{Heartbeat, ModelUse};
-use apricotwell_types::{Fence, InstanceId, Map};
+use apricotwell_types::{Fence, InstanceId, Map, ZoneId};
 
 /// Pause between heartbeats of a small fleet.
 const HEARTBEAT_PAUSE: Duration = Duration::from_millis(400);
@@ -32,6 +32,7 @@
     number: u64,
     address: String,
     ready: bool,
+    zone: ZoneId,
     // Fence under which it orders servers, 0 if it doesn't.
     fence: Fence,
     heard: Instant,
@@ -64,6 +65,7 @@
             number: heartbeat.number,
             address: heartbeat.address.clone(),
             ready: heartbeat.ready,
+            zone: heartbeat.zone.as_str().into(),
             fence: heartbeat.fence,
             heard: now,
             models: heartbeat.models.clone(),
@@ -137,6 +139,15 @@
             .map(|peer| peer.address.as_str())
     }
 
+    /// Returns the ready instance of a zone with the lowest id.
+    pub fn first_ready(&self, now: Instant, zone: &ZoneId) -> Option<InstanceId> {
+        let ready = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.ready && peer.zone == *zone && self.is_heard(now, peer));
+        ready.map(|(id, _)| id.clone()).min()
+    }
+
     /// Returns the number of instances that tell what they do, this one included.
     pub fn heard(&self, now: Instant) -> usize {
         1 + self
--- a/crates/apricotwell_dispatch/tests/dispatcher.rs
+++ b/crates/apricotwell_dispatch/tests/dispatcher.rs
@@ -302,3 +302,33 @@
     let silent = now + Duration::from_secs(2);
     assert!(dispatcher.look_up(silent).is_empty());
 }
+
+#[test]
+fn one_ready_instance_of_a_zone_reads_the_store_for_the_others() {
+    let now = Instant::now();
+    let mut own = dispatcher(now);
+    let tell = |table: &mut Dispatcher, id: &str, zone: &str, ready: bool| {
+        let mut other = if ready {
+            dispatcher(now)
+        } else {
+            Dispatcher::new(facts())
+        };
+        other.facts.id = id.into();
+        other.facts.zone = zone.into();
+        let heartbeat = other.heartbeat(now);
+        assert!(table.note_heartbeat(now, &heartbeat));
+    };
+    assert_eq!(own.feed_source(now), Source::Store);
+    tell(&mut own, "10.0.0.0:7600", "b", true);
+    tell(&mut own, "10.0.0.0:7601", "a", false);
+    tell(&mut own, "10.0.0.2:7600", "a", true);
+    // Neither another zone's instance nor one that isn't ready or comes later is asked.
+    assert_eq!(own.feed_source(now), Source::Store);
+    tell(&mut own, "10.0.0.0:7602", "a", true);
+    let first = Source::Peer("10.0.0.0:7602".into());
+    assert_eq!(own.feed_source(now), first);
+    // It fell silent; this instance is cut off from the store meanwhile.
+    let later = now + Duration::from_secs(4);
+    own.expire(later);
+    assert_eq!(own.feed_source(later), Source::Store);
+}
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -114,15 +114,6 @@
 
 impl std::error::Error for StoreError {}
 
-/// Feed of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Feed {
-    /// Configuration.
-    Configuration,
-    /// List of servers.
-    Servers,
-}
-
 /// News of a feed.
 #[derive(Clone, Debug)]
 pub enum News {
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use apricotwell_dispatch::prelude::*;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -16,7 +17,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::adapter::{Callers, Feed, Platform};
+use crate::adapter::{Callers, Platform};
 use crate::events::{Event, FLUSH_INTERVAL, LineWriter};
 use crate::gateway::Gateway;
 use crate::{feeds, fleet, front, placing, pool, spending};
@@ -59,8 +60,10 @@
         .with("callers", listeners.callers.as_str())
         .with("peers", listeners.peers.as_str())
         .log();
-    actix::spawn(feeds::follow(Rc::clone(&gateway), Feed::Configuration));
-    actix::spawn(feeds::follow(Rc::clone(&gateway), Feed::Servers));
+    for feed in [Feed::Configuration, Feed::Servers] {
+        let (gateway, socket) = (Rc::clone(&gateway), Rc::clone(&socket));
+        actix::spawn(feeds::follow(gateway, socket, feed));
+    }
     actix::spawn(fleet::renew_membership(Rc::clone(&gateway)));
     actix::spawn(fleet::tell(Rc::clone(&gateway), Rc::clone(&socket)));
     actix::spawn(fleet::listen(Rc::clone(&gateway), socket));
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -1,20 +1,29 @@
-//! Tasks that follow the store.
+//! Tasks that follow the store's feeds, themselves or through another instance.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use apricotwell_dispatch::feeds::Told;
 use apricotwell_dispatch::prelude::*;
-use apricotwell_types::Offset;
+use apricotwell_types::{InstanceId, Offset};
+use tokio::net::UdpSocket;
 
-use crate::adapter::{Feed, FeedPart, News, Platform, Store, StoreError};
+use crate::adapter::{FeedPart, News, Platform, Store, StoreError};
 use crate::events::Event;
 use crate::gateway::Gateway;
 
 /// Longest wait of one read of the configuration; bounds the age of the view on a quiet day.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(2200);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1500);
 /// Share of the time within which a leaving server must get no more work, that passes between two
 /// reads of the list of servers.
-const SERVERS_SHARE: f64 = 0.65;
+const SERVERS_SHARE: f64 = 0.3;
+/// Pause between two questions to another instance.
+const ASK_PAUSE: Duration = Duration::from_millis(500);
+/// Age beyond which another instance's view of the configuration is not used.
+const MAX_CONFIGURATION_AGE: Duration = Duration::from_millis(2200);
+/// Share of the time within which a leaving server must get no more work, beyond which another
+/// instance's view of the list is not used.
+const MAX_SERVERS_SHARE: f64 = 0.6;
 /// Pause after a first call that the store did not serve; each further one adds as much.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Calls after which the pause grows no more.
@@ -24,14 +33,16 @@
 const RETURN_TIME: Duration = Duration::from_millis(2200);
 
 /// Follows one feed for ever.
-pub async fn follow<P>(gateway: Rc<Gateway<P>>, feed: Feed)
+pub async fn follow<P>(gateway: Rc<Gateway<P>>, socket: Rc<UdpSocket>, feed: Feed)
 where
     P: Platform,
 {
     let mut follower = Follower {
         gateway,
+        socket,
         feed,
         next: None,
+        source: Source::Store,
         failing_since: None,
         failures: 0,
         outage_end: None,
@@ -47,9 +58,12 @@
     P: Platform,
 {
     gateway: Rc<Gateway<P>>,
+    socket: Rc<UdpSocket>,
     feed: Feed,
     // Offset from which to read; unknown before the newest records were read.
     next: Option<Offset>,
+    // Where the last step looked.
+    source: Source,
     failing_since: Option<Instant>,
     // Calls in a row that the store did not serve.
     failures: u32,
@@ -60,19 +74,89 @@
 where
     P: Platform,
 {
-    // Reads once; returns the pause before the next read.
+    // Learns once what is new; returns the pause before the next time.
     async fn step(&mut self) -> Duration {
-        let start = self.gateway.now();
-        let wait = match self.feed {
-            Feed::Configuration => CONFIGURATION_WAIT,
-            Feed::Servers => Duration::ZERO,
+        let Some(from) = self.next else {
+            return self.read_store(Duration::ZERO).await;
+        };
+        let now = self.gateway.now();
+        let source = self.gateway.dispatcher.borrow().feed_source(now);
+        self.note_source(&source);
+        match (source, self.feed) {
+            (Source::Peer(peer), _) => match self.ask(&peer, from).await {
+                Some(pause) => pause,
+                None => self.read_store(Duration::ZERO).await.max(ASK_PAUSE),
+            },
+            (Source::Store, Feed::Configuration) => self.read_store(CONFIGURATION_WAIT).await,
+            (Source::Store, Feed::Servers) => self.read_store(Duration::ZERO).await,
+        }
+    }
+
+    // Asks another instance; returns the pause before the next question, `None` if its view is of no
+    // use.
+    async fn ask(&mut self, peer: &InstanceId, from: Offset) -> Option<Duration> {
+        let question = (self.feed, from);
+        let clock = || self.gateway.now();
+        let asked = self
+            .gateway
+            .questions
+            .ask(&self.socket, peer, question, clock);
+        let Told {
+            changes,
+            next,
+            current,
+        } = asked.await?;
+        let news = changes.into_iter().map(|change| match change {
+            ListChange::Entry(entry) => News::Entry(entry),
+            ListChange::Removed(id) => News::Removed(id),
+        });
+        let part = FeedPart {
+            news: news.collect(),
+            next,
+            is_end: current.is_some(),
         };
+        self.apply(current, part);
+        let Some(current) = current else {
+            return Some(Duration::ZERO);
+        };
+        let age = self.gateway.now().saturating_duration_since(current);
+        (age < self.max_age()).then_some(ASK_PAUSE)
+    }
+
+    fn max_age(&self) -> Duration {
+        match self.feed {
+            Feed::Configuration => MAX_CONFIGURATION_AGE,
+            Feed::Servers => self.gateway.times.drain.mul_f64(MAX_SERVERS_SHARE),
+        }
+    }
+
+    // Reads the store once; returns the pause before the next read.
+    async fn read_store(&mut self, wait: Duration) -> Duration {
+        let start = self.gateway.now();
         let part = match self.next {
             Some(next) => self.gateway.store.read(self.feed, next, wait).await,
             None => self.gateway.store.newest(self.feed).await,
         };
         match part {
-            Ok(part) => self.apply(start, wait, part),
+            Ok(part) => {
+                self.gateway.metrics.note_store_call("read");
+                self.note_success();
+                let pauses = self.feed == Feed::Servers && part.is_end;
+                // A read that waited and brought nothing says that nothing came until its wait was
+                // over.
+                let waited = self.gateway.now().saturating_duration_since(start);
+                let current = match self.next {
+                    Some(_) if part.news.is_empty() => start + wait.min(waited),
+                    _ => start,
+                };
+                let current = part.is_end.then_some(current);
+                self.apply(current, part);
+                if pauses {
+                    self.gateway.times.drain.mul_f64(SERVERS_SHARE)
+                } else {
+                    Duration::ZERO
+                }
+            }
             Err(StoreError::Forgotten) => {
                 self.next = None;
                 Duration::ZERO
@@ -84,40 +168,53 @@
         }
     }
 
-    fn apply(&mut self, start: Instant, wait: Duration, part: FeedPart) -> Duration {
-        self.gateway.metrics.note_store_call("read");
-        self.note_success();
-        let whole = self.next.is_none();
-        if whole && self.feed == Feed::Servers {
+    // Applies what came; nothing else had come at `current`, if that is known.
+    fn apply(&mut self, current: Option<Instant>, part: FeedPart) {
+        let from = self.next;
+        if from.is_none() && self.feed == Feed::Servers {
             self.remove_missing(&part);
+            self.gateway
+                .dispatcher
+                .borrow_mut()
+                .feeds
+                .start_from(part.next);
         }
         self.next = Some(part.next);
-        let is_end = part.is_end;
         let changed = !part.news.is_empty();
-        // A read that waited and brought nothing says that nothing came until its wait was over.
-        let current = if changed || whole {
-            start
-        } else {
-            start + wait.min(self.gateway.now().saturating_duration_since(start))
-        };
-        for news in part.news {
-            self.apply_news(news);
+        // Each record of the list is one piece of news, so that their offsets are known.
+        let first = part
+            .next
+            .saturating_sub(part.news.len() as u64)
+            .max(from.unwrap_or_default());
+        for (offset, news) in (first + 1..).zip(part.news) {
+            self.apply_news(offset.min(part.next), news);
         }
         if changed {
             self.gateway.changed.notify_waiters();
             self.gateway.planning.notify_one();
         }
-        if self.feed == Feed::Configuration && is_end {
-            let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let Some(current) = current else {
+            return;
+        };
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.feeds.note_current(self.feed, part.next, current);
+        if self.feed == Feed::Configuration {
             dispatcher.freshness.note_current(current);
         }
-        match self.feed {
-            Feed::Servers if is_end => self.gateway.times.drain.mul_f64(SERVERS_SHARE),
-            _ => Duration::ZERO,
+    }
+
+    fn note_source(&mut self, source: &Source) {
+        if self.source != *source {
+            self.source = source.clone();
+            Event::new("feed_source")
+                .with("feed", format!("{:?}", self.feed))
+                .with("source", format!("{source:?}"))
+                .log();
         }
     }
 
-    fn apply_news(&self, news: News) {
+    // Applies one piece of news, after which the feed is known up to `offset`.
+    fn apply_news(&self, offset: Offset, news: News) {
         let now = self.gateway.now();
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         match news {
@@ -131,6 +228,10 @@
             }
             News::Entry(entry) => {
                 log_entry(&dispatcher.backends, &entry);
+                if dispatcher.backends.is_news(&entry) {
+                    let change = ListChange::Entry(entry.clone());
+                    dispatcher.feeds.note_change(offset, &change);
+                }
                 dispatcher.backends.note_entry(now, entry);
             }
             News::Removed(id) => {
@@ -141,6 +242,8 @@
                     .log();
                 dispatcher.backends.note_removed(now, &id, keep);
                 dispatcher.prompts.forget(&id);
+                let change = ListChange::Removed(id);
+                dispatcher.feeds.note_change(offset, &change);
             }
             News::Unreadable { key, reason } => Event::new("record_unreadable")
                 .with("key", key)
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use apricotwell_dispatch::peers::heartbeat_pause;
 use apricotwell_dispatch::prelude::*;
-use apricotwell_messages::Heartbeat;
+use apricotwell_messages::{Datagram, Heartbeat};
 use apricotwell_types::{InstanceId, Offset};
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -20,8 +20,8 @@
 const GOSSIP_PAUSE: Duration = Duration::from_millis(30);
 /// Part of the least time between heartbeats that each instance adds.
 const GOSSIP_PER_INSTANCE: Duration = Duration::from_millis(4);
-/// Bytes of the largest heartbeat.
-const MAX_HEARTBEAT_BYTES: usize = 60 << 10;
+/// Bytes of the largest datagram.
+const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// Least pause between two lists of the members.
 const LIST_PAUSE: Duration = Duration::from_millis(3000);
 /// Part of that pause that each instance of the fleet adds.
@@ -282,7 +282,7 @@
         models: demand,
         ..heartbeat.clone()
     };
-    let (plain, urgent) = (heartbeat.encode_to_vec(), with_demand.encode_to_vec());
+    let (plain, urgent) = (encode(heartbeat), encode(with_demand));
     for target in targets {
         let is_holder = holder.as_ref().is_none_or(|holder| *holder == target);
         if audience == Audience::LeaseHolder && !is_holder {
@@ -296,34 +296,66 @@
     }
 }
 
-/// Takes the heartbeats of other instances.
+fn encode(heartbeat: Heartbeat) -> Vec<u8> {
+    let datagram = Datagram {
+        heartbeat: Some(heartbeat),
+        ..Datagram::default()
+    };
+    datagram.encode_to_vec()
+}
+
+/// Takes the heartbeats, questions and answers of other instances.
 pub async fn listen<P>(gateway: Rc<Gateway<P>>, socket: Rc<UdpSocket>)
 where
     P: Platform,
 {
-    let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             tokio::time::sleep(GOSSIP_PAUSE).await;
             continue;
         };
-        let Ok(heartbeat) = Heartbeat::decode(&buffer[..length]) else {
-            log::info!("a heartbeat that can't be read was dropped");
+        let Ok(datagram) = Datagram::decode(&buffer[..length]) else {
+            log::info!("a datagram that can't be read was dropped");
             continue;
         };
-        let now = gateway.now();
-        let newer = gateway
-            .dispatcher
-            .borrow_mut()
-            .note_heartbeat(now, &heartbeat);
-        if !newer {
-            continue;
+        if let Some(heartbeat) = datagram.heartbeat {
+            note_heartbeat(&gateway, &heartbeat);
         }
-        if !heartbeat.stock.is_empty() {
-            gateway.changed.notify_waiters();
+        if let Some(query) = datagram.query {
+            let now = gateway.now();
+            let answer = gateway.dispatcher.borrow().feeds.answer(now, &query);
+            let datagram = Datagram {
+                answer,
+                ..Datagram::default()
+            };
+            // Without an answer the other instance reads the store.
+            if let Err(error) = socket.send_to(&datagram.encode_to_vec(), sender).await {
+                log::debug!("no answer to {sender}: {error}");
+            }
         }
-        if heartbeat.models.iter().any(|usage| usage.waiting > 0) {
-            gateway.planning.notify_one();
+        if let Some(answer) = datagram.answer {
+            gateway.questions.note_answer(answer);
         }
     }
 }
+
+fn note_heartbeat<P>(gateway: &Gateway<P>, heartbeat: &Heartbeat)
+where
+    P: Platform,
+{
+    let now = gateway.now();
+    let newer = gateway
+        .dispatcher
+        .borrow_mut()
+        .note_heartbeat(now, heartbeat);
+    if !newer {
+        return;
+    }
+    if !heartbeat.stock.is_empty() {
+        gateway.changed.notify_waiters();
+    }
+    if heartbeat.models.iter().any(|usage| usage.waiting > 0) {
+        gateway.planning.notify_one();
+    }
+}
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 
 use crate::adapter::Platform;
+use crate::asking::Questions;
 use crate::budget::Budget;
 use crate::clock::BootClock;
 use crate::metrics::Metrics;
@@ -77,6 +78,8 @@
     pub planning: Notify,
     /// Told once when the process is to stop.
     pub stopping: Notify,
+    /// Questions to other instances.
+    pub questions: Questions,
     /// Connections of callers.
     pub connections: Budget,
     /// Bytes of requests' bodies.
@@ -115,6 +118,7 @@
             restocked: Notify::new(),
             planning: Notify::new(),
             stopping: Notify::new(),
+            questions: Questions::default(),
             connections: Budget::new(MAX_CONNECTIONS),
             bodies: Budget::new(MAX_BODY_BYTES),
             active: Cell::new(0),
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! request waits; `docs/design/platform.md` gives the measurement against `actix-web` and `awc`.
 
 pub mod adapter;
+pub mod asking;
 pub mod budget;
 pub mod clock;
 pub mod daemon;
@@ -27,8 +28,8 @@
 /// What nearly every user of the crate needs.
 pub mod prelude {
     pub use crate::adapter::{
-        AnswerHead, Attempt, Callers, ClaimRecord, Engines, Feed, FeedPart, LastClaim, Membership,
-        News, Platform, Store, StoreError,
+        AnswerHead, Attempt, Callers, ClaimRecord, Engines, FeedPart, LastClaim, Membership, News,
+        Platform, Store, StoreError,
     };
     pub use crate::events::Event;
     pub use crate::gateway::{Gateway, Listeners, Times};
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -118,6 +118,9 @@
     /// What servers hold; told by the lease's holder only.
     #[prost(message, repeated, tag = "10")]
     pub stock: Vec<ServerStock>,
+    /// Zone.
+    #[prost(string, tag = "11")]
+    pub zone: String,
 }
 
 /// What one organisation spent in the last window, over the whole fleet.
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod claims;
 mod envelope;
+mod feeds;
 mod heartbeat;
 mod news;
 mod tokens;
@@ -24,6 +25,7 @@
     Ack, Demand, DemandItem, Envelope, HeardEvidence, LogEvidence, Message, Ping, PingFor, Reclaim,
     RecordsAsk, RecordsReply, SnapshotAsk, SnapshotChunk,
 };
+pub use feeds::{Datagram, FeedAnswer, FeedQuery, ServerChange, ServerListed};
 pub use heartbeat::{
     FleetSpending, Heartbeat, ModelHeld, ModelUse, OrganisationSpending, ServerStock, ServerUse,
     Spending,
