--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -24,10 +24,11 @@
 /// Share of the time within which a leaving server must get no more work, beyond which another
 /// instance's view of the list is not used.
 const MAX_SERVERS_SHARE: f64 = 0.6;
-/// Pause after a first call that the store did not serve; each further one adds as much.
+/// Pause after a second call that the store did not serve; each further one adds as much. After the
+/// first there is none: most often only its connection was broken.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Calls after which the pause grows no more.
-const MAX_PAUSES: u32 = 3;
+const MAX_PAUSES: u32 = 4;
 /// Time after an outage of the store in which servers that left the list are still used: the entries
 /// of those that live come back by then.
 const RETURN_TIME: Duration = Duration::from_millis(2200);
@@ -163,7 +164,7 @@
             }
             Err(error) => {
                 self.note_failure(&error);
-                RETRY_PAUSE * self.failures.min(MAX_PAUSES)
+                RETRY_PAUSE * (self.failures.min(MAX_PAUSES) - 1)
             }
         }
     }
--- a/crates/apricotwell_gateway/src/pool.rs
+++ b/crates/apricotwell_gateway/src/pool.rs
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Closes all idle connections to an address: one has fallen silent, and whatever silenced it may
+    /// have silenced the others too.
+    pub fn distrust(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes connections that have been idle for too long.
     pub fn expire(&self) {
         let now = Instant::now();
