Tell what servers hold by zone, and only what the list lacks

Change: stock goes in datagrams of its own, to the own zone directly and to one of two instances of each other zone in turn, which pass it on; a new holder tells only what the list of servers lacks; heartbeats go out by their own clock. Tests: the first of two fails without its change (140 servers at once).

--- a/crates/apricotwell_dispatch/src/dispatcher/telling.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/telling.rs
@@ -2,14 +2,18 @@
 
 use std::time::Instant;
 
-use apricotwell_messages::{Heartbeat, ServerUse, Spending};
+use apricotwell_messages::{Heartbeat, ServerUse, Spending, StockTold};
 use apricotwell_types::{InstanceId, Map, OrgId, Tokens};
 
 use super::Dispatcher;
 use crate::catalog::Catalog;
 
+/// Instances of a zone that pass on in turn what servers hold, so that a silent one holds up no more
+/// than every other time.
+const STOCK_RELAYS: usize = 2;
+
 impl Dispatcher {
-    /// Returns this instance's heartbeat, without demand and stock.
+    /// Returns this instance's heartbeat, without demand.
     pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
         self.heartbeats += 1;
         let servers = self.backends.iter().filter(|server| server.own > 0);
@@ -37,7 +41,6 @@
                 .collect(),
             models: Vec::new(),
             fence: fence.unwrap_or_default(),
-            stock: Vec::new(),
             zone: self.facts.zone.to_string(),
         }
     }
@@ -58,12 +61,35 @@
             self.note_spending(now, &catalog, &instance, heartbeat);
         }
         self.lease.note_other(heartbeat.fence);
-        if heartbeat.fence > 0 {
-            for stock in &heartbeat.stock {
-                self.backends.note_stock(now, heartbeat.fence, stock);
+        true
+    }
+
+    /// Applies what the lease holder tells of servers.
+    pub fn note_stock(&mut self, now: Instant, told: &StockTold) {
+        for stock in &told.servers {
+            self.backends.note_stock(now, told.fence, stock);
+        }
+    }
+
+    /// Returns the instances to which the lease holder tells what servers hold, and for each whether
+    /// it is to pass that on: its own zone's, and one of each other zone, another one every time.
+    pub fn stock_audience(&self, now: Instant, turn: usize) -> Vec<(InstanceId, bool)> {
+        let mut audience = Vec::new();
+        for (zone, instances) in self.peers.by_zone(now) {
+            if zone == self.facts.zone {
+                audience.extend(instances.into_iter().map(|instance| (instance, false)));
+            } else {
+                let relays = instances.len().min(STOCK_RELAYS);
+                audience.push((instances[turn % relays].clone(), true));
             }
         }
-        true
+        audience
+    }
+
+    /// Returns the other instances of this one's zone.
+    pub fn zone_peers(&self, now: Instant) -> Vec<InstanceId> {
+        let mut zones = self.peers.by_zone(now);
+        zones.remove(&self.facts.zone).unwrap_or_default()
     }
 
     fn note_spending(
--- a/crates/apricotwell_dispatch/src/news.rs
+++ b/crates/apricotwell_dispatch/src/news.rs
@@ -6,13 +6,15 @@
 use apricotwell_messages::{ModelHeld, ServerStock};
 use apricotwell_types::ServerId;
 
+use crate::backends::BackendTable;
+use crate::model::Holdings;
 use crate::orders::ServerOrders;
 use crate::stock::StockPlanner;
 
-/// Heartbeats that tell of a change, against lost datagrams.
+/// Datagrams that tell of a change, as one may be lost.
 const REPEATS: u32 = 3;
-/// Servers told of in each heartbeat though nothing changed, in turn. The platform's list tells of
-/// the others, later.
+/// Servers told of each time though nothing changed, in turn. The platform's list tells of the others,
+/// later.
 const REFRESHED: usize = 4;
 
 #[derive(Debug)]
@@ -22,7 +24,7 @@
     repeats: u32,
 }
 
-/// Picks what to tell, so that the size of heartbeats does not grow with the number of servers.
+/// Picks what to tell, so that its size does not grow with the number of servers.
 #[derive(Debug, Default)]
 pub struct StockNews {
     told: BTreeMap<ServerId, Told>,
@@ -32,14 +34,19 @@
 
 impl StockNews {
     /// Returns whether a server changed since it was last told of.
-    pub fn has_change(&self, now: Instant, planner: &StockPlanner) -> bool {
+    pub fn has_change(&self, now: Instant, planner: &StockPlanner, list: &BackendTable) -> bool {
         planner.servers().any(|(id, server)| {
-            stock_of(now, id, server).is_some_and(|stock| !self.is_told(id, &stock))
+            stock_of(now, id, server).is_some_and(|stock| !self.is_told(id, &stock, list))
         })
     }
 
-    /// Returns what the next heartbeat tells.
-    pub fn take(&mut self, now: Instant, planner: &StockPlanner) -> Vec<ServerStock> {
+    /// Returns what is to be told next; others know what the list of servers says.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        planner: &StockPlanner,
+        list: &BackendTable,
+    ) -> Vec<ServerStock> {
         let turn = self.next_turn(planner);
         let mut news = Vec::new();
         self.told
@@ -48,7 +55,7 @@
             let Some(stock) = stock_of(now, id, server) else {
                 continue;
             };
-            if !self.is_told(id, &stock) {
+            if !self.is_told(id, &stock, list) {
                 let told = Told {
                     models: stock.models.clone(),
                     loading: stock.loading.clone(),
@@ -69,10 +76,14 @@
         news
     }
 
-    fn is_told(&self, id: &ServerId, stock: &ServerStock) -> bool {
-        self.told
-            .get(id)
-            .is_some_and(|told| told.models == stock.models && told.loading == stock.loading)
+    fn is_told(&self, id: &ServerId, stock: &ServerStock, list: &BackendTable) -> bool {
+        match self.told.get(id) {
+            Some(told) => told.models == stock.models && told.loading == stock.loading,
+            // A new holder of the lease has told nothing: only what the list lacks is news.
+            None => list.get(id).is_some_and(|server| {
+                stock.loading.is_empty() && held(&server.entry.holdings) == stock.models
+            }),
+        }
     }
 
     fn next_turn(&mut self, planner: &StockPlanner) -> Vec<ServerId> {
@@ -88,15 +99,11 @@
 fn stock_of(now: Instant, id: &ServerId, server: &ServerOrders) -> Option<ServerStock> {
     let holdings = server.servable(now)?;
     let loading = server.loading();
-    let models = holdings.models.iter().map(|(model, adapters)| ModelHeld {
-        model: model.to_string(),
-        adapters: adapters.iter().map(ToString::to_string).collect(),
-    });
     Some(ServerStock {
         server: id.to_string(),
         born: server.born(),
         orders: holdings.orders,
-        models: models.collect(),
+        models: held(&holdings),
         loading: loading
             .map(|(model, _)| model.to_string())
             .unwrap_or_default(),
@@ -105,3 +112,13 @@
         }),
     })
 }
+
+fn held(holdings: &Holdings) -> Vec<ModelHeld> {
+    let models = holdings.models.iter();
+    models
+        .map(|(model, adapters)| ModelHeld {
+            model: model.to_string(),
+            adapters: adapters.iter().map(ToString::to_string).collect(),
+        })
+        .collect()
+}
--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -1,5 +1,6 @@
 //! Other instances of the fleet.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use apricotwell_messages::{Heartbeat, ModelUse};
@@ -139,6 +140,20 @@
             .map(|peer| peer.address.as_str())
     }
 
+    /// Returns the instances that are heard by zone, each zone's in order.
+    pub fn by_zone(&self, now: Instant) -> BTreeMap<ZoneId, Vec<InstanceId>> {
+        let mut zones: BTreeMap<ZoneId, Vec<InstanceId>> = BTreeMap::new();
+        for (id, peer) in &self.peers {
+            if self.is_heard(now, peer) {
+                zones.entry(peer.zone.clone()).or_default().push(id.clone());
+            }
+        }
+        for instances in zones.values_mut() {
+            instances.sort();
+        }
+        zones
+    }
+
     /// Returns the ready instance of a zone with the lowest id.
     pub fn first_ready(&self, now: Instant, zone: &ZoneId) -> Option<InstanceId> {
         let ready = self
--- a/crates/apricotwell_dispatch/tests/engines/engines.rs
+++ b/crates/apricotwell_dispatch/tests/engines/engines.rs
@@ -7,9 +7,10 @@
 use apricotwell_dispatch::backends::{BackendTable, Entry};
 use apricotwell_dispatch::catalog::{EngineSpec, ModelSpec, Service};
 use apricotwell_dispatch::model::Holdings;
+use apricotwell_dispatch::news::StockNews;
 use apricotwell_dispatch::orders::{Operation, OrderReply, Report};
 use apricotwell_dispatch::stock::{Order, StockPlanner};
-use apricotwell_messages::ModelUse;
+use apricotwell_messages::{ModelUse, ServerStock};
 
 const TICK: Duration = Duration::from_millis(20);
 const REPORT_LAG: Duration = Duration::from_millis(200);
@@ -301,6 +302,11 @@
         self.most_fetches = self.most_fetches.max(fetches);
     }
 
+    /// Returns what the lease holder tells next.
+    pub(crate) fn news(&self, news: &mut StockNews) -> Vec<ServerStock> {
+        news.take(self.now, &self.planner, &self.table)
+    }
+
     fn uses(&self) -> Vec<ModelUse> {
         let usage = |model: &str, adapter: &str, waiting, rate: f64| ModelUse {
             service: self.service.name.to_string(),
--- a/crates/apricotwell_dispatch/tests/placing.rs
+++ b/crates/apricotwell_dispatch/tests/placing.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
+use apricotwell_dispatch::news::StockNews;
 use apricotwell_dispatch::orders::Operation;
+use apricotwell_messages::ServerStock;
 use engines::{Engines, Setup};
 
 /// Aim of requests for rare models: from arrival until the model can be sent to.
@@ -14,6 +16,9 @@
 /// Time of one fetch from the weight store, with what it takes to see that a server is empty.
 const FETCH_AIM: Duration = Duration::from_millis(8700 + 1500);
 
+/// Servers that are told of in turn, and those with a change at hand.
+const MOST_TOLD: usize = 12;
+
 fn small() -> Setup {
     Setup {
         servers: 9,
@@ -138,3 +143,40 @@
         assert!(waited < FETCH_AIM, "{model} after {waited:?}, seed {seed}");
     }
 }
+
+fn large() -> Setup {
+    Setup {
+        servers: 140,
+        models: 778,
+        busy: 2,
+        places: 3,
+        copies: 18,
+    }
+}
+
+#[test]
+fn a_new_holder_of_the_lease_does_not_tell_what_the_list_says() {
+    let mut engines = Engines::new(large(), 1);
+    engines.run(Duration::from_secs(3));
+    let mut news = StockNews::default();
+    for _ in 0..5 {
+        let told = engines.news(&mut news);
+        assert!(told.len() <= MOST_TOLD, "{} servers at once", told.len());
+    }
+}
+
+#[test]
+fn a_load_is_told_at_once_and_more_than_once() {
+    let mut engines = Engines::new(large(), 1);
+    engines.run(Duration::from_secs(3));
+    let mut news = StockNews::default();
+    let model = engines.unheld_model();
+    engines.wait_for(&model);
+    let mut told = 0;
+    for _ in 0..3 {
+        let servers = engines.news(&mut news);
+        let holds = |server: &ServerStock| server.models.iter().any(|held| held.model == model);
+        told += usize::from(servers.iter().any(holds));
+    }
+    assert_eq!(told, 3);
+}
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use apricotwell_dispatch::peers::heartbeat_pause;
 use apricotwell_dispatch::prelude::*;
-use apricotwell_messages::{Datagram, Heartbeat};
+use apricotwell_messages::{Datagram, Heartbeat, StockTold};
 use apricotwell_types::{InstanceId, Offset};
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -212,6 +212,8 @@
     Everyone,
     /// The holder of the placement lease.
     LeaseHolder,
+    /// Nobody: only what servers hold is told.
+    Nobody,
 }
 
 /// Tells the other instances what this one does, at intervals and on changes.
@@ -221,21 +223,33 @@
 {
     let mut news = StockNews::default();
     let mut audience = Audience::Everyone;
+    let mut turn = 0;
+    let mut due = tokio::time::Instant::now();
     loop {
         let instances = gateway.dispatcher.borrow().peers.possible() as u32;
-        send(&gateway, &socket, &mut news, audience).await;
-        // The larger the fleet, the rarer the heartbeats: each instance's share stays the same.
-        let pause = heartbeat_pause(instances);
+        if audience != Audience::Nobody {
+            send_heartbeat(&gateway, &socket, audience).await;
+        }
+        if audience == Audience::Everyone {
+            // The larger the fleet, the rarer the heartbeats: each instance's share stays the same.
+            due = tokio::time::Instant::now() + heartbeat_pause(instances);
+        }
+        if audience != Audience::LeaseHolder {
+            tell_stock(&gateway, &socket, &mut news, turn).await;
+            turn += 1;
+        }
         tokio::time::sleep(match audience {
-            Audience::Everyone => GOSSIP_PAUSE.max(GOSSIP_PER_INSTANCE * instances),
+            Audience::Everyone | Audience::Nobody => {
+                GOSSIP_PAUSE.max(GOSSIP_PER_INSTANCE * instances)
+            }
             Audience::LeaseHolder => GOSSIP_PAUSE,
         })
         .await;
         audience = tokio::select! {
-            () = tokio::time::sleep(pause) => Audience::Everyone,
+            () = tokio::time::sleep_until(due) => Audience::Everyone,
             () = gateway.gossip.notified() => Audience::Everyone,
             () = gateway.urging.notified() => Audience::LeaseHolder,
-            () = next_restock(&gateway, &news) => Audience::Everyone,
+            () = next_restock(&gateway, &news) => Audience::Nobody,
         };
     }
 }
@@ -249,13 +263,84 @@
         gateway.restocked.notified().await;
         let now = gateway.now();
         let dispatcher = gateway.dispatcher.borrow();
-        if dispatcher.lease.fence(now).is_some() && news.has_change(now, &dispatcher.stock) {
+        let (planner, list) = (&dispatcher.stock, &dispatcher.backends);
+        if dispatcher.lease.fence(now).is_some() && news.has_change(now, planner, list) {
             return;
         }
     }
 }
 
-async fn send<P>(gateway: &Gateway<P>, socket: &UdpSocket, news: &mut StockNews, audience: Audience)
+// Tells what servers hold, if this instance holds the lease.
+async fn tell_stock<P>(gateway: &Gateway<P>, socket: &UdpSocket, news: &mut StockNews, turn: usize)
+where
+    P: Platform,
+{
+    let now = gateway.now();
+    let (told, audience) = {
+        let mut dispatcher = gateway.dispatcher.borrow_mut();
+        let Some(fence) = dispatcher.lease.fence(now) else {
+            return;
+        };
+        let told = StockTold {
+            fence,
+            relay: false,
+            servers: news.take(now, &dispatcher.stock, &dispatcher.backends),
+        };
+        dispatcher.note_stock(now, &told);
+        (told, dispatcher.stock_audience(now, turn))
+    };
+    if told.servers.is_empty() {
+        return;
+    }
+    gateway.changed.notify_waiters();
+    let relayed = StockTold {
+        relay: true,
+        ..told.clone()
+    };
+    let (told, relayed) = (encode_stock(told), encode_stock(relayed));
+    for (target, relays) in audience {
+        let bytes = if relays { &relayed } else { &told };
+        send(socket, bytes, &target).await;
+    }
+}
+
+// Takes what the lease holder tells of servers, and passes it on within the zone if asked to.
+async fn note_stock<P>(gateway: &Gateway<P>, socket: &UdpSocket, told: StockTold)
+where
+    P: Platform,
+{
+    let now = gateway.now();
+    let targets = {
+        let mut dispatcher = gateway.dispatcher.borrow_mut();
+        dispatcher.note_stock(now, &told);
+        told.relay.then(|| dispatcher.zone_peers(now))
+    };
+    gateway.changed.notify_waiters();
+    let bytes = encode_stock(StockTold {
+        relay: false,
+        ..told
+    });
+    for target in targets.unwrap_or_default() {
+        send(socket, &bytes, &target).await;
+    }
+}
+
+fn encode_stock(stock: StockTold) -> Vec<u8> {
+    let datagram = Datagram {
+        stock: Some(stock),
+        ..Datagram::default()
+    };
+    datagram.encode_to_vec()
+}
+
+// A lost datagram is made good by the next one.
+async fn send(socket: &UdpSocket, bytes: &[u8], target: &InstanceId) {
+    if let Err(error) = socket.send_to(bytes, &**target).await {
+        log::debug!("no datagram to {target}: {error}");
+    }
+}
+
+async fn send_heartbeat<P>(gateway: &Gateway<P>, socket: &UdpSocket, audience: Audience)
 where
     P: Platform,
 {
@@ -263,21 +348,11 @@
     let (heartbeat, demand, holder, targets) = {
         let mut dispatcher = gateway.dispatcher.borrow_mut();
         dispatcher.expire(now);
-        let mut heartbeat = dispatcher.heartbeat(now);
-        if heartbeat.fence > 0 && audience == Audience::Everyone {
-            heartbeat.stock = news.take(now, &dispatcher.stock);
-            for stock in &heartbeat.stock {
-                let fence = heartbeat.fence;
-                dispatcher.backends.note_stock(now, fence, stock);
-            }
-        }
+        let heartbeat = dispatcher.heartbeat(now);
         let demand = dispatcher.demand.uses(now);
         let holder = dispatcher.peers.lease_holder(now);
         (heartbeat, demand, holder, dispatcher.peers.targets())
     };
-    if !heartbeat.stock.is_empty() {
-        gateway.changed.notify_waiters();
-    }
     let with_demand = Heartbeat {
         models: demand,
         ..heartbeat.clone()
@@ -289,10 +364,7 @@
             continue;
         }
         let bytes = if is_holder { &urgent } else { &plain };
-        // A lost heartbeat is made good by the next one.
-        if let Err(error) = socket.send_to(bytes, &*target).await {
-            log::debug!("no heartbeat to {target}: {error}");
-        }
+        send(socket, bytes, &target).await;
     }
 }
 
@@ -322,6 +394,9 @@
         if let Some(heartbeat) = datagram.heartbeat {
             note_heartbeat(&gateway, &heartbeat);
         }
+        if let Some(stock) = datagram.stock {
+            note_stock(&gateway, &socket, stock).await;
+        }
         if let Some(query) = datagram.query {
             let now = gateway.now();
             let answer = gateway.dispatcher.borrow().feeds.answer(now, &query);
@@ -352,9 +427,6 @@
     if !newer {
         return;
     }
-    if !heartbeat.stock.is_empty() {
-        gateway.changed.notify_waiters();
-    }
     if heartbeat.models.iter().any(|usage| usage.waiting > 0) {
         gateway.planning.notify_one();
     }
--- a/crates/apricotwell_messages/src/feeds.rs
+++ b/crates/apricotwell_messages/src/feeds.rs
@@ -3,7 +3,7 @@
 //! An answer states how old the answering instance's view is. As the asking instance knows when it
 //! asked, lost, late and repeated answers are harmless.
 
-use crate::heartbeat::{Heartbeat, ModelHeld};
+use crate::heartbeat::{Heartbeat, ModelHeld, StockTold};
 
 /// Question what came on a feed after an offset.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -103,4 +103,7 @@
     /// Answer to one.
     #[prost(message, optional, tag = "3")]
     pub answer: Option<FeedAnswer>,
+    /// What servers hold.
+    #[prost(message, optional, tag = "4")]
+    pub stock: Option<StockTold>,
 }
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -85,6 +85,20 @@
     pub remaining: u32,
 }
 
+/// What the holder of the placement lease tells of servers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StockTold {
+    /// Fence under which it orders them.
+    #[prost(uint64, tag = "1")]
+    pub fence: u64,
+    /// Whether the receiver is to pass it on to the other instances of its zone.
+    #[prost(bool, tag = "2")]
+    pub relay: bool,
+    /// What servers hold.
+    #[prost(message, repeated, tag = "3")]
+    pub servers: Vec<ServerStock>,
+}
+
 /// What an instance tells the others.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Heartbeat {
@@ -115,9 +129,6 @@
     /// Fence of the placement lease, 0 unless the sender holds it.
     #[prost(uint64, tag = "9")]
     pub fence: u64,
-    /// What servers hold; told by the lease's holder only.
-    #[prost(message, repeated, tag = "10")]
-    pub stock: Vec<ServerStock>,
     /// Zone.
     #[prost(string, tag = "11")]
     pub zone: String,
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -28,7 +28,7 @@
 pub use feeds::{Datagram, FeedAnswer, FeedQuery, ServerChange, ServerListed};
 pub use heartbeat::{
     FleetSpending, Heartbeat, ModelHeld, ModelUse, OrganisationSpending, ServerStock, ServerUse,
-    Spending,
+    Spending, StockTold,
 };
 pub use news::News;
 pub use tokens::{BucketState, GrantLeft, TokenAsk, TokenGrant};
