Count what other instances spent and did not yet tell; let refused callers come back in turn

Change: an instance takes the others to have spent as much as itself since it last told them, and a quarter of the request at hand, no less than at the rate of late; the overdraft shrinks with the fleet; each refused caller gets a turn behind the one before, at the instance's part of the rate.

--- a/crates/apricotwell_dispatch/src/dispatcher/telling.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/telling.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Notes that all other instances are told what is spent here.
+    pub fn note_told(&mut self, now: Instant) {
+        self.quotas.note_told(now);
+    }
+
     /// Applies another instance's heartbeat.
     pub fn note_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> bool {
         if heartbeat.instance == *self.facts.id || !self.peers.note_heartbeat(now, heartbeat) {
--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -5,6 +5,10 @@
 //! of others as their heartbeats tell it. The level may go below zero by part of the excess that the
 //! users allow; the rest covers what was spent elsewhere and not yet told. An instance that doesn't
 //! hear all others uses only its part of the limit.
+//!
+//! When part of the window becomes free, all instances see it at once. Callers are spread evenly, so
+//! each takes the others to have spent as much as itself since it last told them, and each asks those
+//! whom it refuses to come back one after the other, at its part of the rate.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -16,6 +20,12 @@
 
 /// Part of the allowed excess that one instance's view may overdraw.
 const OVERDRAFT_SHARE: f64 = 0.3;
+/// Instances up to which that part may be overdrawn; a larger fleet needs more of the excess for what
+/// was spent elsewhere and not yet told.
+const OVERDRAFT_INSTANCES: f64 = 12.0;
+/// Share of the other instances that are taken to admit a request like the one at hand before they hear
+/// of it.
+const SAME_TIME_SHARE: f64 = 0.25;
 /// Level, as a share of the limit, below which spending is told to the others at once.
 const TIGHT_SHARE: f64 = 0.25;
 
@@ -55,6 +65,11 @@
     begun: Instant,
     // Tokens that this instance has spent since its start.
     spent: Tokens,
+    // Those of them that the others have not been told, and since when.
+    untold: Tokens,
+    told_at: Instant,
+    // When the next caller that is refused should come back, at the earliest.
+    turn: Instant,
     // Spending told by other instances: start number and sum since then.
     told: Map<InstanceId, (u64, Tokens)>,
 }
@@ -70,6 +85,9 @@
             spans,
             begun: now,
             spent: 0,
+            untold: 0,
+            told_at: now,
+            turn: now,
             told: Map::default(),
         }
     }
@@ -108,6 +126,29 @@
         }
     }
 
+    // Tokens that the other instances are taken to have spent and not yet told: each as many as this one,
+    // with a share of the request at hand, and all of them no less than at the rate of late.
+    fn untold_by_others(&self, now: Instant, span: Duration, cost: f64, heard: f64) -> f64 {
+        let passed = now.saturating_duration_since(self.begun);
+        let recent: f64 = self.spans.iter().rev().take(2).sum();
+        let rate = recent / (span + passed).as_secs_f64();
+        // The others told theirs between now and as long ago as this instance.
+        let age = now.saturating_duration_since(self.told_at).min(span) / 2;
+        let others = (heard - 1.0) / heard;
+        let own = self.untold as f64 + cost * SAME_TIME_SHARE;
+        (own * (heard - 1.0)).max(rate * age.as_secs_f64() * others)
+    }
+
+    // Time after which a caller should come back for `cost` tokens: when so many have left the window,
+    // and behind those who were refused before. `rate` is what this instance can grant a second.
+    fn take_turn(&mut self, now: Instant, span: Duration, missing: f64, turn: Turn) -> Duration {
+        let free = now + self.time_to_free(now, span, missing);
+        let latest = now + span * SPANS;
+        let at = self.turn.max(free).min(latest);
+        self.turn = at + Duration::from_secs_f64(turn.cost / turn.rate.max(1.0));
+        at.saturating_duration_since(now)
+    }
+
     // Time until so many tokens have left the window.
     fn time_to_free(&self, now: Instant, span: Duration, missing: f64) -> Duration {
         let passed = now.saturating_duration_since(self.begun);
@@ -124,6 +165,15 @@
     }
 }
 
+/// What a refused caller asks for.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    // Tokens.
+    cost: f64,
+    // Tokens a second that the instance can grant.
+    rate: f64,
+}
+
 /// Windows of all organisations as one instance sees them.
 #[derive(Debug)]
 pub struct QuotaTable {
@@ -134,6 +184,8 @@
     windows: Map<OrgId, Window>,
     // Part of rate and burst that this instance's view stands for.
     part: f64,
+    // Instances that tell what they spend, this one included.
+    heard: usize,
 }
 
 impl QuotaTable {
@@ -144,6 +196,7 @@
             known: first_start,
             windows: Map::default(),
             part: 1.0,
+            heard: 1,
         }
     }
 
@@ -152,6 +205,7 @@
     /// What was spent so far was spent by all: the part that is no longer heard takes its share of it
     /// along, and brings it back when it is heard again.
     pub fn set_part(&mut self, heard: usize, possible: usize) {
+        self.heard = heard.max(1);
         let part = heard as f64 / possible.max(heard).max(1) as f64;
         if part == self.part {
             return;
@@ -179,16 +233,21 @@
         }
         let (part, span) = (self.part, self.span());
         let overdraft = self.overdraft(organisation) * part;
+        let heard = self.heard as f64;
         let window = self.window(now, organisation);
         let cost = tokens as f64;
-        let level = window.level(part);
+        let others = window.untold_by_others(now, span, cost, heard);
+        let level = window.level(part) - others;
         let missing = cost - level - overdraft;
         if missing > 0.0 {
-            let wait = window.time_to_free(now, span, missing);
+            let rate = window.limit * part / (span * SPANS).as_secs_f64() / heard;
+            let turn = Turn { cost, rate };
+            let wait = window.take_turn(now, span, missing, turn);
             return Err(Shortage { level, part, wait });
         }
         window.add(cost);
         window.spent += tokens;
+        window.untold += tokens;
         Ok(())
     }
 
@@ -200,6 +259,7 @@
         let window = self.window(now, organisation);
         let back = tokens.min(window.spent);
         window.spent -= back;
+        window.untold -= back.min(window.untold);
         window.add(-(back as f64));
     }
 
@@ -249,6 +309,8 @@
                 .or_insert_with(|| Window::new(now, f64::MAX, 0.0));
             window.add(before.spent as f64);
             window.spent = before.spent;
+            window.untold = before.untold;
+            window.told_at = before.told_at;
             window.told = before.told;
         }
     }
@@ -270,6 +332,14 @@
             .filter(|(_, spent, fleet)| *spent > 0 || *fleet > 0)
     }
 
+    /// Notes that the others were told what this instance has spent.
+    pub fn note_told(&mut self, now: Instant) {
+        for window in self.windows.values_mut() {
+            window.untold = 0;
+            window.told_at = now;
+        }
+    }
+
     /// Applies what another instance has spent since its start `incarnation`, and what it knows of the
     /// `fleet`: that counts only when the instance is first heard, as this one may just have started.
     pub fn note_spending(
@@ -308,7 +378,8 @@
 
     fn overdraft(&self, organisation: &Organisation) -> f64 {
         let excess = self.limit(organisation) * self.bounds.excess;
-        (excess + self.bounds.slack) * OVERDRAFT_SHARE
+        let share = OVERDRAFT_SHARE * (OVERDRAFT_INSTANCES / self.heard as f64).min(1.0);
+        (excess + self.bounds.slack) * share
     }
 
     fn span(&self) -> Duration {
--- a/crates/apricotwell_dispatch/tests/quota.rs
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -42,12 +42,19 @@
 
 impl Fleet {
     fn new(organisation: Organisation) -> Self {
+        Self::with_instances(INSTANCES, organisation)
+    }
+
+    fn with_instances(instances: usize, organisation: Organisation) -> Self {
+        let table = || {
+            let mut table = QuotaTable::new(BOUNDS, true);
+            table.set_part(instances, instances);
+            table
+        };
         Self {
             start: Instant::now(),
             organisation,
-            tables: (0..INSTANCES)
-                .map(|_| QuotaTable::new(BOUNDS, true))
-                .collect(),
+            tables: (0..instances).map(|_| table()).collect(),
             spent: Vec::new(),
             skip: Duration::ZERO,
             starting: None,
@@ -76,8 +83,9 @@
             .collect();
         let (spent, fleet) = told.first().copied().unwrap_or_default();
         let name: InstanceId = format!("instance-{from}").into();
-        for to in (0..INSTANCES).filter(|to| *to != from) {
-            let now = self.start + at;
+        let now = self.start + at;
+        self.tables[from].note_told(now);
+        for to in (0..self.tables.len()).filter(|to| *to != from) {
             self.tables[to].note_spending(now, &name, 1, &self.organisation, spent, fleet);
         }
     }
@@ -141,6 +149,91 @@
     admitted as f64 / asked.max(1) as f64
 }
 
+/// Instances of a large fleet, and their heartbeats.
+const MANY: usize = 80;
+const MANY_HEARTBEAT_STEPS: u64 = 48;
+const MANY_LEAST_STEPS: u64 = 16;
+
+/// Plays a flood in a large fleet, whose callers come back once when they are told to; returns the
+/// share of requests that was admitted in the end.
+fn play_returning(fleet: &mut Fleet, seconds: u64, load: f64, seed: u64) -> f64 {
+    let (begin, end) = (50, 550);
+    let per_step = fleet.organisation.rate as f64 * STEP.as_secs_f64() / 1600.0;
+    let mut random = seed | 1;
+    let mut draw = move |limit: u64| {
+        random = random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (random >> 33) % limit
+    };
+    let mut back: Vec<(Duration, Tokens)> = Vec::new();
+    let mut told = vec![0; MANY];
+    let (mut due, mut asked, mut admitted) = (0.0, 0, 0);
+    for step in 0..seconds * 50 {
+        let at = STEP * step as u32;
+        let floods = (begin..end).contains(&step);
+        due += per_step * if floods { load } else { 0.6 };
+        let mut requests: Vec<(Tokens, bool)> = Vec::new();
+        while due >= 1.0 {
+            due -= 1.0;
+            asked += 1;
+            requests.push((200 + draw(2800), true));
+        }
+        back.retain(|(when, tokens)| {
+            let returns = *when <= at;
+            if returns {
+                requests.push((*tokens, false));
+            }
+            !returns
+        });
+        for (tokens, is_first) in requests {
+            let instance = draw(MANY as u64) as usize;
+            let now = fleet.start + at;
+            let organisation = fleet.organisation.clone();
+            match fleet.tables[instance].spend(now, &organisation, tokens) {
+                Ok(()) => {
+                    admitted += 1;
+                    fleet.spent.push((at, tokens));
+                }
+                Err(shortage) if is_first => back.push((at + shortage.wait, tokens)),
+                Err(_) => {}
+            }
+        }
+        for (instance, told) in told.iter_mut().enumerate() {
+            let since = step - *told;
+            let tight = since >= MANY_LEAST_STEPS && fleet.is_tight(at, instance);
+            if tight || since >= MANY_HEARTBEAT_STEPS {
+                fleet.tell(at, instance);
+                *told = step;
+            }
+        }
+    }
+    admitted as f64 / asked as f64
+}
+
+#[test]
+fn callers_who_come_back_to_a_large_fleet_don_t_exceed_the_rate() {
+    for (load, seed) in [(2.5, 1), (3.0, 2), (4.0, 3), (3.0, 4), (2.0, 5), (6.0, 6)] {
+        let mut fleet = Fleet::with_instances(MANY, organisation(97_246, 97_246));
+        let share = play_returning(&mut fleet, 24, load, seed);
+        let most = fleet.most_in_a_window() as f64;
+        assert!(
+            most <= fleet.allowed(),
+            "{most} of {} at {load}",
+            fleet.allowed()
+        );
+        // What the rate allows is served.
+        assert!(share > 0.9 / load, "{share} at {load}");
+    }
+}
+
+#[test]
+fn a_large_fleet_refuses_nothing_within_the_rate() {
+    let mut fleet = Fleet::with_instances(MANY, organisation(97_246, 97_246));
+    let share = play_returning(&mut fleet, 24, 0.9, 5);
+    assert!(share > 0.999, "{share}");
+}
+
 #[test]
 fn nothing_is_refused_within_the_rate() {
     for rate in [2_600, 8_669, 28_246] {
--- a/crates/apricotwell_gateway/src/fleet.rs
+++ b/crates/apricotwell_gateway/src/fleet.rs
@@ -349,6 +349,9 @@
         let mut dispatcher = gateway.dispatcher.borrow_mut();
         dispatcher.expire(now);
         let heartbeat = dispatcher.heartbeat(now);
+        if audience == Audience::Everyone {
+            dispatcher.note_told(now);
+        }
         let demand = dispatcher.demand.uses(now);
         let holder = dispatcher.peers.lease_holder(now);
         (heartbeat, demand, holder, dispatcher.peers.targets())
