Announce a claim of the placement lease before the first order under it

Its trouble is a holder cut off from the store, which goes on until it hears its successor. Change: the fence is told 0.65 s before the first order, at once.

--- a/crates/apricotwell_dispatch/src/dispatcher/telling.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/telling.rs
@@ -17,7 +17,7 @@
     pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
         self.heartbeats += 1;
         let servers = self.backends.iter().filter(|server| server.own > 0);
-        let fence = self.lease.fence(now);
+        let fence = self.lease.announced_fence(now);
         Heartbeat {
             instance: self.facts.id.to_string(),
             incarnation: self.facts.incarnation,
--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -14,6 +14,9 @@
 /// Time for which a holder whom the store does not answer goes on where servers check fences: a
 /// successor's first order to a server ends it there.
 const FENCED_TERM: Duration = Duration::from_secs(12);
+/// Time before the first order from which others are told of the claim: heartbeats go out within a
+/// third of a second, and reports lag by a fifth.
+const ANNOUNCEMENT: Duration = Duration::from_millis(650);
 
 /// Times of the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -172,6 +175,13 @@
         (claim.opens <= now && !self.has_lapsed(now)).then_some(claim.fence)
     }
 
+    /// Returns the fence that others are told: so long before the first order that a previous holder
+    /// that lives on has stopped by then, and what it ordered last shows in reports.
+    pub fn announced_fence(&self, now: Instant) -> Option<Fence> {
+        let claim = self.claim?;
+        (claim.opens <= now + ANNOUNCEMENT && !self.has_lapsed(now)).then_some(claim.fence)
+    }
+
     /// Returns whether this instance holds the lease, able to order yet or not.
     pub fn is_held(&self, now: Instant) -> bool {
         self.claim.is_some() && !self.has_lapsed(now)
--- a/crates/apricotwell_dispatch/tests/lease.rs
+++ b/crates/apricotwell_dispatch/tests/lease.rs
@@ -163,3 +163,30 @@
     assert_eq!(lease.fence(now), None);
     assert!(!lease.is_held(now));
 }
+
+#[test]
+fn a_previous_holder_has_stopped_before_its_successor_orders() {
+    let now = Instant::now();
+    let mut previous = holder(TERMS, now);
+    let mut next = Lease::new(TERMS);
+    let claimed = now + Duration::from_secs(2);
+    next.note_renewal(claimed, true);
+    next.note_claim(claimed, 2, Standing::Dropped);
+    let mut heard = None;
+    let mut at = claimed;
+    while next.fence(at).is_none() {
+        keep_alive(&mut next, at, at);
+        if let Some(fence) = next.announced_fence(at) {
+            // The news takes a third of a second; the previous holder, cut off, goes on till then.
+            heard.get_or_insert((at + Duration::from_millis(330), fence));
+        }
+        if let Some((when, fence)) = heard
+            && when <= at
+        {
+            previous.note_other(fence);
+        }
+        at += Duration::from_millis(20);
+    }
+    assert_eq!(previous.fence(at), None);
+    assert!(at >= claimed + Duration::from_millis(1500));
+}
--- a/crates/apricotwell_gateway/src/placing.rs
+++ b/crates/apricotwell_gateway/src/placing.rs
@@ -21,7 +21,9 @@
 where
     P: Platform,
 {
+    let mut announced = None;
     loop {
+        announce(&gateway, &mut announced);
         step(&gateway);
         tokio::time::sleep(LEAST_PAUSE).await;
         let due = gateway.dispatcher.borrow().stock.next_due(gateway.now());
@@ -33,6 +35,22 @@
     }
 }
 
+// Lets a previous holder of the lease that lives on hear at once that it must stop.
+fn announce<P>(gateway: &Gateway<P>, announced: &mut Option<Fence>)
+where
+    P: Platform,
+{
+    let fence = gateway
+        .dispatcher
+        .borrow()
+        .lease
+        .announced_fence(gateway.now());
+    if fence.is_some() && fence != *announced {
+        gateway.gossip.notify_one();
+    }
+    *announced = fence;
+}
+
 fn step<P>(gateway: &Rc<Gateway<P>>)
 where
     P: Platform,
