--- a/crates/apricotwell_dispatch/tests/lease.rs
+++ b/crates/apricotwell_dispatch/tests/lease.rs
@@ -173,9 +173,15 @@
     next.note_renewal(claimed, true);
     next.note_claim(claimed, 2, Standing::Dropped);
     let mut heard = None;
-    let mut at = claimed;
+    let mut at = now;
+    while at < claimed {
+        previous.note_try(at);
+        at += Duration::from_millis(500);
+    }
     while next.fence(at).is_none() {
         keep_alive(&mut next, at, at);
+        // The store does not answer the previous holder, which servers would still obey.
+        previous.note_try(at);
         if let Some(fence) = next.announced_fence(at) {
             // The news takes a third of a second; the previous holder, cut off, goes on till then.
             heard.get_or_insert((at + Duration::from_millis(330), fence));
