Serve small organisations of a large fleet up to their rate; spread returns over all instances

Cause: what other instances may have spent was taken as the same for all organisations, so that in a fleet of 80 one with 2,700 tokens a second got 46% of what it asked for at three quarters of its rate; and callers refused by different instances were told the same time to come back, when no instance had more than one of them. Change: that estimate is bounded by eight times the rate over the time since others were told, and a fifth of the allowed excess absorbs it; each instance has a phase of its own for its first turn; turns reach three windows ahead; spending is told at once when the rest lasts under two seconds.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -28,6 +28,9 @@
 /// Time for which callers are asked to stay away when no server is known.
 const NO_SERVER_PAUSE: Duration = Duration::from_millis(500);
 
+/// Places at which instances stand among each other.
+const PHASES: u64 = 1024;
+
 /// Fixed facts of an instance.
 #[derive(Clone, Debug)]
 pub struct InstanceFacts {
@@ -127,7 +130,8 @@
             lease: Lease::new(facts.lease),
             stock: StockPlanner::default(),
             prompts: PromptTable::default(),
-            quotas: QuotaTable::new(facts.quota, facts.first_start),
+            quotas: QuotaTable::new(facts.quota, facts.first_start)
+                .with_phase((hash(&[&facts.id]) % PHASES) as f64 / PHASES as f64),
             retries: Map::default(),
             leaving: false,
             heartbeats: 0,
--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -26,11 +26,21 @@
 /// Share of the other instances that are taken to admit a request like the one at hand before they hear
 /// of it.
 const SAME_TIME_SHARE: f64 = 0.25;
+/// Part of the allowed excess that may be spent elsewhere and not yet told.
+const ABSORBED_SHARE: f64 = 0.2;
+/// Windows for which a caller is asked to stay away at most.
+const MAX_TURN_WINDOWS: u32 = 3;
+/// Multiple of its rate at which an organisation is taken to ask at most.
+const FLOOD: f64 = 8.0;
+/// Time that news of spending takes at least.
+const LEAST_LAG: Duration = Duration::from_millis(300);
 /// Share of the time in which the instance grants what a refused caller asked for, by which the next one
 /// is to come back later: not all come back, and those who do are also served elsewhere.
 const TURN_SHARE: f64 = 0.3;
 /// Level, as a share of the limit, below which spending is told to the others at once.
 const TIGHT_SHARE: f64 = 0.25;
+/// Time until nothing is left at the present rate, below which that is so too.
+const TIGHT_TIME: Duration = Duration::from_secs(2);
 
 /// Excess that the users allow over the fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -129,26 +139,37 @@
         }
     }
 
+    // Tokens a second that the fleet spent of late.
+    fn recent_rate(&self, now: Instant, span: Duration) -> f64 {
+        let passed = now.saturating_duration_since(self.begun);
+        let recent: f64 = self.spans.iter().rev().take(2).sum();
+        recent / (span + passed).as_secs_f64()
+    }
+
     // Tokens that the other instances are taken to have spent and not yet told: each as many as this one,
     // with a share of the request at hand, and all of them no less than at the rate of late.
     fn untold_by_others(&self, now: Instant, span: Duration, cost: f64, heard: f64) -> f64 {
-        let passed = now.saturating_duration_since(self.begun);
-        let recent: f64 = self.spans.iter().rev().take(2).sum();
-        let rate = recent / (span + passed).as_secs_f64();
+        let rate = self.recent_rate(now, span);
         // The others told theirs between now and as long ago as this instance.
         let age = now.saturating_duration_since(self.told_at).min(span) / 2;
         let others = (heard - 1.0) / heard;
         let own = self.untold as f64 + cost * SAME_TIME_SHARE;
-        (own * (heard - 1.0)).max(rate * age.as_secs_f64() * others)
+        let flood = self.limit / (span * SPANS).as_secs_f64() * FLOOD;
+        let most = flood * age.max(LEAST_LAG).as_secs_f64();
+        (own * (heard - 1.0))
+            .min(most)
+            .max(rate * age.as_secs_f64() * others)
     }
 
     // Time after which a caller should come back for `cost` tokens: when so many have left the window,
-    // and behind those who were refused before. `rate` is what this instance can grant a second.
+    // and behind those who were refused before. The first one's turn is at the instance's own phase,
+    // so that the callers of all instances come back one after the other.
     fn take_turn(&mut self, now: Instant, span: Duration, missing: f64, turn: Turn) -> Duration {
         let free = now + self.time_to_free(now, span, missing);
-        let latest = now + span * SPANS;
-        let at = self.turn.max(free).min(latest);
-        self.turn = at + Duration::from_secs_f64(turn.cost * TURN_SHARE / turn.rate.max(1.0));
+        let latest = now + span * SPANS * MAX_TURN_WINDOWS;
+        let time = Duration::from_secs_f64(turn.cost * TURN_SHARE / turn.rate.max(1.0));
+        let at = self.turn.max(free + time.mul_f64(turn.phase)).min(latest);
+        self.turn = at + time;
         at.saturating_duration_since(now)
     }
 
@@ -175,6 +196,8 @@
     cost: f64,
     // Tokens a second that the instance can grant.
     rate: f64,
+    // Share of the first turn that passes before it.
+    phase: f64,
 }
 
 /// Windows of all organisations as one instance sees them.
@@ -189,6 +212,8 @@
     part: f64,
     // Instances that tell what they spend, this one included.
     heard: usize,
+    // Place of this instance among the others, from 0 to 1.
+    phase: f64,
 }
 
 impl QuotaTable {
@@ -200,9 +225,16 @@
             windows: Map::default(),
             part: 1.0,
             heard: 1,
+            phase: 0.5,
         }
     }
 
+    /// Sets the place of this instance among the others, from 0 to 1: any value will do that differs
+    /// from most others'.
+    pub fn with_phase(self, phase: f64) -> Self {
+        Self { phase, ..self }
+    }
+
     /// Sets which part of the fleet's instances tells what it spends, this one included.
     ///
     /// What was spent so far was spent by all: the part that is no longer heard takes its share of it
@@ -236,15 +268,16 @@
         }
         let (part, span) = (self.part, self.span());
         let overdraft = self.overdraft(organisation) * part;
-        let heard = self.heard as f64;
+        let absorbed = self.excess(organisation) * ABSORBED_SHARE;
+        let (heard, phase) = (self.heard as f64, self.phase);
         let window = self.window(now, organisation);
         let cost = tokens as f64;
         let others = window.untold_by_others(now, span, cost, heard);
-        let level = window.level(part) - others;
-        let missing = cost - level - overdraft;
+        let level = window.level(part);
+        let missing = cost - level - overdraft + (others - absorbed).max(0.0);
         if missing > 0.0 {
             let rate = window.limit * part / (span * SPANS).as_secs_f64() / heard;
-            let turn = Turn { cost, rate };
+            let turn = Turn { cost, rate, phase };
             let wait = window.take_turn(now, span, missing, turn);
             return Err(Shortage { level, part, wait });
         }
@@ -271,9 +304,10 @@
         if organisation.rate == 0 {
             return false;
         }
-        let part = self.part;
+        let (part, span) = (self.part, self.span());
         let window = self.window(now, organisation);
-        window.level(part) < window.limit * TIGHT_SHARE
+        let soon = window.recent_rate(now, span) * TIGHT_TIME.as_secs_f64();
+        window.level(part) < (window.limit * TIGHT_SHARE).max(soon)
     }
 
     /// Returns what the fleet spent in the last window, as far as this instance knows.
@@ -380,9 +414,12 @@
     }
 
     fn overdraft(&self, organisation: &Organisation) -> f64 {
-        let excess = self.limit(organisation) * self.bounds.excess;
         let share = OVERDRAFT_SHARE * (OVERDRAFT_INSTANCES / self.heard as f64).min(1.0);
-        (excess + self.bounds.slack) * share
+        self.excess(organisation) * share
+    }
+
+    fn excess(&self, organisation: &Organisation) -> f64 {
+        self.limit(organisation) * self.bounds.excess + self.bounds.slack
     }
 
     fn span(&self) -> Duration {
