--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -10,12 +10,14 @@
 //! each takes the others to have spent as much as itself since it last told them, and each asks those
 //! whom it refuses to come back one after the other, at its part of the rate.
 
-use std::collections::VecDeque;
+mod window;
+
 use std::time::{Duration, Instant};
 
 use apricotwell_messages::{FleetSpending, OrganisationSpending};
 use apricotwell_types::{InstanceId, Map, OrgId, Tokens};
 
+use self::window::{SPANS, Turn, Window};
 use crate::catalog::Organisation;
 
 /// Part of the allowed excess that one instance's view may overdraw.
@@ -23,20 +25,12 @@
 /// Instances up to which that part may be overdrawn; a larger fleet needs more of the excess for what
 /// was spent elsewhere and not yet told.
 const OVERDRAFT_INSTANCES: f64 = 12.0;
-/// Share of the other instances that are taken to admit a request like the one at hand before they hear
-/// of it.
-const SAME_TIME_SHARE: f64 = 0.25;
 /// Part of the allowed excess that may be spent elsewhere and not yet told.
 const ABSORBED_SHARE: f64 = 0.2;
-/// Windows for which a caller is asked to stay away at most.
-const MAX_TURN_WINDOWS: u32 = 3;
-/// Multiple of its rate at which an organisation is taken to ask at most.
-const FLOOD: f64 = 8.0;
-/// Time that news of spending takes at least.
-const LEAST_LAG: Duration = Duration::from_millis(300);
-/// Share of the time in which the instance grants what a refused caller asked for, by which the next one
-/// is to come back later: not all come back, and those who do are also served elsewhere.
-const TURN_SHARE: f64 = 0.3;
+/// Time from the first request in which an instance may not have heard all others.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+/// Time for which callers are asked to stay away meanwhile, up to twice as long.
+const SETTLING_WAIT: Duration = Duration::from_millis(700);
 /// Level, as a share of the limit, below which spending is told to the others at once.
 const TIGHT_SHARE: f64 = 0.25;
 /// Time until nothing is left at the present rate, below which that is so too.
@@ -64,142 +58,6 @@
     pub wait: Duration,
 }
 
-/// Spans into which the window is cut; the oldest one counts until all of it is outside.
-const SPANS: u32 = 16;
-
-/// What an organisation spent in the last window, and how much it may.
-#[derive(Debug)]
-struct Window {
-    // Tokens allowed in one window; unlimited before the configuration is known.
-    limit: f64,
-    // Tokens by span, the current one last; may be negative after a refund. Never empty.
-    spans: VecDeque<f64>,
-    // Begin of the current span.
-    begun: Instant,
-    // Tokens that this instance has spent since its start.
-    spent: Tokens,
-    // Those of them that the others have not been told, and since when.
-    untold: Tokens,
-    told_at: Instant,
-    // When the next caller that is refused should come back, at the earliest.
-    turn: Instant,
-    // Spending told by other instances: start number and sum since then.
-    told: Map<InstanceId, (u64, Tokens)>,
-}
-
-impl Window {
-    /// Returns the window of a fleet that has spent `part` of its limit, evenly.
-    fn new(now: Instant, limit: f64, part: f64) -> Self {
-        let span = limit * part / f64::from(SPANS);
-        let mut spans: VecDeque<f64> = (0..SPANS).map(|_| span).collect();
-        spans.push_back(0.0);
-        Self {
-            limit,
-            spans,
-            begun: now,
-            spent: 0,
-            untold: 0,
-            told_at: now,
-            turn: now,
-            told: Map::default(),
-        }
-    }
-
-    fn advance(&mut self, now: Instant, span: Duration) {
-        while now.saturating_duration_since(self.begun) >= span {
-            self.begun += span;
-            self.spans.push_back(0.0);
-            if self.spans.len() > SPANS as usize + 1 {
-                self.spans.pop_front();
-            }
-        }
-    }
-
-    // A lower limit takes hold of what is spent from now on: what was spent under the old one is
-    // scaled with it.
-    fn set_limit(&mut self, limit: f64) {
-        if limit < self.limit && self.limit < f64::MAX {
-            let scale = limit / self.limit;
-            self.spans.iter_mut().for_each(|span| *span *= scale);
-        }
-        self.limit = limit;
-    }
-
-    fn level(&self, part: f64) -> f64 {
-        self.limit * part - self.sum()
-    }
-
-    fn sum(&self) -> f64 {
-        self.spans.iter().sum()
-    }
-
-    fn add(&mut self, tokens: f64) {
-        if let Some(current) = self.spans.back_mut() {
-            *current += tokens;
-        }
-    }
-
-    // Tokens a second that the fleet spent of late.
-    fn recent_rate(&self, now: Instant, span: Duration) -> f64 {
-        let passed = now.saturating_duration_since(self.begun);
-        let recent: f64 = self.spans.iter().rev().take(2).sum();
-        recent / (span + passed).as_secs_f64()
-    }
-
-    // Tokens that the other instances are taken to have spent and not yet told: each as many as this one,
-    // with a share of the request at hand, and all of them no less than at the rate of late.
-    fn untold_by_others(&self, now: Instant, span: Duration, cost: f64, heard: f64) -> f64 {
-        let rate = self.recent_rate(now, span);
-        // The others told theirs between now and as long ago as this instance.
-        let age = now.saturating_duration_since(self.told_at).min(span) / 2;
-        let others = (heard - 1.0) / heard;
-        let own = self.untold as f64 + cost * SAME_TIME_SHARE;
-        let flood = self.limit / (span * SPANS).as_secs_f64() * FLOOD;
-        let most = flood * age.max(LEAST_LAG).as_secs_f64();
-        (own * (heard - 1.0))
-            .min(most)
-            .max(rate * age.as_secs_f64() * others)
-    }
-
-    // Time after which a caller should come back for `cost` tokens: when so many have left the window,
-    // and behind those who were refused before. The first one's turn is at the instance's own phase,
-    // so that the callers of all instances come back one after the other.
-    fn take_turn(&mut self, now: Instant, span: Duration, missing: f64, turn: Turn) -> Duration {
-        let free = now + self.time_to_free(now, span, missing);
-        let latest = now + span * SPANS * MAX_TURN_WINDOWS;
-        let time = Duration::from_secs_f64(turn.cost * TURN_SHARE / turn.rate.max(1.0));
-        let at = self.turn.max(free + time.mul_f64(turn.phase)).min(latest);
-        self.turn = at + time;
-        at.saturating_duration_since(now)
-    }
-
-    // Time until so many tokens have left the window.
-    fn time_to_free(&self, now: Instant, span: Duration, missing: f64) -> Duration {
-        let passed = now.saturating_duration_since(self.begun);
-        let mut freed = 0.0;
-        let mut time = span.saturating_sub(passed);
-        for spent in &self.spans {
-            freed += spent;
-            if freed >= missing {
-                break;
-            }
-            time += span;
-        }
-        time
-    }
-}
-
-/// What a refused caller asks for.
-#[derive(Clone, Copy, Debug)]
-struct Turn {
-    // Tokens.
-    cost: f64,
-    // Tokens a second that the instance can grant.
-    rate: f64,
-    // Share of the first turn that passes before it.
-    phase: f64,
-}
-
 /// Windows of all organisations as one instance sees them.
 #[derive(Debug)]
 pub struct QuotaTable {
@@ -212,6 +70,8 @@
     part: f64,
     // Instances that tell what they spend, this one included.
     heard: usize,
+    // Time of the first request.
+    began: Option<Instant>,
     // Place of this instance among the others, from 0 to 1.
     phase: f64,
 }
@@ -225,6 +85,7 @@
             windows: Map::default(),
             part: 1.0,
             heard: 1,
+            began: None,
             phase: 0.5,
         }
     }
@@ -270,11 +131,17 @@
         let overdraft = self.overdraft(organisation) * part;
         let absorbed = self.excess(organisation) * ABSORBED_SHARE;
         let (heard, phase) = (self.heard as f64, self.phase);
+        let is_settling = self.is_settling(now);
         let window = self.window(now, organisation);
         let cost = tokens as f64;
         let others = window.untold_by_others(now, span, cost, heard);
         let level = window.level(part);
         let missing = cost - level - overdraft + (others - absorbed).max(0.0);
+        if missing > 0.0 && is_settling {
+            // Its part grows with each instance that it hears.
+            let wait = SETTLING_WAIT.mul_f64(1.0 + phase);
+            return Err(Shortage { level, part, wait });
+        }
         if missing > 0.0 {
             let rate = window.limit * part / (span * SPANS).as_secs_f64() / heard;
             let turn = Turn { cost, rate, phase };
@@ -287,6 +154,13 @@
         Ok(())
     }
 
+    // Whether the instance has just started and has yet to hear some of the others.
+    fn is_settling(&mut self, now: Instant) -> bool {
+        let began = *self.began.get_or_insert(now);
+        let is_new = now.saturating_duration_since(began) < SETTLING_TIME;
+        self.known && self.part < 1.0 && is_new
+    }
+
     /// Gives back tokens of a request that never ran.
     pub fn refund(&mut self, now: Instant, organisation: &Organisation, tokens: Tokens) {
         if organisation.rate == 0 {
--- a/crates/apricotwell_dispatch/tests/quota.rs
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -401,3 +401,16 @@
         prop_assert!(spent + last <= limit + 100);
     }
 }
+
+#[test]
+fn an_instance_that_has_yet_to_hear_others_asks_callers_to_come_back_soon() {
+    let now = Instant::now();
+    let organisation = organisation(8_669, 8_669);
+    let mut table = QuotaTable::new(BOUNDS, true).with_phase(0.9);
+    table.set_part(1, MANY);
+    for number in 0..50 {
+        let at = now + Duration::from_millis(number * 20);
+        let shortage = table.spend(at, &organisation, 5000).unwrap_err();
+        assert!(shortage.wait < Duration::from_millis(1500), "{shortage:?}");
+    }
+}
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -20,7 +20,7 @@
 use crate::adapter::{Callers, Platform};
 use crate::events::{Event, FLUSH_INTERVAL, LineWriter};
 use crate::gateway::Gateway;
-use crate::{feeds, fleet, front, placing, pool, spending};
+use crate::{feeds, fleet, front, heartbeats, placing, pool, spending};
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 512;
@@ -65,8 +65,8 @@
         actix::spawn(feeds::follow(gateway, socket, feed));
     }
     actix::spawn(fleet::renew_membership(Rc::clone(&gateway)));
-    actix::spawn(fleet::tell(Rc::clone(&gateway), Rc::clone(&socket)));
-    actix::spawn(fleet::listen(Rc::clone(&gateway), socket));
+    actix::spawn(heartbeats::tell(Rc::clone(&gateway), Rc::clone(&socket)));
+    actix::spawn(heartbeats::listen(Rc::clone(&gateway), socket));
     actix::spawn(placing::place(Rc::clone(&gateway)));
     actix::spawn(spending::keep(Rc::clone(&gateway)));
     actix::spawn(accept(Rc::clone(&gateway), readiness, questions::<P>));
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod front;
 pub mod gateway;
 pub mod guard;
+pub mod heartbeats;
 pub mod metrics;
 pub mod placing;
 pub mod pool;
