Number questions to other instances apart from those of a former process

Cause: found by reading: numbers began at 1 with each process, so that an answer to a question of a former process, held up at a frozen instance, could be taken for the answer to a later question, and make a view look younger. Change: numbers begin at the start number of the process. An answer's age counts from the time of its question, held by a test over sockets.

--- a/crates/apricotwell_gateway/src/asking.rs
+++ b/crates/apricotwell_gateway/src/asking.rs
@@ -15,14 +15,30 @@
 /// Questions before an instance counts as mute: one may be lost.
 const ATTEMPTS: u32 = 2;
 
+/// Questions of one start of the process may number this many.
+const NUMBERS_A_START: u64 = 1 << 20;
+
 /// Questions that wait for their answers.
-#[derive(Debug, Default)]
+///
+/// # Invariants
+///
+/// No two questions from one address have the same number, whatever process sent them: the answer to
+/// one that a former process sent would make the view of this one look younger than it is.
+#[derive(Debug)]
 pub struct Questions {
     number: Cell<u64>,
     open: RefCell<Map<u64, oneshot::Sender<FeedAnswer>>>,
 }
 
 impl Questions {
+    /// Returns the questions of a process; `incarnation` is its start number, in milliseconds.
+    pub fn new(incarnation: u64) -> Self {
+        Self {
+            number: Cell::new(incarnation.wrapping_mul(NUMBERS_A_START)),
+            open: RefCell::default(),
+        }
+    }
+
     /// Asks another instance what came on a feed after an offset; `clock` is that of all decisions.
     pub async fn ask<C>(
         &self,
@@ -59,7 +75,7 @@
     }
 
     fn open(&self) -> (u64, oneshot::Receiver<FeedAnswer>) {
-        let number = self.number.get() + 1;
+        let number = self.number.get().wrapping_add(1);
         self.number.set(number);
         let (sender, receiver) = oneshot::channel();
         self.open.borrow_mut().insert(number, sender);
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -103,6 +103,7 @@
         store: P::Store,
         engines: P::Engines,
     ) -> Rc<Self> {
+        let questions = Questions::new(facts.incarnation);
         Rc::new(Self {
             dispatcher: RefCell::new(Dispatcher::new(facts)),
             clock: BootClock::new(),
@@ -118,7 +119,7 @@
             restocked: Notify::new(),
             planning: Notify::new(),
             stopping: Notify::new(),
-            questions: Questions::default(),
+            questions,
             connections: Budget::new(MAX_CONNECTIONS),
             bodies: Budget::new(MAX_BODY_BYTES),
             active: Cell::new(0),
