Log and count how the response of a server ended

Change: `request_ended` tells the framing of the response, the whole events, the bytes after the last one and the failure; `apricotwell_responses_total` counts by framing and end. `apricotwell_framing` holds the framing and a scanner of event boundaries. No decision uses them yet.

--- /dev/null
+++ b/crates/apricotwell_framing/src/lib.rs
@@ -0,0 +1,58 @@
+//! How the end of a response is marked, and where a stream of events stands.
+//!
+//! The end of a connection is not by itself the end of a response. A body with a length or with
+//! chunks says where it ends; one with neither ends with its connection, whether its sender has
+//! finished or died. What tells the two apart for a stream of server-sent events is where it ended.
+//!
+//! # Examples
+//!
+//! ```
+//! use apricotwell_framing::prelude::*;
+//!
+//! let mut scanner = EventScanner::default();
+//! assert_eq!(scanner.feed(b"id: 1\ndata: a\n\nid: 2\nda"), Some(15));
+//! assert_eq!(scanner.events(), 1);
+//! assert_eq!(scanner.partial_bytes(), 8);
+//! ```
+
+mod events;
+
+pub use events::EventScanner;
+
+/// Re-exports of the commonly used items.
+pub mod prelude {
+    pub use crate::{BodyFraming, EventScanner};
+}
+
+/// How the end of a response's body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The head gives the length of the body.
+    Length,
+    /// The body ends with an empty chunk.
+    Chunked,
+    /// The body ends with its connection.
+    Close,
+}
+
+impl BodyFraming {
+    /// Returns the framing of a body from the values of the headers that determine it.
+    pub fn from_headers(transfer_encoding: Option<&str>, content_length: Option<&str>) -> Self {
+        match (transfer_encoding, content_length) {
+            (Some(encoding), _) if encoding.to_ascii_lowercase().ends_with("chunked") => {
+                Self::Chunked
+            }
+            (None, Some(_)) => Self::Length,
+            _ => Self::Close,
+        }
+    }
+
+    /// Returns the name of the framing in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Close => "close",
+        }
+    }
+}
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::prelude::*;
+use apricotwell_framing::BodyFraming;
 use apricotwell_types::{Refusal, RefusalKind, RunOutcome, ServerId};
 use http::request;
 
@@ -56,10 +57,25 @@
     last_bytes: Option<Instant>,
     // Longest pause between bytes of the response.
     longest_pause: Duration,
+    /// What was received of the body of the last response.
+    pub received: ReceivedBody,
     // Counts the request as active until its response has ended.
     _active: ActiveGuard<P>,
 }
 
+/// What was received of a response's body, for logs.
+#[derive(Clone, Debug, Default)]
+pub struct ReceivedBody {
+    /// How the end of the body is marked; `None` before a response.
+    pub framing: Option<BodyFraming>,
+    /// Number of whole events of a stream.
+    pub events: u64,
+    /// Bytes of a stream after its last whole event.
+    pub partial_bytes: usize,
+    /// Why the body is incomplete; `None` if it is not known to be.
+    pub failure: Option<String>,
+}
+
 /// Outcome of one attempt.
 pub enum AttemptOutcome<P>
 where
@@ -98,6 +114,7 @@
             first_byte: None,
             last_bytes: None,
             longest_pause: Duration::ZERO,
+            received: ReceivedBody::default(),
             _active: ActiveGuard::new(gateway),
         }
     }
@@ -445,12 +462,22 @@
         let now = self.gateway.now();
         let time = now.saturating_duration_since(self.admission.arrived);
         self.gateway.metrics.count_request(outcome);
+        let received = &self.received;
+        let framing = received.framing.map(BodyFraming::as_str);
+        if let Some(framing) = framing {
+            let is_whole = received.failure.is_none();
+            self.gateway.metrics.count_response(framing, is_whole);
+        }
         Event::new("request_ended")
             .with("request", self.request.attempt.as_str())
             .with("route", &*self.admission.route.name)
             .with("server", server.map_or("", |server| &**server))
             .with("outcome", outcome)
             .with("status", status)
+            .with("framing", framing)
+            .with("events", received.events)
+            .with("partial_bytes", received.partial_bytes)
+            .with("failure", received.failure.as_deref())
             .with("runs", self.runs)
             .with("model", self.model_name())
             .with("tokens", self.admission.tokens)
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -19,10 +19,20 @@
     pub outcome: String,
 }
 
+/// Labels of the counter of responses.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct ResponseLabels {
+    /// How the end of the body is marked: `length`, `chunked` or `close`.
+    pub framing: &'static str,
+    /// How the body ended: `whole` or `broken`.
+    pub end: &'static str,
+}
+
 /// Metrics of one instance.
 pub struct Metrics {
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
+    responses: Family<ResponseLabels, Counter>,
     first_byte: Histogram,
     store_calls: Family<OutcomeLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
@@ -35,6 +45,12 @@
         let mut registry = Registry::with_prefix("apricotwell");
         let requests = Family::default();
         registry.register("requests", "Requests by outcome", requests.clone());
+        let responses = Family::default();
+        registry.register(
+            "responses",
+            "Responses of servers by framing and by how they ended",
+            responses.clone(),
+        );
         let first_byte = Histogram::new(LATENCY_BOUNDS);
         registry.register(
             "first_byte_seconds",
@@ -54,6 +70,7 @@
         Self {
             registry,
             requests,
+            responses,
             first_byte,
             store_calls,
             orders,
@@ -66,6 +83,13 @@
         count(&self.requests, outcome);
     }
 
+    /// Counts a server's response by framing and by whether it was received whole.
+    pub fn count_response(&self, framing: &'static str, is_whole: bool) {
+        let end = if is_whole { "whole" } else { "broken" };
+        let labels = ResponseLabels { framing, end };
+        self.responses.get_or_create(&labels).inc();
+    }
+
     /// Records the time to the first byte of a response.
     pub fn observe_first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
--- a/crates/apricotwell_gateway/src/pool.rs
+++ b/crates/apricotwell_gateway/src/pool.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use apricotwell_framing::BodyFraming;
 use apricotwell_types::Map;
 use bytes::Bytes;
 use http::{HeaderMap, Request, response};
@@ -203,6 +204,15 @@
 }
 
 impl StreamingResponse {
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> BodyFraming {
+        let value = |name| self.head.headers.get(name)?.to_str().ok();
+        BodyFraming::from_headers(
+            value(http::header::TRANSFER_ENCODING),
+            value(http::header::CONTENT_LENGTH),
+        )
+    }
+
     /// Returns the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -3,13 +3,14 @@
 use std::fmt;
 use std::time::Duration;
 
+use apricotwell_framing::{BodyFraming, EventScanner};
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use hyper::body::Frame;
 
 use crate::adapter::Platform;
 use crate::guard::FlightGuard;
-use crate::handler::RequestHandler;
+use crate::handler::{ReceivedBody, RequestHandler};
 use crate::pool::StreamingResponse;
 
 /// Time without data after which a resumable stream is moved to another server.
@@ -44,6 +45,9 @@
     response: Option<(Box<StreamingResponse>, FlightGuard<P>)>,
     // Bytes of an event that is not yet complete; always empty if the stream can't be resumed.
     incomplete_event: BytesMut,
+    // Framing of the last server's response, and the position in it.
+    framing: BodyFraming,
+    scanner: EventScanner,
     last_event: Option<u64>,
     status: u16,
     ended: bool,
@@ -62,9 +66,11 @@
         Self {
             last_event: handler.request.last_event,
             status: response.head.status.as_u16(),
+            framing: response.framing(),
             handler,
             response: Some((response, flight)),
             incomplete_event: BytesMut::new(),
+            scanner: EventScanner::default(),
             ended: false,
         }
     }
@@ -115,6 +121,7 @@
     // Returns the complete events received so far; returns all bytes if the stream can't be
     // resumed.
     fn take_complete_events(&mut self, bytes: Bytes, resumable: bool) -> Option<Bytes> {
+        self.scanner.feed(&bytes);
         if !resumable {
             return Some(bytes);
         }
@@ -149,6 +156,8 @@
                     .with("after_event", self.last_event)
                     .with("reason", reason)
                     .log();
+                self.framing = response.framing();
+                self.scanner = EventScanner::default();
                 self.response = Some((response, flight));
                 true
             }
@@ -168,6 +177,7 @@
         self.ended = true;
         let (_, flight) = self.response.take()?;
         flight.record_outcome(self.status >= 500);
+        self.handler.received = self.received(None);
         self.handler
             .log_end("answered", Some(&flight.server), self.status);
         None
@@ -179,10 +189,20 @@
         if let Some(flight) = &flight {
             flight.record_outcome(true);
         }
+        self.handler.received = self.received(Some(&error));
         let server = flight.as_ref().map(|flight| &flight.server);
         self.handler.log_end("broken_off", server, self.status);
         Some(Err(error))
     }
+
+    fn received(&self, error: Option<&RelayError>) -> ReceivedBody {
+        ReceivedBody {
+            framing: Some(self.framing),
+            events: self.scanner.events(),
+            partial_bytes: self.scanner.partial_bytes(),
+            failure: error.map(ToString::to_string),
+        }
+    }
 }
 
 /// Returns the id of the last event in `events` that has one.
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -17,7 +17,7 @@
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::FlightGuard;
-use crate::handler::RequestHandler;
+use crate::handler::{ReceivedBody, RequestHandler};
 use crate::pool::StreamingResponse;
 use crate::relay::{Relay, RelayError};
 
@@ -261,6 +261,10 @@
 where
     P: Platform,
 {
+    handler.received = ReceivedBody {
+        framing: Some(server_response.framing()),
+        ..ReceivedBody::default()
+    };
     let collected = tokio::time::timeout(
         handler.remaining(),
         server_response.collect(MAX_RESPONSE_BYTES),
@@ -281,6 +285,7 @@
         Ok(Err(reason)) => reason,
         Err(_) => "the deadline passed during the response".to_owned(),
     };
+    handler.received.failure = Some(reason.clone());
     flight.record_outcome(true);
     handler.exclude(&flight.server);
     drop(flight);
