Break off a stream whose last event is not whole

Cause: the end of the connection was taken for the end of the answer. A body with neither length nor chunks ends with its connection, and the HTTP library reports an orderly close as the end of the body. The relay looked where the stream stood only if it could resume it; any other stream was ended with the last chunk, wherever its bytes stopped. A server's own last chunk within an event was passed on in the same way.

Change: the relay feeds every stream to the event scanner and ends it as complete only between two events; else it is resumed where that is allowed, or its connection is closed without the last chunk. That holds for all framings.

Streams whose lines end with CR or CR LF are taken apart as well.

--- a/crates/apricotwell_framing/src/events.rs
+++ b/crates/apricotwell_framing/src/events.rs
@@ -1,5 +1,24 @@
 //! Scanner for the boundaries of server-sent events.
 
+use std::fmt;
+
+/// How a stream that ended is known to be incomplete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Truncation {
+    /// Its last event is not whole.
+    WithinEvent,
+}
+
+impl fmt::Display for Truncation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::WithinEvent => f.write_str("the stream ended within an event"),
+        }
+    }
+}
+
+impl std::error::Error for Truncation {}
+
 /// Finds where the events of a stream end, however the stream is cut into pieces.
 ///
 /// A line ends with LF, CR LF or CR, and an event ends with an empty line.
@@ -40,6 +59,18 @@
         self.partial_bytes
     }
 
+    /// Checks that a stream that ends here has not been cut within an event.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the stream is cut.
+    pub fn check_end(&self) -> Result<(), Truncation> {
+        if self.partial_bytes > 0 {
+            return Err(Truncation::WithinEvent);
+        }
+        Ok(())
+    }
+
     fn take_text(&mut self, length: usize) {
         if length > 0 {
             self.partial_bytes += length;
--- a/crates/apricotwell_framing/src/lib.rs
+++ b/crates/apricotwell_framing/src/lib.rs
@@ -12,16 +12,16 @@
 //! let mut scanner = EventScanner::default();
 //! assert_eq!(scanner.feed(b"id: 1\ndata: a\n\nid: 2\nda"), Some(15));
 //! assert_eq!(scanner.events(), 1);
-//! assert_eq!(scanner.partial_bytes(), 8);
+//! assert_eq!(scanner.check_end(), Err(Truncation::WithinEvent));
 //! ```
 
 mod events;
 
-pub use events::EventScanner;
+pub use events::{EventScanner, Truncation};
 
 /// Re-exports of the commonly used items.
 pub mod prelude {
-    pub use crate::{BodyFraming, EventScanner};
+    pub use crate::{BodyFraming, EventScanner, Truncation};
 }
 
 /// How the end of a response's body is marked.
--- a/crates/apricotwell_framing/tests/events.rs
+++ b/crates/apricotwell_framing/tests/events.rs
@@ -33,7 +33,7 @@
     for end in 0..=bytes.len() {
         let scanner = scan(&[&bytes[..end]]);
         assert_eq!(
-            scanner.partial_bytes() == 0,
+            scanner.check_end().is_ok(),
             ends.contains(&end),
             "{:?}",
             &STREAM[..end]
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -109,8 +109,10 @@
                     }
                     None => continue,
                 },
-                Ok(None) if self.incomplete_event.is_empty() => return self.finish(),
-                Ok(None) => "the stream ended within an event".to_owned(),
+                Ok(None) => match self.scanner.check_end() {
+                    Ok(()) => return self.finish(),
+                    Err(truncation) => truncation.to_string(),
+                },
             };
             if !resumable || !self.resume(&reason).await {
                 return self.fail(RelayError::Broken(reason));
@@ -121,12 +123,13 @@
     // Returns the complete events received so far; returns all bytes if the stream can't be
     // resumed.
     fn take_complete_events(&mut self, bytes: Bytes, resumable: bool) -> Option<Bytes> {
-        self.scanner.feed(&bytes);
+        let events_end = self.scanner.feed(&bytes);
         if !resumable {
             return Some(bytes);
         }
+        let end = self.incomplete_event.len() + events_end.unwrap_or(0);
         self.incomplete_event.extend_from_slice(&bytes);
-        let end = memchr::memmem::rfind(&self.incomplete_event, b"\n\n")? + 2;
+        events_end?;
         let events = self.incomplete_event.split_to(end).freeze();
         self.last_event = last_event_id(&events).or(self.last_event);
         Some(events)
@@ -207,7 +210,7 @@
 
 /// Returns the id of the last event in `events` that has one.
 fn last_event_id(events: &[u8]) -> Option<u64> {
-    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let mut lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
