Break off a stream that its server closes before any event

Callers would see a 200 with an empty body, marked as complete.

A stream that ends with its connection has no other mark of its end than a whole event.

Change: a stream without a length and without chunks is complete only after an event. A marked end may still come before any, as after a resume behind the last event.

--- a/crates/apricotwell_framing/src/events.rs
+++ b/crates/apricotwell_framing/src/events.rs
@@ -2,17 +2,22 @@
 
 use std::fmt;
 
+use crate::BodyFraming;
+
 /// How a stream that ended is known to be incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Truncation {
     /// Its last event is not whole.
     WithinEvent,
+    /// Its connection closed before the first event.
+    BeforeEvents,
 }
 
 impl fmt::Display for Truncation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::WithinEvent => f.write_str("the stream ended within an event"),
+            Self::BeforeEvents => f.write_str("the connection closed before the first event"),
         }
     }
 }
@@ -59,15 +64,20 @@
         self.partial_bytes
     }
 
-    /// Checks that a stream that ends here has not been cut within an event.
+    /// Checks that a stream that ends here is not known to be incomplete.
+    ///
+    /// A stream that ends with its connection has no other mark of its end than a whole event.
     ///
     /// # Errors
     ///
     /// Returns how the stream is cut.
-    pub fn check_end(&self) -> Result<(), Truncation> {
+    pub fn check_end(&self, framing: BodyFraming) -> Result<(), Truncation> {
         if self.partial_bytes > 0 {
             return Err(Truncation::WithinEvent);
         }
+        if framing == BodyFraming::Close && self.events == 0 {
+            return Err(Truncation::BeforeEvents);
+        }
         Ok(())
     }
 
--- a/crates/apricotwell_framing/src/lib.rs
+++ b/crates/apricotwell_framing/src/lib.rs
@@ -12,7 +12,10 @@
 //! let mut scanner = EventScanner::default();
 //! assert_eq!(scanner.feed(b"id: 1\ndata: a\n\nid: 2\nda"), Some(15));
 //! assert_eq!(scanner.events(), 1);
-//! assert_eq!(scanner.check_end(), Err(Truncation::WithinEvent));
+//! assert_eq!(
+//!     scanner.check_end(BodyFraming::Close),
+//!     Err(Truncation::WithinEvent)
+//! );
 //! ```
 
 mod events;
--- a/crates/apricotwell_framing/tests/events.rs
+++ b/crates/apricotwell_framing/tests/events.rs
@@ -33,7 +33,7 @@
     for end in 0..=bytes.len() {
         let scanner = scan(&[&bytes[..end]]);
         assert_eq!(
-            scanner.check_end().is_ok(),
+            scanner.check_end(BodyFraming::Chunked).is_ok(),
             ends.contains(&end),
             "{:?}",
             &STREAM[..end]
@@ -58,6 +58,20 @@
     assert_eq!((scanner.events(), scanner.partial_bytes()), (1, 0));
 }
 
+#[test]
+fn only_a_marked_end_may_come_before_the_first_event() {
+    for framing in [BodyFraming::Length, BodyFraming::Chunked] {
+        assert_eq!(scan(&[]).check_end(framing), Ok(()));
+    }
+    let close = BodyFraming::Close;
+    assert_eq!(scan(&[]).check_end(close), Err(Truncation::BeforeEvents));
+    assert_eq!(
+        scan(&[b"\n"]).check_end(close),
+        Err(Truncation::BeforeEvents)
+    );
+    assert_eq!(scan(&[b"data: a\n\n"]).check_end(close), Ok(()));
+}
+
 #[test]
 fn framing_follows_the_headers() {
     let cases = [
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -109,7 +109,7 @@
                     }
                     None => continue,
                 },
-                Ok(None) => match self.scanner.check_end() {
+                Ok(None) => match self.scanner.check_end(self.framing) {
                     Ok(()) => return self.finish(),
                     Err(truncation) => truncation.to_string(),
                 },
