Answer 502 to events of a plain service that are broken off

Callers would see a 200 with events that end within one of them: a plain service may answer with a stream as well, and such an answer is collected before it is passed on.

The end of the connection ended the collected body.

Change: a collected body whose type is a stream of events is checked at its end like a relayed one. What can't be repeated is answered 502 with an unknown outcome, the rest is tried on another server.

--- a/crates/apricotwell_gateway/src/pool.rs
+++ b/crates/apricotwell_gateway/src/pool.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use apricotwell_framing::BodyFraming;
+use apricotwell_framing::{BodyFraming, EventScanner};
 use apricotwell_types::Map;
 use bytes::Bytes;
 use http::{HeaderMap, Request, response};
@@ -245,8 +245,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a description of the failure if the connection ends within the body or if the body
-    /// is larger than `limit` bytes.
+    /// Returns a description of the failure if the connection ends within the body, if the body
+    /// is larger than `limit` bytes, or if it is a stream of events that is cut.
     pub async fn collect(mut self, limit: usize) -> Result<(response::Parts, Bytes), String> {
         let mut body = Vec::new();
         while let Some(chunk) = self.next().await {
@@ -256,6 +256,13 @@
             }
             body.extend_from_slice(&chunk);
         }
+        if is_event_stream(&self.head.headers) {
+            let mut scanner = EventScanner::default();
+            scanner.feed(&body);
+            scanner
+                .check_end(self.framing())
+                .map_err(|truncation| truncation.to_string())?;
+        }
         Ok((self.head, body.into()))
     }
 
@@ -272,6 +279,13 @@
     }
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(http::header::CONTENT_TYPE);
+    content_type
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.trim_start().starts_with("text/event-stream"))
+}
+
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
