--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::prelude::*;
+use apricotwell_http::pool;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -20,7 +21,7 @@
 use crate::adapter::{ClientProtocol, Platform};
 use crate::events::{Event, FLUSH_INTERVAL, LineWriter};
 use crate::gateway::Gateway;
-use crate::{feeds, heartbeats, membership, placement, pool, requests, usage};
+use crate::{feeds, heartbeats, membership, placement, requests, usage};
 
 /// Backlog of connections that wait to be accepted.
 const BACKLOG: u32 = 512;
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::prelude::*;
+use apricotwell_http::pool::ConnectionPool;
 use tokio::sync::Notify;
 
 use crate::adapter::Platform;
@@ -12,7 +13,6 @@
 use crate::clock::BootClock;
 use crate::feed_queries::FeedQueries;
 use crate::metrics::Metrics;
-use crate::pool::ConnectionPool;
 
 /// Limit on open client connections. The process has about 4000 file descriptors; the remaining
 /// ones are for connections to servers.
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -5,6 +5,7 @@
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_framing::BodyFraming;
+use apricotwell_http::pool::{Reuse, SendError, StreamingResponse};
 use apricotwell_types::{Refusal, RefusalKind, RunOutcome, ServerId};
 use http::request;
 
@@ -12,7 +13,6 @@
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard, WaitGuard};
-use crate::pool::{Reuse, SendError, StreamingResponse};
 use crate::requests::BufferedBody;
 
 /// Maximum idle time of a connection that is reused for a request that must not run twice.
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod membership;
 pub mod metrics;
 pub mod placement;
-pub mod pool;
 pub mod relay;
 pub mod requests;
 pub mod usage;
@@ -34,5 +33,5 @@
     };
     pub use crate::events::Event;
     pub use crate::gateway::{Gateway, ListenAddresses, Timings};
-    pub use crate::pool::{ConnectionPool, Reuse, SendError};
+    pub use apricotwell_http::pool::{ConnectionPool, Reuse, SendError};
 }
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use apricotwell_framing::{BodyFraming, EventScanner};
+use apricotwell_http::pool::StreamingResponse;
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use hyper::body::Frame;
@@ -11,7 +12,6 @@
 use crate::adapter::Platform;
 use crate::guard::FlightGuard;
 use crate::handler::{ReceivedBody, RequestHandler};
-use crate::pool::StreamingResponse;
 
 /// Time without data after which a resumable stream is moved to another server.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1500);
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use apricotwell_dispatch::prelude::*;
+use apricotwell_http::pool::StreamingResponse;
 use apricotwell_types::{Refusal, RefusalKind};
 use bytes::Bytes;
 use futures_util::Stream;
@@ -18,7 +19,6 @@
 use crate::gateway::Gateway;
 use crate::guard::FlightGuard;
 use crate::handler::{ReceivedBody, RequestHandler};
-use crate::pool::StreamingResponse;
 use crate::relay::{Relay, RelayError};
 
 /// Size limit of a non-streaming response, which is buffered in memory.
