Read servers' responses with the pooled client on the OpenAI interface

Callers of the OpenAI-compatible interface got 200 with an empty body, marked as complete: for an answer with neither length nor chunks always, and for one with a length if its engine closed the connection before the body was whole.

Change: the entry daemon uses the pool of the platform path, on `hyper`, whose reads fail in both cases. Requests that may not repeat use a new connection each, as before. The stand-ins learn to frame a response in each way and to break it off anywhere.

Evidence: before, completion_that_is_broken_off failed at `length 0`, a whole completion without a length came empty.

--- a/crates/apricotwell_entry/src/api/clients.rs
+++ b/crates/apricotwell_entry/src/api/clients.rs
@@ -13,7 +13,7 @@
 
 use super::validation::{self, AuthenticatedClient};
 use crate::parse::{CompletionLimits, parse_completion};
-use crate::relay::{HttpClients, OutgoingRequest, serve};
+use crate::relay::{OutgoingRequest, ServerConnections, serve};
 use crate::{NodeDriver, responses};
 
 /// Answers `GET /v1/models`.
@@ -44,30 +44,30 @@
 /// Answers `POST /v1/chat/completions` and `POST /v1/completions`.
 pub(super) async fn complete(
     driver: Data<NodeDriver>,
-    clients: Data<HttpClients>,
+    connections: Data<ServerConnections>,
     request: HttpRequest,
     payload: Payload,
 ) -> HttpResponse {
     driver.metrics().count_request();
     let prepared = prepare_completion(&driver, &request, payload).await;
-    run(&driver, &clients, prepared).await
+    run(&driver, &connections, prepared).await
 }
 
 /// Answers requests on all other paths, which may be routes of plain services.
 pub(super) async fn call_service(
     driver: Data<NodeDriver>,
-    clients: Data<HttpClients>,
+    connections: Data<ServerConnections>,
     request: HttpRequest,
     payload: Payload,
 ) -> HttpResponse {
     driver.metrics().count_request();
     let prepared = prepare_service(&driver, &request, payload).await;
-    run(&driver, &clients, prepared).await
+    run(&driver, &connections, prepared).await
 }
 
 async fn run(
     driver: &Data<NodeDriver>,
-    clients: &HttpClients,
+    connections: &ServerConnections,
     prepared: Result<(Submission, OutgoingRequest), Refusal>,
 ) -> HttpResponse {
     let submitted = prepared.and_then(|(submission, outgoing)| {
@@ -77,7 +77,7 @@
     match submitted {
         Ok((id, steps, outgoing)) => {
             let driver: Arc<NodeDriver> = driver.clone().into_inner();
-            serve(driver, clients, id, steps, outgoing).await
+            serve(driver, connections, id, steps, outgoing).await
         }
         Err(refusal) => refuse(driver, &refusal),
     }
--- a/crates/apricotwell_entry/src/daemon.rs
+++ b/crates/apricotwell_entry/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Startup, main loop and shutdown of the daemon.
 
 use std::fmt;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,12 +16,13 @@
 use tokio::time::{interval, sleep};
 
 use apricotwell_adapters::{HttpEngine, HttpInstances, HttpLog};
+use apricotwell_http::pool::ConnectionPool;
 use apricotwell_logging::{EventFile, wall_time};
 use apricotwell_node::Node;
 use apricotwell_peers::{LinkSecret, PeerLinks, listen};
 use apricotwell_timeline::{Event, EventKind};
 
-use crate::relay::HttpClients;
+use crate::relay::ServerConnections;
 use crate::streams;
 use crate::{NodeDriver, Settings, api, control};
 
@@ -137,6 +139,8 @@
     let sweep_driver = driver.clone();
     let app = move || {
         let sweep_driver = sweep_driver.clone();
+        let pool = ConnectionPool::new();
+        let connections = ServerConnections(Rc::clone(&pool));
         spawn_local(async move {
             let mut period = interval(streams::SWEEP_PERIOD);
             loop {
@@ -145,11 +149,12 @@
                     streams::abort_all();
                 }
                 streams::sweep(Instant::now(), progress_timeout, client_timeout);
+                pool.expire();
             }
         });
         App::new()
             .app_data(data.clone())
-            .app_data(Data::new(HttpClients::new()))
+            .app_data(Data::new(connections))
             .configure(api::configure)
     };
     let server = HttpServer::new(app)
--- a/crates/apricotwell_entry/src/relay.rs
+++ b/crates/apricotwell_entry/src/relay.rs
@@ -1,16 +1,23 @@
 //! Sends requests to backend servers and relays the responses.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use actix_web::HttpResponse;
-use actix_web::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName};
-use awc::http::{Method, StatusCode};
-use awc::{Client, ClientResponse};
+use actix_web::http::header::HeaderMap;
+use actix_web::http::{Method, StatusCode};
+use actix_web::{HttpResponse, HttpResponseBuilder};
 use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use log::warn;
 use serde::Deserialize;
 use tokio::time::timeout;
 
+use apricotwell_framing::BodyFraming;
+use apricotwell_http::pool::{
+    ConnectionPool, Reuse, SendError, StreamingResponse, is_event_stream,
+};
 use apricotwell_node::{AttemptOutcome, Dispatch, StoredAnswer};
 use apricotwell_types::{Refusal, RefusalKind, RequestId, RunOutcome, Tokens};
 
@@ -41,21 +48,9 @@
     "upgrade",
 ];
 
-/// HTTP clients of one worker thread.
+/// Connections of one worker thread to backend servers.
 #[derive(Clone)]
-pub(crate) struct HttpClients {
-    pooled: Client,
-    single_use: Client,
-}
-
-impl HttpClients {
-    pub(crate) fn new() -> Self {
-        Self {
-            pooled: apricotwell_adapters::pooled_client(),
-            single_use: apricotwell_adapters::single_use_client(),
-        }
-    }
-}
+pub(crate) struct ServerConnections(pub(crate) Rc<ConnectionPool>);
 
 /// Request to a backend server.
 #[derive(Clone, Debug)]
@@ -90,7 +85,7 @@
 /// Executes the steps of a request until it has a response.
 pub(crate) async fn serve(
     driver: Arc<NodeDriver>,
-    clients: &HttpClients,
+    connections: &ServerConnections,
     request: RequestId,
     mut steps: StepReceiver,
     outgoing: OutgoingRequest,
@@ -108,7 +103,7 @@
             RequestStep::Dispatch(dispatch) => {
                 driver.metrics().count_attempt();
                 let result = tokio::select! {
-                    response = attempt(&driver, clients, &dispatch, &outgoing) => response,
+                    response = attempt(&driver, connections, &dispatch, &outgoing) => response,
                     // Only a forced shutdown sends a step while an attempt runs.
                     Some(RequestStep::Refuse(refusal)) = steps.recv()
                         => return responses::refusal(&refusal),
@@ -134,30 +129,29 @@
 
 async fn attempt(
     driver: &Arc<NodeDriver>,
-    clients: &HttpClients,
+    connections: &ServerConnections,
     dispatch: &Dispatch,
     outgoing: &OutgoingRequest,
 ) -> Result<HttpResponse, AttemptOutcome> {
-    let response = send(driver, clients, dispatch, outgoing).await?;
+    let response = send(driver, connections, dispatch, outgoing).await?;
     check_attempt(&response, &dispatch.attempt)?;
     check_status(&response, outgoing.pass_errors)?;
-    let content_type = header(response.headers(), CONTENT_TYPE.as_str()).unwrap_or_default();
-    let is_event_stream = content_type.starts_with("text/event-stream");
-    let length = header(response.headers(), CONTENT_LENGTH.as_str());
+    let content_type = header(&response, "content-type").unwrap_or_default();
+    let is_event_stream = is_event_stream(&response.head.headers);
+    let length = header(&response, "content-length");
     let length = length.and_then(|text| text.parse::<usize>().ok());
     let limit = driver.settings().requests.max_whole_bytes;
-    if !is_event_stream && length.is_some_and(|length| length <= limit) {
+    let has_length = response.framing() == BodyFraming::Length;
+    if !is_event_stream && has_length && length.is_some_and(|length| length <= limit) {
         return buffer_response(driver, dispatch, response, content_type, limit).await;
     }
-    let status = response.status();
-    let mut builder = HttpResponse::build(status);
-    copy_headers(&response, &mut builder);
+    let mut builder = response_builder(&response);
     let context = StreamContext {
         driver: driver.clone(),
         request: dispatch.request,
         attempt: dispatch.attempt.clone(),
         prompt_tokens: outgoing.prompt_tokens,
-        status: status.as_u16(),
+        status: response.head.status.as_u16(),
         content_type,
         is_event_stream,
         store_body: !outgoing.repeatable,
@@ -167,42 +161,59 @@
 
 async fn send(
     driver: &Arc<NodeDriver>,
-    clients: &HttpClients,
+    connections: &ServerConnections,
     dispatch: &Dispatch,
     outgoing: &OutgoingRequest,
-) -> Result<ClientResponse, AttemptOutcome> {
-    let client = if outgoing.repeatable {
-        &clients.pooled
+) -> Result<StreamingResponse, AttemptOutcome> {
+    let unsent = AttemptOutcome::NotRun { unreachable: true };
+    let Ok(address) = dispatch.address.parse() else {
+        warn!("{} is no address; list it as ip:port", dispatch.address);
+        return Err(unsent);
+    };
+    let request = match encode_request(dispatch, outgoing) {
+        Ok(request) => request,
+        Err(error) => {
+            warn!("a request can't be encoded: {error}");
+            return Err(unsent);
+        }
+    };
+    let reuse = if outgoing.repeatable {
+        Reuse::Any
     } else {
-        &clients.single_use
+        Reuse::Never
     };
-    let url = format!("http://{}{}", dispatch.address, outgoing.path);
-    let mut request = client
-        .request(outgoing.method.clone(), url)
-        .no_decompress()
-        .insert_header(("x-attempt-id", dispatch.attempt.as_str()));
+    let limit = Duration::from_millis(driver.settings().requests.first_byte_ms);
+    match timeout(limit, connections.0.send(address, request, reuse)).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(SendError::Unsent(_))) => Err(unsent),
+        Ok(Err(SendError::Lost(_))) => Err(AttemptOutcome::Disconnected { partial: false }),
+        Err(_) => Err(AttemptOutcome::Stalled { partial: false }),
+    }
+}
+
+fn encode_request(
+    dispatch: &Dispatch,
+    outgoing: &OutgoingRequest,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let mut request = Request::builder()
+        .method(outgoing.method.as_str())
+        .uri(&outgoing.path)
+        .header("host", &dispatch.address)
+        .header("x-attempt-id", &dispatch.attempt);
     if let Some(replica) = dispatch.replica {
-        request = request.insert_header(("x-apricotwell-replica", replica.to_string()));
+        request = request.header("x-apricotwell-replica", replica.to_string());
     }
     for name in FORWARDED_HEADERS {
         if let Some(value) = outgoing.headers.get(name) {
-            request = request.insert_header((name, value.clone()));
+            request = request.header(name, value.as_bytes());
         }
     }
-    let limit = Duration::from_millis(driver.settings().requests.first_byte_ms);
-    match timeout(limit, request.send_body(outgoing.body.clone())).await {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(error)) if apricotwell_adapters::is_unsent(&error) => {
-            Err(AttemptOutcome::NotRun { unreachable: true })
-        }
-        Ok(Err(_)) => Err(AttemptOutcome::Disconnected { partial: false }),
-        Err(_) => Err(AttemptOutcome::Stalled { partial: false }),
-    }
+    request.body(Full::new(outgoing.body.clone()))
 }
 
 // A response to another attempt must not reach this client; its connection is closed.
-fn check_attempt(response: &ClientResponse, attempt: &str) -> Result<(), AttemptOutcome> {
-    match header(response.headers(), "x-attempt-id") {
+fn check_attempt(response: &StreamingResponse, attempt: &str) -> Result<(), AttemptOutcome> {
+    match header(response, "x-attempt-id") {
         Some(received) if !received.is_empty() && received != attempt => {
             Err(AttemptOutcome::Disconnected { partial: false })
         }
@@ -210,12 +221,12 @@
     }
 }
 
-fn check_status(response: &ClientResponse, pass_errors: bool) -> Result<(), AttemptOutcome> {
-    let outcome = header(response.headers(), "x-outcome");
+fn check_status(response: &StreamingResponse, pass_errors: bool) -> Result<(), AttemptOutcome> {
+    let outcome = header(response, "x-outcome");
     if outcome.as_deref() == Some(RunOutcome::NotRun.as_str()) {
         return Err(AttemptOutcome::NotRun { unreachable: true });
     }
-    if response.status().is_server_error() && !pass_errors {
+    if response.head.status.is_server_error() && !pass_errors {
         return Err(AttemptOutcome::Failed);
     }
     Ok(())
@@ -225,28 +236,25 @@
 async fn buffer_response(
     driver: &Arc<NodeDriver>,
     dispatch: &Dispatch,
-    mut response: ClientResponse,
+    response: StreamingResponse,
     content_type: String,
     limit: usize,
 ) -> Result<HttpResponse, AttemptOutcome> {
     let progress = Duration::from_millis(driver.settings().requests.progress_ms);
-    let read = response.body().limit(limit);
-    let body = match timeout(progress, read).await {
-        Ok(Ok(body)) => body,
+    let mut builder = response_builder(&response);
+    let (head, body) = match timeout(progress, response.collect(limit)).await {
+        Ok(Ok(collected)) => collected,
         Ok(Err(_)) => return Err(AttemptOutcome::Disconnected { partial: false }),
         Err(_) => return Err(AttemptOutcome::Stalled { partial: false }),
     };
-    let status = response.status();
-    let mut builder = HttpResponse::build(status);
-    copy_headers(&response, &mut builder);
-    let used = if status == StatusCode::OK {
+    let used = if head.status == http::StatusCode::OK {
         usage_tokens(&body)
     } else {
         Some(0)
     };
     let stored = (body.len() <= driver.settings().requests.max_kept_bytes).then(|| body.to_vec());
     let answer = StoredAnswer {
-        status: status.as_u16(),
+        status: head.status.as_u16(),
         content_type,
         body: stored,
     };
@@ -256,20 +264,21 @@
     Ok(builder.body(body))
 }
 
-fn copy_headers(response: &ClientResponse, builder: &mut actix_web::HttpResponseBuilder) {
-    for (name, value) in response.headers() {
-        if !is_dropped(name) {
-            builder.append_header((name.clone(), value.clone()));
+// Returns the start of the response to the client, with the headers that are forwarded.
+fn response_builder(response: &StreamingResponse) -> HttpResponseBuilder {
+    // Both libraries accept the same status codes.
+    let status = StatusCode::from_u16(response.head.status.as_u16());
+    let mut builder = HttpResponse::build(status.unwrap_or(StatusCode::BAD_GATEWAY));
+    for (name, value) in &response.head.headers {
+        if !DROPPED_HEADERS.contains(&name.as_str()) {
+            builder.append_header((name.as_str(), value.as_bytes()));
         }
     }
+    builder
 }
 
-fn is_dropped(name: &HeaderName) -> bool {
-    DROPPED_HEADERS.contains(&name.as_str())
-}
-
-fn header(headers: &HeaderMap, name: &str) -> Option<String> {
-    let value = headers.get(name)?.to_str().ok()?;
+fn header(response: &StreamingResponse, name: &str) -> Option<String> {
+    let value = response.head.headers.get(name)?.to_str().ok()?;
     Some(value.to_owned())
 }
 
--- a/crates/apricotwell_entry/src/streams.rs
+++ b/crates/apricotwell_entry/src/streams.rs
@@ -8,11 +8,11 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-use awc::ClientResponse;
 use bytes::Bytes;
 use futures_util::Stream;
 use tokio::time::{Sleep, sleep};
 
+use apricotwell_http::pool::StreamingResponse;
 use apricotwell_node::{AttemptOutcome, StoredAnswer};
 use apricotwell_types::{Refusal, RefusalKind, RequestId, RunOutcome, Tokens};
 
@@ -106,7 +106,7 @@
 struct StreamState {
     context: StreamContext,
     // Set to `None` to close the connection to the backend server.
-    payload: RefCell<Option<ClientResponse>>,
+    payload: RefCell<Option<StreamingResponse>>,
     last_poll: Cell<Instant>,
     last_data: Cell<Instant>,
     awaiting_server: Cell<bool>,
@@ -137,7 +137,7 @@
 }
 
 impl ResponseStream {
-    pub(crate) fn new(context: StreamContext, payload: ClientResponse) -> Self {
+    pub(crate) fn new(context: StreamContext, payload: StreamingResponse) -> Self {
         let now = Instant::now();
         let stored_body = context.store_body.then(Vec::new);
         let state = Rc::new(StreamState {
@@ -226,9 +226,7 @@
         }
         let polled = {
             let mut payload = state.payload.borrow_mut();
-            payload
-                .as_mut()
-                .map(|payload| Pin::new(payload).poll_next(cx))
+            payload.as_mut().map(|payload| payload.poll_next(cx))
         };
         let Some(polled) = polled else {
             return this.fail(AttemptOutcome::Stalled { partial: true });
--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -3,14 +3,16 @@
 use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use apricotwell_framing::{BodyFraming, EventScanner};
 use apricotwell_types::Map;
 use bytes::Bytes;
 use http::{HeaderMap, Request, response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -44,6 +46,8 @@
     Any,
     /// Only connections used within this time, which the server is unlikely to be closing.
     Within(Duration),
+    /// None, so that a request that was not sent is known to be from the failure to connect.
+    Never,
 }
 
 /// Error of a request without a response.
@@ -138,6 +142,9 @@
     }
 
     fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
+        if reuse == Reuse::Never {
+            return None;
+        }
         let now = Instant::now();
         let mut connections = self.idle.borrow_mut();
         let idle_connections = connections.get_mut(&address)?;
@@ -145,6 +152,7 @@
             let recent = match reuse {
                 Reuse::Any => true,
                 Reuse::Within(time) => now.saturating_duration_since(idle.idle_since) < time,
+                Reuse::Never => false,
             };
             if recent && now < idle.expires && idle.sender.is_ready() {
                 return Some(idle.sender);
@@ -219,23 +227,28 @@
     ///
     /// Fails if the connection ends within the body.
     pub async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        std::future::poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    /// Polls for the next chunk of the body; see [`Self::next`].
+    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, hyper::Error>>> {
         loop {
-            match self.body.frame().await {
+            match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
                 Some(Ok(frame)) => {
                     if let Ok(data) = Frame::into_data(frame) {
                         if self.body.is_end_stream() {
                             self.release();
                         }
-                        return Some(Ok(data));
+                        return Poll::Ready(Some(Ok(data)));
                     }
                 }
                 Some(Err(error)) => {
                     self.connection = None;
-                    return Some(Err(error));
+                    return Poll::Ready(Some(Err(error)));
                 }
                 None => {
                     self.release();
-                    return None;
+                    return Poll::Ready(None);
                 }
             }
         }
@@ -279,7 +292,8 @@
     }
 }
 
-fn is_event_stream(headers: &HeaderMap) -> bool {
+/// Returns whether a response's body is a stream of events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
     let content_type = headers.get(http::header::CONTENT_TYPE);
     content_type
         .and_then(|value| value.to_str().ok())
--- a/crates/apricotwell_standins/src/engine.rs
+++ b/crates/apricotwell_standins/src/engine.rs
@@ -16,6 +16,8 @@
 use apricotwell_fakes::EngineState;
 use apricotwell_node::{EngineOrder, OrderKind, ReportedReplica};
 
+use crate::cut::{self, Cut};
+
 /// Stand-in for a model engine: loads models, streams completions, sends reports and injects
 /// faults.
 ///
@@ -61,6 +63,8 @@
     /// Number of upcoming responses that carry the id of another attempt.
     #[serde(rename = "cross")]
     wrong_attempts: Option<u32>,
+    /// Completions to break off.
+    cut: Option<Cut>,
 }
 
 #[derive(Default)]
@@ -70,6 +74,7 @@
     break_streams: u32,
     hanging_requests: u32,
     wrong_attempts: u32,
+    cut: Option<Cut>,
 }
 
 #[derive(Clone)]
@@ -259,6 +264,7 @@
         .hanging_requests
         .unwrap_or(faults.hanging_requests);
     faults.wrong_attempts = requested.wrong_attempts.unwrap_or(faults.wrong_attempts);
+    faults.cut = requested.cut.or(faults.cut);
     HttpResponse::Ok().finish()
 }
 
@@ -323,13 +329,14 @@
         attempt.push_str(" of another");
     }
     sleep(Duration::from_millis(engine.args.first_token_ms)).await;
-    if parsed.stream {
+    let response = if parsed.stream {
         stream_completion(guard, completion, &attempt)
     } else {
         let pause = Duration::from_millis(engine.args.token_ms) * completion.tokens as u32;
         sleep(pause).await;
         send_completion(guard, &completion, &attempt)
-    }
+    };
+    cut::apply(&mut engine.faults().cut, response)
 }
 
 fn plan_completion(body: &CompletionBody, path: &str, break_stream: bool) -> Completion {
--- a/crates/apricotwell_standins/src/lib.rs
+++ b/crates/apricotwell_standins/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(store.begin_load(), Duration::from_millis(200));
 //! ```
 
+mod cut;
 mod engine;
 mod platform;
 mod service;
--- a/crates/apricotwell_standins/src/platform.rs
+++ b/crates/apricotwell_standins/src/platform.rs
@@ -17,6 +17,7 @@
 use apricotwell_records::{LogBatch, ReadError};
 
 use crate::WeightStore;
+use crate::cut::{self, Cut};
 
 /// Stand-in for the platform: an append-only log, an instance list and a weight store.
 ///
@@ -63,6 +64,8 @@
     pub add: Option<InstanceBody>,
     /// Stream to truncate, and the first offset to retain.
     pub expire: Option<(String, u64)>,
+    /// Responses to reads of the log to break off.
+    cut: Option<Cut>,
 }
 
 #[derive(Deserialize)]
@@ -78,6 +81,7 @@
     instances: Vec<InstanceBody>,
     models: WeightStore,
     adapters: WeightStore,
+    cut: Option<Cut>,
 }
 
 #[derive(Clone)]
@@ -112,6 +116,7 @@
                 args.parallel_adapters,
                 Duration::from_millis(args.adapter_ms),
             ),
+            cut: None,
         })),
         appended: Arc::new(Notify::new()),
     };
@@ -188,7 +193,8 @@
                 return HttpResponse::Gone().json(ExpiredReply { first });
             }
             Ok(batch) if !batch.records.is_empty() || Instant::now() >= deadline => {
-                return HttpResponse::Ok().body(stream_slice(batch).encode_to_vec());
+                let response = HttpResponse::Ok().body(stream_slice(batch).encode_to_vec());
+                return cut::apply(&mut platform.lock().cut, response);
             }
             Ok(_) | Err(ReadError::Unreachable) => {
                 // The loop checks the stream and the deadline again, whether the wait timed out or
@@ -261,6 +267,7 @@
         inner.instances.retain(|known| known.id != listed.id);
         inner.instances.push(listed);
     }
+    inner.cut = faults.cut.or(inner.cut);
     if let Some((stream, first)) = faults.expire {
         inner.log.expire(&stream, first);
     }
--- a/crates/apricotwell_standins/src/service.rs
+++ b/crates/apricotwell_standins/src/service.rs
@@ -12,6 +12,8 @@
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::cut::{self, Cut};
+
 /// Stand-in for a plain service that counts how often it runs each request.
 ///
 /// Faults are set with `POST /faults`; `GET /audit` returns the counts.
@@ -42,6 +44,8 @@
     lose_replies: Option<u32>,
     /// Duration of a request, in milliseconds.
     call_ms: Option<u64>,
+    /// Responses to break off.
+    cut: Option<Cut>,
 }
 
 #[derive(Clone)]
@@ -65,6 +69,7 @@
         faults: Arc::new(Mutex::new(ServiceFaults {
             lose_replies: Some(0),
             call_ms: Some(args.call_ms),
+            cut: None,
         })),
     };
     let app = move || {
@@ -92,6 +97,7 @@
     let mut faults = lock(&service.faults);
     faults.lose_replies = requested.lose_replies.or(faults.lose_replies);
     faults.call_ms = requested.call_ms.or(faults.call_ms);
+    faults.cut = requested.cut.or(faults.cut);
     HttpResponse::Ok().finish()
 }
 
@@ -132,7 +138,8 @@
     }
     let attempt = request.headers().get("x-attempt-id");
     let attempt = attempt.and_then(|value| value.to_str().ok()).unwrap_or("");
-    HttpResponse::Ok()
+    let response = HttpResponse::Ok()
         .insert_header(("x-attempt-id", attempt))
-        .json(json!({"path": request.path(), "run": runs}))
+        .json(json!({"path": request.path(), "run": runs}));
+    cut::apply(&mut lock(&service.faults).cut, response)
 }
