Don't pass on JSON or events that end with their connection halfway

Callers of either interface got 200 with half a JSON body, or with events that stopped within the done marker's event, marked as complete; for a plain service the half body was also recorded and replayed to repeated requests.

Cause: the end of a connection is taken for the end of the answer, here where the body isn't a relayed event stream.

Change: one scanner, chosen by framing and content type, checks every body at its end, buffered or streamed: events must be whole, and JSON that ends with its connection must be closed. What has no such form (plain text without a length, closed in order) still can't be told from a whole body. A response that has no body is not a cut one.

--- a/crates/apricotwell_entry/src/relay.rs
+++ b/crates/apricotwell_entry/src/relay.rs
@@ -15,9 +15,7 @@
 use tokio::time::timeout;
 
 use apricotwell_framing::BodyFraming;
-use apricotwell_http::pool::{
-    ConnectionPool, Reuse, SendError, StreamingResponse, is_event_stream,
-};
+use apricotwell_http::pool::{ConnectionPool, Reuse, SendError, StreamingResponse};
 use apricotwell_node::{AttemptOutcome, Dispatch, StoredAnswer};
 use apricotwell_types::{Refusal, RefusalKind, RequestId, RunOutcome, Tokens};
 
@@ -136,8 +134,8 @@
     let response = send(driver, connections, dispatch, outgoing).await?;
     check_attempt(&response, &dispatch.attempt)?;
     check_status(&response, outgoing.pass_errors)?;
-    let content_type = header(&response, "content-type").unwrap_or_default();
-    let is_event_stream = is_event_stream(&response.head.headers);
+    let content_type = response.content_type().to_owned();
+    let is_event_stream = content_type.starts_with("text/event-stream");
     let length = header(&response, "content-length");
     let length = length.and_then(|text| text.parse::<usize>().ok());
     let limit = driver.settings().requests.max_whole_bytes;
--- a/crates/apricotwell_entry/src/streams.rs
+++ b/crates/apricotwell_entry/src/streams.rs
@@ -12,6 +12,7 @@
 use futures_util::Stream;
 use tokio::time::{Sleep, sleep};
 
+use apricotwell_framing::BodyScanner;
 use apricotwell_http::pool::StreamingResponse;
 use apricotwell_node::{AttemptOutcome, StoredAnswer};
 use apricotwell_types::{Refusal, RefusalKind, RequestId, RunOutcome, Tokens};
@@ -129,6 +130,7 @@
 /// Response body that forwards a backend server's response unchanged.
 pub(crate) struct ResponseStream {
     state: Rc<StreamState>,
+    body: BodyScanner,
     scanner: EventScanner,
     stored_body: Option<Vec<u8>>,
     // Set once an error event has been sent. The connection is aborted after this delay rather
@@ -139,6 +141,7 @@
 impl ResponseStream {
     pub(crate) fn new(context: StreamContext, payload: StreamingResponse) -> Self {
         let now = Instant::now();
+        let body = payload.scanner();
         let stored_body = context.store_body.then(Vec::new);
         let state = Rc::new(StreamState {
             context,
@@ -152,6 +155,7 @@
         OPEN_STREAMS.with_borrow_mut(|open| open.push(Rc::downgrade(&state)));
         Self {
             state,
+            body,
             scanner: EventScanner::default(),
             stored_body,
             flush_delay: None,
@@ -159,6 +163,7 @@
     }
 
     fn forward(&mut self, chunk: Bytes) -> Poll<Option<io::Result<Bytes>>> {
+        self.body.feed(&chunk);
         if self.state.context.is_event_stream {
             self.scanner.feed(&chunk);
         }
@@ -174,7 +179,8 @@
 
     fn finish(&mut self) -> Poll<Option<io::Result<Bytes>>> {
         let context = &self.state.context;
-        if context.is_event_stream && !self.scanner.is_done() {
+        let is_cut = self.body.check_end().is_err();
+        if is_cut || (context.is_event_stream && !self.scanner.is_done()) {
             return self.fail(AttemptOutcome::Disconnected { partial: true });
         }
         let used = context
--- a/crates/apricotwell_framing/src/events.rs
+++ b/crates/apricotwell_framing/src/events.rs
@@ -1,28 +1,6 @@
 //! Scanner for the boundaries of server-sent events.
 
-use std::fmt;
-
-use crate::BodyFraming;
-
-/// How a stream that ended is known to be incomplete.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Truncation {
-    /// Its last event is not whole.
-    WithinEvent,
-    /// Its connection closed before the first event.
-    BeforeEvents,
-}
-
-impl fmt::Display for Truncation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::WithinEvent => f.write_str("the stream ended within an event"),
-            Self::BeforeEvents => f.write_str("the connection closed before the first event"),
-        }
-    }
-}
-
-impl std::error::Error for Truncation {}
+use crate::{BodyFraming, Truncation};
 
 /// Finds where the events of a stream end, however the stream is cut into pieces.
 ///
@@ -76,7 +54,7 @@
             return Err(Truncation::WithinEvent);
         }
         if framing == BodyFraming::Close && self.events == 0 {
-            return Err(Truncation::BeforeEvents);
+            return Err(Truncation::Empty);
         }
         Ok(())
     }
--- a/crates/apricotwell_framing/src/lib.rs
+++ b/crates/apricotwell_framing/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The end of a connection is not by itself the end of a response. A body with a length or with
 //! chunks says where it ends; one with neither ends with its connection, whether its sender has
-//! finished or died. What tells the two apart for a stream of server-sent events is where it ended.
+//! finished or died. What tells the two apart, for server-sent events and for JSON, is where it ended.
 //!
 //! # Examples
 //!
@@ -18,13 +18,17 @@
 //! );
 //! ```
 
+mod body;
 mod events;
+mod json;
 
-pub use events::{EventScanner, Truncation};
+pub use body::{BodyScanner, Truncation};
+pub use events::EventScanner;
+pub use json::JsonScanner;
 
 /// Re-exports of the commonly used items.
 pub mod prelude {
-    pub use crate::{BodyFraming, EventScanner, Truncation};
+    pub use crate::{BodyFraming, BodyScanner, EventScanner, JsonScanner, Truncation};
 }
 
 /// How the end of a response's body is marked.
--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
-use apricotwell_framing::{BodyFraming, EventScanner};
+use apricotwell_framing::{BodyFraming, BodyScanner};
 use apricotwell_types::Map;
 use bytes::Bytes;
 use http::{HeaderMap, Request, response};
@@ -183,6 +183,7 @@
         let (head, body) = response.into_parts();
         let keep_alive = keep_alive_time(&head.headers);
         StreamingResponse {
+            framing: framing(&head.headers, &body),
             head,
             body,
             connection: keep_alive.map(|keep_alive| Connection {
@@ -206,6 +207,7 @@
 pub struct StreamingResponse {
     /// Status and headers.
     pub head: response::Parts,
+    framing: BodyFraming,
     body: Incoming,
     // Returned to the pool at the end of the body; `None` if the connection must not be reused.
     connection: Option<Connection>,
@@ -214,15 +216,26 @@
 impl StreamingResponse {
     /// Returns how the end of the body is marked.
     pub fn framing(&self) -> BodyFraming {
-        let value = |name| self.head.headers.get(name)?.to_str().ok();
-        BodyFraming::from_headers(
-            value(http::header::TRANSFER_ENCODING),
-            value(http::header::CONTENT_LENGTH),
-        )
+        self.framing
+    }
+
+    /// Returns the value of the `Content-Type` header, or an empty text.
+    pub fn content_type(&self) -> &str {
+        let value = self.head.headers.get(http::header::CONTENT_TYPE);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+
+    /// Returns a scanner that tells at the end of the body whether it is known to be cut.
+    pub fn scanner(&self) -> BodyScanner {
+        BodyScanner::new(self.framing(), self.content_type())
     }
 
     /// Returns the next chunk of the body, or `None` at its end.
     ///
+    /// The end of a body that ends with its connection may be a cut; see [`Self::scanner`].
+    ///
     /// # Errors
     ///
     /// Fails if the connection ends within the body.
@@ -259,23 +272,21 @@
     /// # Errors
     ///
     /// Returns a description of the failure if the connection ends within the body, if the body
-    /// is larger than `limit` bytes, or if it is a stream of events that is cut.
+    /// is larger than `limit` bytes, or if it is known to be cut.
     pub async fn collect(mut self, limit: usize) -> Result<(response::Parts, Bytes), String> {
         let mut body = Vec::new();
+        let mut scanner = self.scanner();
         while let Some(chunk) = self.next().await {
             let chunk = chunk.map_err(|error| error.to_string())?;
+            scanner.feed(&chunk);
             if body.len() + chunk.len() > limit {
                 return Err(format!("the body is larger than {limit} bytes"));
             }
             body.extend_from_slice(&chunk);
         }
-        if is_event_stream(&self.head.headers) {
-            let mut scanner = EventScanner::default();
-            scanner.feed(&body);
-            scanner
-                .check_end(self.framing())
-                .map_err(|truncation| truncation.to_string())?;
-        }
+        scanner
+            .check_end()
+            .map_err(|truncation| truncation.to_string())?;
         Ok((self.head, body.into()))
     }
 
@@ -292,14 +303,6 @@
     }
 }
 
-/// Returns whether a response's body is a stream of events.
-pub fn is_event_stream(headers: &HeaderMap) -> bool {
-    let content_type = headers.get(http::header::CONTENT_TYPE);
-    content_type
-        .and_then(|value| value.to_str().ok())
-        .is_some_and(|value| value.trim_start().starts_with("text/event-stream"))
-}
-
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
@@ -343,6 +346,18 @@
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
+fn framing(headers: &HeaderMap, body: &Incoming) -> BodyFraming {
+    // The response to a HEAD request and some statuses have no body, whatever the headers say.
+    if body.is_end_stream() {
+        return BodyFraming::Length;
+    }
+    let value = |name| headers.get(name)?.to_str().ok();
+    BodyFraming::from_headers(
+        value(http::header::TRANSFER_ENCODING),
+        value(http::header::CONTENT_LENGTH),
+    )
+}
+
 // Returns how long a connection may stay idle after this response, or `None` if it must not be
 // reused.
 fn keep_alive_time(headers: &HeaderMap) -> Option<Duration> {
