Look for the done marker on a line of its own

Callers of the OpenAI interface could get a stream that broke off marked as complete, if its last text held the done marker's words.

Cause: the marker was searched for anywhere in the last 64 bytes of the stream.

Change: the last line that is neither empty nor a comment must be the marker. The copy of the event scanner goes; the events are counted by the one that also checks the end of the body.

--- a/crates/apricotwell_entry/src/streams.rs
+++ b/crates/apricotwell_entry/src/streams.rs
@@ -34,37 +34,14 @@
     static OPEN_STREAMS: RefCell<Vec<Weak<StreamState>>> = const { RefCell::new(Vec::new()) };
 }
 
-/// Counts the events of a stream and detects its done marker.
+/// Keeps the end of an event stream, to find its done marker and the usage event.
 #[derive(Debug, Default)]
-struct EventScanner {
-    events: u64,
-    after_newline: bool,
+struct StreamTail {
     tail: Vec<u8>,
 }
 
-impl EventScanner {
+impl StreamTail {
     fn feed(&mut self, chunk: &[u8]) {
-        let mut line_start = 0;
-        for newline in memchr::memchr_iter(b'\n', chunk) {
-            // An event ends with an empty line, terminated by LF or CR LF.
-            let line = &chunk[line_start..newline];
-            let is_empty = line.is_empty() || line == b"\r";
-            if is_empty && self.after_newline {
-                self.events += 1;
-                self.after_newline = false;
-            } else {
-                self.after_newline = true;
-            }
-            line_start = newline + 1;
-        }
-        let remainder = &chunk[line_start..];
-        if !remainder.is_empty() && remainder != b"\r" {
-            self.after_newline = false;
-        }
-        self.keep_tail(chunk);
-    }
-
-    fn keep_tail(&mut self, chunk: &[u8]) {
         let recent = &chunk[chunk.len().saturating_sub(TAIL_BYTES)..];
         if self.tail.len() + recent.len() > TAIL_BYTES * 4 {
             let excess = self.tail.len().saturating_sub(TAIL_BYTES);
@@ -73,21 +50,24 @@
         self.tail.extend_from_slice(recent);
     }
 
+    // Returns whether the last line that is neither empty nor a comment is the done marker.
     fn is_done(&self) -> bool {
-        let tail = &self.tail[self.tail.len().saturating_sub(64)..];
-        tail.windows(DONE_MARKER.len())
-            .any(|window| window == DONE_MARKER)
+        let mut lines = self
+            .tail
+            .rsplit(|byte| matches!(byte, b'\n' | b'\r'))
+            .filter(|line| !line.is_empty() && !line.starts_with(b":"));
+        lines.next().is_some_and(|line| line == DONE_MARKER)
     }
 
     // Returns the tokens from the usage event. Without one, counts one token for each event
     // besides the prompt.
-    fn tokens(&self, prompt_tokens: Tokens) -> Tokens {
+    fn tokens(&self, prompt_tokens: Tokens, events: u64) -> Tokens {
         let text = String::from_utf8_lossy(&self.tail);
         let mut data = text.lines().filter_map(|line| line.strip_prefix("data: "));
         let usage = data.rfind(|line| line.contains("\"usage\":{"));
         usage
             .and_then(|line| usage_tokens(line.as_bytes()))
-            .unwrap_or(prompt_tokens + self.events)
+            .unwrap_or(prompt_tokens + events)
     }
 }
 
@@ -131,7 +111,7 @@
 pub(crate) struct ResponseStream {
     state: Rc<StreamState>,
     body: BodyScanner,
-    scanner: EventScanner,
+    tail: StreamTail,
     stored_body: Option<Vec<u8>>,
     // Set once an error event has been sent. The connection is aborted after this delay rather
     // than at once, because a body error discards data that is not yet written.
@@ -156,7 +136,7 @@
         Self {
             state,
             body,
-            scanner: EventScanner::default(),
+            tail: StreamTail::default(),
             stored_body,
             flush_delay: None,
         }
@@ -165,7 +145,7 @@
     fn forward(&mut self, chunk: Bytes) -> Poll<Option<io::Result<Bytes>>> {
         self.body.feed(&chunk);
         if self.state.context.is_event_stream {
-            self.scanner.feed(&chunk);
+            self.tail.feed(&chunk);
         }
         let limit = self.state.context.driver.settings().requests.max_kept_bytes;
         if let Some(stored_body) = &mut self.stored_body {
@@ -180,18 +160,18 @@
     fn finish(&mut self) -> Poll<Option<io::Result<Bytes>>> {
         let context = &self.state.context;
         let is_cut = self.body.check_end().is_err();
-        if is_cut || (context.is_event_stream && !self.scanner.is_done()) {
+        if is_cut || (context.is_event_stream && !self.tail.is_done()) {
             return self.fail(AttemptOutcome::Disconnected { partial: true });
         }
         let used = context
             .is_event_stream
-            .then(|| self.scanner.tokens(context.prompt_tokens));
+            .then(|| self.tail.tokens(context.prompt_tokens, self.body.events()));
         let answer = StoredAnswer {
             status: context.status,
             content_type: context.content_type.clone(),
             body: self.stored_body.take(),
         };
-        context.driver.metrics().count_response(self.scanner.events);
+        context.driver.metrics().count_response(self.body.events());
         self.state.close(AttemptOutcome::Answered { answer, used });
         Poll::Ready(None)
     }
--- a/crates/apricotwell_framing/src/body.rs
+++ b/crates/apricotwell_framing/src/body.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Returns the number of whole events; 0 if the body is no stream of events.
+    pub fn events(&self) -> u64 {
+        match &self.content {
+            Content::Events(events) => events.events(),
+            Content::Json(_) | Content::Other => 0,
+        }
+    }
+
     /// Checks that a body that ends here is not known to be incomplete.
     ///
     /// # Errors
