Don't take a broken-off response of the platform for the end of the log

An instance that reads a cut response took the log to end at offset 0, so it could start without the checkpoint; a response without a length always read as one without records.

Cause: the same as in the entry daemon: `awc` takes the end of the connection for the end of the body, and a message cut between two fields decodes as one without the later ones.

`awc` stays in tools that talk to entry instances.

Evidence: log_read_that_is_broken_off_never_looks_like_the_end_of_the_log failed at `length 0` (end 0 for 4), and log_read_without_a_length_that_is_whole_returns_its_records read nothing; both pass now, for each framing and offset.

--- a/crates/apricotwell_adapters/src/engine.rs
+++ b/crates/apricotwell_adapters/src/engine.rs
@@ -3,12 +3,18 @@
 use std::future::Future;
 use std::time::Duration;
 
-use awc::Client;
-use awc::http::StatusCode;
+use apricotwell_http::pool::SendError;
+use bytes::Bytes;
+use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use apricotwell_node::{EngineOrder, OrderKind, OrderOutcome, ReportedReplica, ServerReport};
 
+use crate::http::{HttpCaller, request};
+
+/// Maximum size of a reply or report.
+const MAX_REPLY_BYTES: usize = 4 << 20;
+
 /// Sends orders to model engines and requests their reports.
 pub trait EngineControl {
     /// Sends an order and waits for its outcome.
@@ -85,7 +91,7 @@
 /// Controls model engines over HTTP.
 #[derive(Clone)]
 pub struct HttpEngine {
-    client: Client,
+    caller: HttpCaller,
     order_timeout: Duration,
     report_timeout: Duration,
 }
@@ -96,29 +102,40 @@
         Self {
             // A new connection for each order, since only a failure to connect proves that the
             // order was not sent.
-            client: crate::single_use_client(),
+            caller: HttpCaller::single_use(),
             order_timeout,
             report_timeout,
         }
     }
 
     async fn try_order(&self, address: &str, body: &OrderBody) -> OrderOutcome {
-        let url = format!("http://{address}/orders");
-        let sent = self.client.post(url).send_json(body).await;
-        let mut response = match sent {
-            Ok(response) => response,
-            Err(error) if crate::is_unsent(&error) => return OrderOutcome::Failed,
-            Err(_) => return OrderOutcome::Unknown,
+        let Ok(body) = serde_json::to_vec(body) else {
+            return OrderOutcome::Failed;
         };
-        if response.status() != StatusCode::OK && !response.status().is_client_error() {
+        let (status, reply) = match self.call(Method::POST, (address, "/orders"), body).await {
+            Ok(reply) => reply,
+            Err(SendError::Unsent(_)) => return OrderOutcome::Failed,
+            Err(SendError::Lost(_)) => return OrderOutcome::Unknown,
+        };
+        if status != StatusCode::OK && !status.is_client_error() {
             return OrderOutcome::Unknown;
         }
-        match response.json::<OrderReply>().await {
+        match serde_json::from_slice::<OrderReply>(&reply) {
             Ok(reply) if reply.done => OrderOutcome::Done,
             Ok(_) => OrderOutcome::Failed,
             Err(_) => OrderOutcome::Unknown,
         }
     }
+
+    async fn call(
+        &self,
+        method: Method,
+        target: (&str, &str),
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), SendError> {
+        let request = request(method, target, "application/json", body)?;
+        self.caller.call(target.0, request, MAX_REPLY_BYTES).await
+    }
 }
 
 impl EngineControl for HttpEngine {
@@ -143,14 +160,13 @@
     }
 
     async fn report(&self, address: &str) -> Option<ServerReport> {
-        let url = format!("http://{address}/report");
-        let fetch = async {
-            let mut response = self.client.get(url).send().await.ok()?;
-            response.json::<ReportBody>().await.ok()
-        };
-        let body = tokio::time::timeout(self.report_timeout, fetch)
-            .await
-            .ok()??;
+        let fetch = self.call(Method::GET, (address, "/report"), Vec::new());
+        let reply = tokio::time::timeout(self.report_timeout, fetch).await;
+        let (status, body) = reply.ok()?.ok()?;
+        if status != StatusCode::OK {
+            return None;
+        }
+        let body: ReportBody = serde_json::from_slice(&body).ok()?;
         let replica = |body: ReplicaBody| ReportedReplica {
             replica: body.replica,
             loaded: body.loaded,
--- a/crates/apricotwell_adapters/src/instances.rs
+++ b/crates/apricotwell_adapters/src/instances.rs
@@ -3,12 +3,17 @@
 use std::future::Future;
 use std::time::Duration;
 
-use awc::Client;
+use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use apricotwell_membership::Contact;
 use apricotwell_node::ListedServer;
 
+use crate::http::{HttpCaller, request};
+
+/// Maximum size of the list.
+const MAX_LIST_BYTES: usize = 16 << 20;
+
 /// The platform's instance list, split into entry instances and backend servers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListedInstances {
@@ -48,8 +53,8 @@
 /// Reads the platform's instance list over HTTP.
 #[derive(Clone)]
 pub struct HttpInstances {
-    client: Client,
-    url: String,
+    caller: HttpCaller,
+    address: String,
     timeout: Duration,
 }
 
@@ -57,8 +62,8 @@
     /// Returns an adapter for the platform at `address`.
     pub fn new(address: &str, timeout: Duration) -> Self {
         Self {
-            client: crate::control_client(),
-            url: format!("http://{address}/instances"),
+            caller: HttpCaller::pooled(),
+            address: address.to_owned(),
             timeout,
         }
     }
@@ -67,8 +72,17 @@
 impl InstanceList for HttpInstances {
     async fn list(&self) -> Option<ListedInstances> {
         let fetch = async {
-            let mut response = self.client.get(&self.url).send().await.ok()?;
-            let bodies = response.json::<Vec<InstanceBody>>().await.ok()?;
+            let target = (&*self.address, "/instances");
+            let request = request(Method::GET, target, "application/json", Vec::new()).ok()?;
+            let reply = self
+                .caller
+                .call(&self.address, request, MAX_LIST_BYTES)
+                .await;
+            let (status, body) = reply.ok()?;
+            if status != StatusCode::OK {
+                return None;
+            }
+            let bodies: Vec<InstanceBody> = serde_json::from_slice(&body).ok()?;
             Some(split_instances(bodies))
         };
         tokio::time::timeout(self.timeout, fetch).await.ok()?
--- a/crates/apricotwell_adapters/src/lib.rs
+++ b/crates/apricotwell_adapters/src/lib.rs
@@ -19,7 +19,7 @@
 mod log_store;
 
 pub use engine::{EngineControl, HttpEngine, OrderBody, OrderReply, ReplicaBody, ReportBody};
-pub use http::{control_client, is_unsent, pooled_client, single_use_client};
+pub use http::control_client;
 pub use instances::{HttpInstances, InstanceBody, InstanceList, ListedInstances, split_instances};
 pub use log_store::{AppendReply, ExpiredReply, HttpLog, LogStore, RecordBatch, StreamSlice};
 
--- a/crates/apricotwell_adapters/src/log_store.rs
+++ b/crates/apricotwell_adapters/src/log_store.rs
@@ -3,16 +3,21 @@
 use std::future::Future;
 use std::time::Duration;
 
-use awc::Client;
-use awc::http::StatusCode;
+use bytes::Bytes;
+use http::{Method, StatusCode};
 use prost::Message;
 use serde::{Deserialize, Serialize};
 
+use apricotwell_http::pool::SendError;
 use apricotwell_records::{AppendError, LogBatch, ReadError};
 use apricotwell_types::Offset;
 
+use crate::http::{HttpCaller, request};
+
 /// Maximum size of the response to a read.
 const MAX_SLICE_BYTES: usize = 16 << 20;
+/// Content type of requests.
+const CONTENT_TYPE: &str = "application/octet-stream";
 
 /// Append-only log of streams, each with offsets from 1.
 pub trait LogStore {
@@ -79,7 +84,7 @@
 /// Accesses the platform's log over HTTP.
 #[derive(Clone)]
 pub struct HttpLog {
-    client: Client,
+    caller: HttpCaller,
     address: String,
     timeout: Duration,
 }
@@ -90,7 +95,7 @@
     /// An append fails after `timeout`; a read fails after `timeout` plus its `wait`.
     pub fn new(address: &str, timeout: Duration) -> Self {
         Self {
-            client: crate::control_client(),
+            caller: HttpCaller::pooled(),
             address: address.to_owned(),
             timeout,
         }
@@ -98,23 +103,31 @@
 
     /// Returns the URL of a stream.
     pub fn url(&self, stream: &str) -> String {
-        format!("http://{}/log/{stream}", self.address)
+        format!("http://{}{}", self.address, path(stream))
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), SendError> {
+        let request = request(method, (&self.address, path), CONTENT_TYPE, body)?;
+        self.caller
+            .call(&self.address, request, MAX_SLICE_BYTES)
+            .await
     }
 
     async fn try_append(&self, stream: &str, body: Vec<u8>) -> Result<Offset, AppendError> {
-        let sent = self.client.post(self.url(stream)).send_body(body).await;
-        let mut response = match sent {
-            Ok(response) => response,
-            Err(error) if crate::is_unsent(&error) => return Err(AppendError::NotAppended),
-            Err(_) => return Err(AppendError::Unknown),
+        let (status, body) = match self.call(Method::POST, &path(stream), body).await {
+            Ok(reply) => reply,
+            Err(SendError::Unsent(_)) => return Err(AppendError::NotAppended),
+            Err(SendError::Lost(_)) => return Err(AppendError::Unknown),
         };
-        match response.status() {
-            StatusCode::OK => {
-                let reply = response.json::<AppendReply>().await;
-                reply
-                    .map(|reply| reply.first)
-                    .map_err(|_| AppendError::Unknown)
-            }
+        match status {
+            StatusCode::OK => serde_json::from_slice::<AppendReply>(&body)
+                .map(|reply| reply.first)
+                .map_err(|_| AppendError::Unknown),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
                 Err(AppendError::NotAppended)
             }
@@ -128,23 +141,14 @@
         from: Offset,
         wait: Duration,
     ) -> Result<LogBatch, ReadError> {
-        let url = self.url(stream);
-        let url = format!("{url}?from={from}&wait_ms={}", wait.as_millis());
-        let sent = self.client.get(url).send().await;
-        let mut response = sent.map_err(|_| ReadError::Unreachable)?;
-        match response.status() {
-            StatusCode::OK => {
-                let body = response.body().limit(MAX_SLICE_BYTES).await;
-                let body = body.map_err(|_| ReadError::Unreachable)?;
-                let slice = StreamSlice::decode(body).map_err(|_| ReadError::Unreachable)?;
-                Ok(LogBatch {
-                    first: slice.first,
-                    records: slice.records,
-                    end: slice.end,
-                })
-            }
+        let wait_ms = wait.as_millis();
+        let path = format!("{}?from={from}&wait_ms={wait_ms}", path(stream));
+        let reply = self.call(Method::GET, &path, Vec::new()).await;
+        let (status, body) = reply.map_err(|_| ReadError::Unreachable)?;
+        match status {
+            StatusCode::OK => decode_slice(&body, from).ok_or(ReadError::Unreachable),
             StatusCode::GONE => {
-                let reply = response.json::<ExpiredReply>().await;
+                let reply = serde_json::from_slice::<ExpiredReply>(&body);
                 let reply = reply.map_err(|_| ReadError::Unreachable)?;
                 Err(ReadError::Expired(reply.first))
             }
@@ -153,6 +157,25 @@
     }
 }
 
+fn path(stream: &str) -> String {
+    format!("/log/{stream}")
+}
+
+// Decodes the response to a read from `from`. A message that is cut between two fields decodes as one
+// without the later ones, so it counts only if the records that must be there are.
+fn decode_slice(body: &[u8], from: Offset) -> Option<LogBatch> {
+    let slice = StreamSlice::decode(body).ok()?;
+    let misses_records = slice.records.is_empty() && from < slice.end;
+    if slice.end == 0 || misses_records {
+        return None;
+    }
+    Some(LogBatch {
+        first: slice.first,
+        records: slice.records,
+        end: slice.end,
+    })
+}
+
 impl LogStore for HttpLog {
     async fn append(&self, stream: &str, records: Vec<Vec<u8>>) -> Result<Offset, AppendError> {
         let body = RecordBatch { records }.encode_to_vec();
--- a/crates/apricotwell_adapters/tests/contracts.rs
+++ b/crates/apricotwell_adapters/tests/contracts.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use apricotwell_adapters::{
-    EngineControl, HttpEngine, HttpInstances, HttpLog, InstanceList, LogStore, control_client,
+    EngineControl, HttpEngine, HttpInstances, HttpLog, InstanceList, LogStore, StreamSlice,
+    control_client,
 };
 use apricotwell_local::free_address;
 use apricotwell_node::{EngineOrder, OrderKind, OrderOutcome};
 use apricotwell_records::{AppendError, ReadError};
 use apricotwell_standins::{EngineArgs, PlatformArgs, run_engine, run_platform};
+use prost::Message;
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 const LIST: &str = r#"
@@ -25,12 +27,12 @@
 zone = "zone-b"
 "#;
 
-async fn inject_faults(address: &str, body: &'static str) {
+async fn inject_faults(address: &str, body: &str) {
     let url = format!("http://{address}/faults");
     let request = control_client()
         .post(url)
         .insert_header(("content-type", "application/json"));
-    let reply = request.send_body(body).await.unwrap();
+    let reply = request.send_body(body.to_owned()).await.unwrap();
     assert!(reply.status().is_success(), "{reply:?}");
 }
 
@@ -111,6 +113,48 @@
     );
 }
 
+#[actix_web::test]
+async fn log_read_that_is_broken_off_never_looks_like_the_end_of_the_log() {
+    let platform = start_platform("cut-log").await;
+    let log = HttpLog::new(&platform, TIMEOUT);
+    let records = [vec![1, 2], vec![3], vec![4, 5, 6]];
+    log.append("s", records.to_vec()).await.unwrap();
+    let body = StreamSlice {
+        first: 1,
+        end: 4,
+        records: records.to_vec(),
+    };
+    for framing in ["length", "chunked", "close"] {
+        for after in 0..=body.encoded_len() {
+            let cut =
+                format!(r#"{{"cut":{{"framing":"{framing}","after":{after},"responses":1}}}}"#);
+            inject_faults(&platform, &cut).await;
+            match log.read("s", 1, Duration::ZERO).await {
+                Ok(batch) => {
+                    let count = batch.records.len();
+                    assert_eq!(batch.records, records[..count], "{framing} {after}");
+                    assert_eq!((batch.first, batch.end), (1, 4), "{framing} {after}");
+                    assert!(count > 0, "{framing} {after}");
+                }
+                Err(error) => assert_eq!(error, ReadError::Unreachable),
+            }
+        }
+        let batch = log.read("s", 1, Duration::ZERO).await.unwrap();
+        assert_eq!(batch.records, records, "{framing}");
+    }
+}
+
+#[actix_web::test]
+async fn log_read_without_a_length_that_is_whole_returns_its_records() {
+    let platform = start_platform("uncut-log").await;
+    let log = HttpLog::new(&platform, TIMEOUT);
+    log.append("s", vec![vec![1], vec![2]]).await.unwrap();
+    let uncut = r#"{"cut":{"framing":"close","after":1000,"responses":1}}"#;
+    inject_faults(&platform, uncut).await;
+    let batch = log.read("s", 1, Duration::ZERO).await.unwrap();
+    assert_eq!(batch.records, [vec![1], vec![2]]);
+}
+
 #[actix_web::test]
 async fn http_instances_fulfils_the_contract() {
     let platform = start_platform("list").await;
--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -125,6 +125,23 @@
         }
     }
 
+    /// Sends a request and reads the whole response, whose body may have `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::Lost`] if the server may have received the request, else
+    /// [`SendError::Unsent`].
+    pub async fn call(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        reuse: Reuse,
+        limit: usize,
+    ) -> Result<(response::Parts, Bytes), SendError> {
+        let response = self.send(address, request, reuse).await?;
+        response.collect(limit).await.map_err(SendError::Lost)
+    }
+
     /// Closes all idle connections to an address.
     ///
     /// To be called after a timeout on one connection, since its cause may affect the others too.
--- a/crates/apricotwell_load/src/client.rs
+++ b/crates/apricotwell_load/src/client.rs
@@ -32,7 +32,7 @@
     /// Creates a client of the instance at `address`. An empty key is not sent.
     pub fn new(address: &str, key: &str) -> Self {
         Self {
-            client: apricotwell_adapters::pooled_client(),
+            client: apricotwell_adapters::control_client(),
             url: format!("http://{address}"),
             key: key.to_owned(),
         }
