Give HTTP/1.0 clients streams whole, with a length

An HTTP/1.0 client got a stream that ends with its connection, and one that broke off ended the same way: nothing told them apart. No such client has been seen.

Cause: the same class, on our own side: before HTTP/1.1 the instance had no mark for the end of a stream either.

Change: such a stream is collected, checked and answered with its length, or refused if it breaks off.

Evidence: stream_for_a_client_without_chunks_never_ends_with_its_connection failed (no length) and passes.

--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -222,7 +222,10 @@
             Ok(received) => received,
             Err(refusal) => return refuse(&handler, &refusal),
         };
-        if handler.admission.route.kind.is_stream() && server_response.head.status.is_success() {
+        let is_stream = handler.admission.route.kind.is_stream();
+        // Before HTTP/1.1 the end of a stream can't be marked, so the client gets it whole.
+        let can_stream = handler.head.version >= http::Version::HTTP_11;
+        if is_stream && can_stream && server_response.head.status.is_success() {
             return stream_response(handler, server_response, flight);
         }
         match complete_response(&mut handler, server_response, flight).await {
