Give HTTP/1.0 clients of the OpenAI interface responses with a length

An HTTP/1.0 client got chunks, which it can't read, and nothing that told it where the response ends. No such client has been seen.

Change: for such a client each response is collected, checked and answered with its length; an event stream must end with its done marker. If it breaks off, it is tried again or refused.

Evidence: response_for_a_client_without_chunks_never_ends_with_its_connection failed (`transfer-encoding: chunked` in an HTTP/1.0 response) and passes.

--- a/crates/apricotwell_entry/src/api/clients.rs
+++ b/crates/apricotwell_entry/src/api/clients.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use actix_web::http::Version;
 use actix_web::web::{Data, Path, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use serde_json::json;
@@ -121,6 +122,7 @@
         prompt_tokens: completion.prompt_tokens,
         repeatable: options.class.is_repeatable(),
         pass_errors: false,
+        needs_length: request.version() < Version::HTTP_11,
     };
     Ok((submission, outgoing))
 }
@@ -172,6 +174,7 @@
         prompt_tokens: 0,
         repeatable: class.is_repeatable(),
         pass_errors: true,
+        needs_length: request.version() < Version::HTTP_11,
     };
     Ok((submission, outgoing))
 }
--- a/crates/apricotwell_entry/src/relay.rs
+++ b/crates/apricotwell_entry/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::NodeDriver;
 use crate::driver::{RequestStep, StepReceiver};
 use crate::responses;
-use crate::streams::{ResponseStream, StreamContext};
+use crate::streams::{self, ResponseStream, StreamContext};
 
 /// Request headers that are forwarded to a backend server. All others, including API keys and
 /// cookies, are dropped.
@@ -46,6 +46,9 @@
     "upgrade",
 ];
 
+/// Start of the content type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Connections of one worker thread to backend servers.
 #[derive(Clone)]
 pub(crate) struct ServerConnections(pub(crate) Rc<ConnectionPool>);
@@ -63,6 +66,8 @@
     // Whether a 5xx response is passed on as a plain service's answer. Otherwise it counts as a
     // failed engine.
     pub(crate) pass_errors: bool,
+    // Whether the client can't receive chunks, so that it needs the response with a length.
+    pub(crate) needs_length: bool,
 }
 
 // Cancels the request when its handler is dropped.
@@ -135,12 +140,13 @@
     check_attempt(&response, &dispatch.attempt)?;
     check_status(&response, outgoing.pass_errors)?;
     let content_type = response.content_type().to_owned();
-    let is_event_stream = content_type.starts_with("text/event-stream");
+    let is_event_stream = content_type.starts_with(EVENT_STREAM);
     let length = header(&response, "content-length");
     let length = length.and_then(|text| text.parse::<usize>().ok());
     let limit = driver.settings().requests.max_whole_bytes;
     let has_length = response.framing() == BodyFraming::Length;
-    if !is_event_stream && has_length && length.is_some_and(|length| length <= limit) {
+    let is_short = has_length && length.is_some_and(|length| length <= limit);
+    if outgoing.needs_length || (!is_event_stream && is_short) {
         return buffer_response(driver, dispatch, response, content_type, limit).await;
     }
     let mut builder = response_builder(&response);
@@ -245,6 +251,9 @@
         Ok(Err(_)) => return Err(AttemptOutcome::Disconnected { partial: false }),
         Err(_) => return Err(AttemptOutcome::Stalled { partial: false }),
     };
+    if content_type.starts_with(EVENT_STREAM) && !streams::is_done(&body) {
+        return Err(AttemptOutcome::Disconnected { partial: false });
+    }
     let used = if head.status == http::StatusCode::OK {
         usage_tokens(&body)
     } else {
--- a/crates/apricotwell_entry/src/streams.rs
+++ b/crates/apricotwell_entry/src/streams.rs
@@ -71,6 +71,13 @@
     }
 }
 
+/// Returns whether a whole event stream ends with the done marker.
+pub(crate) fn is_done(body: &[u8]) -> bool {
+    let mut tail = StreamTail::default();
+    tail.feed(body);
+    tail.is_done()
+}
+
 /// Request and attempt that a forwarded response belongs to.
 pub(crate) struct StreamContext {
     pub(crate) driver: Arc<NodeDriver>,
--- a/crates/apricotwell_entry/tests/truncation.rs
+++ b/crates/apricotwell_entry/tests/truncation.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use apricotwell_local::{FleetOptions, LocalFleet, RawResponse};
+use apricotwell_local::{FleetOptions, LocalFleet, RawResponse, send_raw};
 
 const CHAT: &str = r#"{"model":"menu-writer","max_tokens":2,"messages":[]}"#;
 const STREAM: &str = r#"{"model":"menu-writer","stream":true,"max_tokens":2,"messages":[]}"#;
@@ -115,3 +115,27 @@
         assert_eq!(unframed(&answer), framed);
     }
 }
+
+#[test]
+fn response_for_a_client_without_chunks_never_ends_with_its_connection() {
+    let fleet = fleet("http-1-0");
+    let key = LocalFleet::api_key("hadegisbru");
+    for body in [CHAT, STREAM] {
+        let length = unframed(&fleet.chat(0, "hadegisbru", body)).len();
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.0\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
+             content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        for after in [length + 1, length - 1] {
+            for framing in ["chunked", "close"] {
+                cut_next(&fleet, fleet.engine(0), framing, after);
+                let answer = send_raw(fleet.address(0), request.as_bytes());
+                assert!(answer.head.contains("content-length: "), "{answer:?}");
+                let is_success = answer.status == 200;
+                assert!(is_success || after < length, "{answer:?}");
+                assert!(!is_success || answer.body.len() == length, "{answer:?}");
+            }
+        }
+    }
+}
