Leave the view of a reader that lost the store in time for a configuration

Cause: the store turned away the instance that reads the configuration for its zone. The others followed its view until that was 2.2 s old, and asked only every 0.5 s: up to 2.7 s, where the bound is 2 s.

Change: the wait of a poll and the age at which a view is left are 0.45 and 0.6 of the deployment's bound (0.9 and 1.2 s here, 1.5 and 2.2 s before), so 0.5 s for the next query and 0.3 s for the read remain.

--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -12,16 +12,17 @@
 use crate::events::Event;
 use crate::gateway::Gateway;
 
-/// Maximum wait of one long poll of the configuration; bounds the age of the view while nothing
-/// changes.
-const CONFIGURATION_READ_WAIT: Duration = Duration::from_millis(1500);
+/// Maximum wait of one long poll of the configuration, as a fraction of `Timings::config_apply`; bounds
+/// the age of the view while nothing changes.
+const CONFIGURATION_WAIT_FRACTION: f64 = 0.45;
 /// Interval between two reads of the server list, as a fraction of `Timings::drain`.
 const SERVERS_READ_FRACTION: f64 = 0.3;
 /// Interval between two queries to another instance.
 const PEER_QUERY_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum age of another instance's view of the configuration; an older one is followed by a read
-/// of the store.
-const MAX_CONFIGURATION_AGE: Duration = Duration::from_millis(2200);
+/// Maximum age of another instance's view of the configuration, as a fraction of
+/// `Timings::config_apply`; an older one is followed by a read of the store. The rest of the time is
+/// for the next query and that read.
+const MAX_CONFIGURATION_AGE_FRACTION: f64 = 0.6;
 /// Maximum age of another instance's view of the server list, as a fraction of `Timings::drain`; an
 /// older one is followed by a read of the store.
 const MAX_SERVERS_AGE_FRACTION: f64 = 0.6;
@@ -93,7 +94,9 @@
                     .max(PEER_QUERY_INTERVAL),
             },
             (FeedSource::Store, Feed::Configuration) => {
-                self.read_store(CONFIGURATION_READ_WAIT).await
+                let config_apply = self.gateway.timings.config_apply;
+                self.read_store(config_apply.mul_f64(CONFIGURATION_WAIT_FRACTION))
+                    .await
             }
             (FeedSource::Store, Feed::Servers) => self.read_store(Duration::ZERO).await,
         }
@@ -131,9 +134,10 @@
     }
 
     fn max_age(&self) -> Duration {
+        let timings = &self.gateway.timings;
         match self.feed {
-            Feed::Configuration => MAX_CONFIGURATION_AGE,
-            Feed::Servers => self.gateway.timings.drain.mul_f64(MAX_SERVERS_AGE_FRACTION),
+            Feed::Configuration => timings.config_apply.mul_f64(MAX_CONFIGURATION_AGE_FRACTION),
+            Feed::Servers => timings.drain.mul_f64(MAX_SERVERS_AGE_FRACTION),
         }
     }
 
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -42,6 +42,8 @@
     pub grace: Duration,
     /// Time within which instances must stop sending new requests to a server that starts to drain.
     pub drain: Duration,
+    /// Time within which an acknowledged configuration must be in force.
+    pub config_apply: Duration,
     /// Time for which clients may cache the response to an address lookup.
     pub lookup_ttl: Duration,
 }
