Don't count a broken-off response as a success in the load tools

The load tools counted a response as served though its connection had closed before the length it gave.

Cause: the same as in the entry daemon, since they read with `awc` too.

Change: the tools use the pooled client and check the end of the body; events are counted by the shared scanner.

Evidence: a_response_that_is_broken_off_is_not_counted_as_a_success failed at its first case and passes.

--- a/crates/apricotwell_load/src/client.rs
+++ b/crates/apricotwell_load/src/client.rs
@@ -1,9 +1,12 @@
 //! Client of the OpenAI-compatible interface.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use awc::Client;
-use futures_util::StreamExt;
+use apricotwell_http::pool::{ConnectionPool, Reuse, StreamingResponse};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
 
 /// Result of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,8 +26,8 @@
 /// Client with an API key.
 #[derive(Clone)]
 pub struct ApiClient {
-    client: Client,
-    url: String,
+    pool: Rc<ConnectionPool>,
+    address: String,
     key: String,
 }
 
@@ -32,8 +35,8 @@
     /// Creates a client of the instance at `address`. An empty key is not sent.
     pub fn new(address: &str, key: &str) -> Self {
         Self {
-            client: apricotwell_adapters::control_client(),
-            url: format!("http://{address}"),
+            pool: ConnectionPool::new(),
+            address: address.to_owned(),
             key: key.to_owned(),
         }
     }
@@ -57,44 +60,61 @@
             total: Duration::ZERO,
             events: 0,
         };
-        let mut request = self
-            .client
-            .post(format!("{}{path}", self.url))
-            .insert_header(("content-type", "application/json"));
+        if let Some(response) = self.send(path, headers, body).await {
+            read_response(response, began, &mut result).await;
+        }
+        result.total = began.elapsed();
+        if result.first_byte.is_zero() {
+            result.first_byte = result.total;
+        }
+        result
+    }
+
+    async fn send(
+        &self,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Option<StreamingResponse> {
+        let mut request = Request::post(path)
+            .header("host", &self.address)
+            .header("content-type", "application/json");
         if !self.key.is_empty() {
-            request = request.insert_header(("authorization", format!("Bearer {}", self.key)));
+            request = request.header("authorization", format!("Bearer {}", self.key));
         }
         for (name, value) in headers {
-            request = request.insert_header((*name, *value));
-        }
-        let Ok(mut response) = request.send_body(body).await else {
-            result.total = began.elapsed();
-            return result;
-        };
-        result.status = response.status().as_u16();
-        let mut first = None;
-        let mut error_body = Vec::new();
-        while let Some(chunk) = response.next().await {
-            let Ok(chunk) = chunk else {
-                result.status = 0;
-                break;
-            };
-            first.get_or_insert_with(|| began.elapsed());
-            result.events += count_events(&chunk);
-            if result.status >= 400 {
-                error_body.extend_from_slice(&chunk);
-            }
+            request = request.header(*name, *value);
         }
-        result.total = began.elapsed();
-        result.first_byte = first.unwrap_or(result.total);
-        result.code = error_code(&error_body);
-        result
+        let request = request.body(Full::new(Bytes::from(body))).ok()?;
+        let address = self.address.parse().ok()?;
+        self.pool.send(address, request, Reuse::Any).await.ok()
     }
 }
 
-// Servers here send each event in one chunk, so the separator isn't split between chunks.
-fn count_events(chunk: &[u8]) -> u64 {
-    chunk.windows(2).filter(|pair| *pair == b"\n\n").count() as u64
+// Reads a response to its end; leaves the status at 0 if it is broken off.
+async fn read_response(mut response: StreamingResponse, began: Instant, result: &mut ApiResponse) {
+    let status = response.head.status.as_u16();
+    let mut scanner = response.scanner();
+    let mut first = None;
+    let mut error_body = Vec::new();
+    let mut is_whole = true;
+    while let Some(chunk) = response.next().await {
+        let Ok(chunk) = chunk else {
+            is_whole = false;
+            break;
+        };
+        first.get_or_insert_with(|| began.elapsed());
+        scanner.feed(&chunk);
+        if status >= 400 {
+            error_body.extend_from_slice(&chunk);
+        }
+    }
+    if is_whole && scanner.check_end().is_ok() {
+        result.status = status;
+    }
+    result.first_byte = first.unwrap_or_default();
+    result.events = scanner.events();
+    result.code = error_code(&error_body);
 }
 
 fn error_code(body: &[u8]) -> String {
