--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::prelude::*;
-use apricotwell_framing::BodyFraming;
 use apricotwell_http::pool::{Reuse, SendError, StreamingResponse};
 use apricotwell_types::{Refusal, RefusalKind, RunOutcome, ServerId};
 use http::request;
@@ -14,6 +13,7 @@
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard, WaitGuard};
 use crate::requests::BufferedBody;
+use crate::trace::{ReceivedBody, ResponseTrace};
 
 /// Maximum idle time of a connection that is reused for a request that must not run twice.
 const MAX_FRESH_IDLE: Duration = Duration::from_millis(1500);
@@ -51,31 +51,12 @@
     rejections: usize,
     /// Time at which a server was selected for the last attempt.
     server_found: Option<Instant>,
-    /// Time at which the first bytes of the response were received.
-    first_byte: Option<Instant>,
-    // Time at which the last bytes of the response were received.
-    last_bytes: Option<Instant>,
-    // Longest pause between bytes of the response.
-    longest_pause: Duration,
-    /// What was received of the body of the last response.
-    pub received: ReceivedBody,
+    /// Progress of the responses.
+    pub trace: ResponseTrace,
     // Counts the request as active until its response has ended.
     _active: ActiveGuard<P>,
 }
 
-/// What was received of a response's body, for logs.
-#[derive(Clone, Debug, Default)]
-pub struct ReceivedBody {
-    /// How the end of the body is marked; `None` before a response.
-    pub framing: Option<BodyFraming>,
-    /// Number of whole events of a stream.
-    pub events: u64,
-    /// Bytes of a stream after its last whole event.
-    pub partial_bytes: usize,
-    /// Why the body is incomplete; `None` if it is not known to be.
-    pub failure: Option<String>,
-}
-
 /// Outcome of one attempt.
 pub enum AttemptOutcome<P>
 where
@@ -111,10 +92,7 @@
             runs: 0,
             rejections: 0,
             server_found: None,
-            first_byte: None,
-            last_bytes: None,
-            longest_pause: Duration::ZERO,
-            received: ReceivedBody::default(),
+            trace: ResponseTrace::default(),
             _active: ActiveGuard::new(gateway),
         }
     }
@@ -447,7 +425,16 @@
             .saturating_duration_since(now)
     }
 
-    fn log_attempt(&self, server: &ServerId, outcome: &str, reason: &str) {
+    /// Records how the body of a response ended.
+    pub fn end_response(&mut self, received: ReceivedBody) {
+        let is_whole = received.failure.is_none();
+        let framing = received.framing.as_str();
+        self.gateway.metrics.count_response(framing, is_whole);
+        self.trace.received = Some(received);
+    }
+
+    /// Logs an attempt that brought no answer.
+    pub fn log_attempt(&self, server: &ServerId, outcome: &str, reason: &str) {
         Event::new("attempt_ended")
             .with("request", self.request.attempt.as_str())
             .with("server", &**server)
@@ -462,28 +449,23 @@
         let now = self.gateway.now();
         let time = now.saturating_duration_since(self.admission.arrived);
         self.gateway.metrics.count_request(outcome);
-        let received = &self.received;
-        let framing = received.framing.map(BodyFraming::as_str);
-        if let Some(framing) = framing {
-            let is_whole = received.failure.is_none();
-            self.gateway.metrics.count_response(framing, is_whole);
-        }
+        let received = self.trace.received.as_ref();
         Event::new("request_ended")
             .with("request", self.request.attempt.as_str())
             .with("route", &*self.admission.route.name)
             .with("server", server.map_or("", |server| &**server))
             .with("outcome", outcome)
             .with("status", status)
-            .with("framing", framing)
-            .with("events", received.events)
-            .with("partial_bytes", received.partial_bytes)
-            .with("failure", received.failure.as_deref())
+            .with("framing", received.map(|body| body.framing.as_str()))
+            .with("events", received.map(|body| body.events))
+            .with("partial_bytes", received.map(|body| body.partial_bytes))
+            .with("failure", received.and_then(|body| body.failure.as_deref()))
             .with("runs", self.runs)
             .with("model", self.model_name())
             .with("tokens", self.admission.tokens)
             .with("waited_ms", self.millis_to(self.server_found))
-            .with("first_byte_ms", self.millis_to(self.first_byte))
-            .with_time("longest_pause_ms", self.longest_pause)
+            .with("first_byte_ms", self.millis_to(self.trace.first_byte))
+            .with_time("longest_pause_ms", self.trace.longest_pause)
             .with_time("ms", time)
             .log();
     }
@@ -502,14 +484,10 @@
     /// Records that bytes of the response were received.
     pub fn record_bytes(&mut self) {
         let now = self.gateway.now();
-        if let Some(last) = self.last_bytes.replace(now) {
-            let pause = now.saturating_duration_since(last);
-            self.longest_pause = self.longest_pause.max(pause);
-            return;
+        if self.trace.record_bytes(now) {
+            let time = now.saturating_duration_since(self.admission.arrived);
+            self.gateway.metrics.observe_first_byte(time);
         }
-        self.first_byte = Some(now);
-        let time = now.saturating_duration_since(self.admission.arrived);
-        self.gateway.metrics.observe_first_byte(time);
     }
 }
 
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod placement;
 pub mod relay;
 pub mod requests;
+pub mod trace;
 pub mod usage;
 
 /// Re-exports of the most commonly used types and traits.
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -11,7 +11,8 @@
 
 use crate::adapter::Platform;
 use crate::guard::FlightGuard;
-use crate::handler::{ReceivedBody, RequestHandler};
+use crate::handler::RequestHandler;
+use crate::trace::ReceivedBody;
 
 /// Time without data after which a resumable stream is moved to another server.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -142,6 +143,7 @@
             return false;
         };
         drop(response);
+        self.end_response(Some(reason.to_owned()));
         flight.record_outcome(true);
         self.incomplete_event.clear();
         self.handler.exclude(&flight.server);
@@ -180,7 +182,7 @@
         self.ended = true;
         let (_, flight) = self.response.take()?;
         flight.record_outcome(self.status >= 500);
-        self.handler.received = self.received(None);
+        self.end_response(None);
         self.handler
             .log_end("answered", Some(&flight.server), self.status);
         None
@@ -188,23 +190,25 @@
 
     fn fail(&mut self, error: RelayError) -> Option<Result<Bytes, RelayError>> {
         self.ended = true;
+        if self.response.is_some() {
+            self.end_response(Some(error.to_string()));
+        }
         let flight = self.response.take().map(|(_, flight)| flight);
         if let Some(flight) = &flight {
             flight.record_outcome(true);
         }
-        self.handler.received = self.received(Some(&error));
         let server = flight.as_ref().map(|flight| &flight.server);
         self.handler.log_end("broken_off", server, self.status);
         Some(Err(error))
     }
 
-    fn received(&self, error: Option<&RelayError>) -> ReceivedBody {
-        ReceivedBody {
-            framing: Some(self.framing),
+    fn end_response(&mut self, failure: Option<String>) {
+        self.handler.end_response(ReceivedBody {
+            framing: self.framing,
             events: self.scanner.events(),
             partial_bytes: self.scanner.partial_bytes(),
-            failure: error.map(ToString::to_string),
-        }
+            failure,
+        });
     }
 }
 
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -18,8 +18,9 @@
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::FlightGuard;
-use crate::handler::{ReceivedBody, RequestHandler};
+use crate::handler::RequestHandler;
 use crate::relay::{Relay, RelayError};
+use crate::trace::ReceivedBody;
 
 /// Size limit of a non-streaming response, which is buffered in memory.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -264,9 +265,11 @@
 where
     P: Platform,
 {
-    handler.received = ReceivedBody {
-        framing: Some(server_response.framing()),
-        ..ReceivedBody::default()
+    let mut received = ReceivedBody {
+        framing: server_response.framing(),
+        events: 0,
+        partial_bytes: 0,
+        failure: None,
     };
     let collected = tokio::time::timeout(
         handler.remaining(),
@@ -274,6 +277,7 @@
     );
     let reason = match collected.await {
         Ok(Ok((head, body))) => {
+            handler.end_response(received);
             let failed = head.status.is_server_error();
             flight.record_outcome(failed);
             handler.record_bytes();
@@ -288,7 +292,9 @@
         Ok(Err(reason)) => reason,
         Err(_) => "the deadline passed during the response".to_owned(),
     };
-    handler.received.failure = Some(reason.clone());
+    received.failure = Some(reason.clone());
+    handler.end_response(received);
+    handler.log_attempt(&flight.server, "broken_off", &reason);
     flight.record_outcome(true);
     handler.exclude(&flight.server);
     drop(flight);
