Close single-use connections after their response

The engine adapter and the entry daemon send what may not repeat on connections of its own. The pool kept these as idle ones, up to 32 a server, and nothing on those paths closed them; at 5,100 servers that exhausts the descriptors.

Evidence: only_single_use_connections_are_closed_after_their_response fails with the change taken out and passes.

--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -46,7 +46,8 @@
     Any,
     /// Only connections used within this time, which the server is unlikely to be closing.
     Within(Duration),
-    /// None, so that a request that was not sent is known to be from the failure to connect.
+    /// None: a request that was not sent is known to be from the failure to connect. Its connection
+    /// is closed after the response.
     Never,
 }
 
@@ -103,7 +104,9 @@
         let mut request = request;
         while let Some(mut sender) = self.take_idle(address, reuse) {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.streaming_response(address, sender, response)),
+                Ok(response) => {
+                    return Ok(self.streaming_response(address, sender, response, reuse));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(SendError::Lost(error.into_error().to_string())),
@@ -112,7 +115,7 @@
         }
         let mut sender = connect(address).await?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.streaming_response(address, sender, response)),
+            Ok(response) => Ok(self.streaming_response(address, sender, response, reuse)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let text = error.into_error().to_string();
@@ -196,9 +199,10 @@
         address: SocketAddr,
         sender: SendRequest<Full<Bytes>>,
         response: http::Response<Incoming>,
+        reuse: Reuse,
     ) -> StreamingResponse {
         let (head, body) = response.into_parts();
-        let keep_alive = keep_alive_time(&head.headers);
+        let keep_alive = keep_alive_time(&head.headers).filter(|_| reuse != Reuse::Never);
         StreamingResponse {
             framing: framing(&head.headers, &body),
             head,
