--- a/crates/apricotwell_http/tests/pool.rs
+++ b/crates/apricotwell_http/tests/pool.rs
@@ -45,3 +45,33 @@
         }
     });
 }
+
+#[test]
+fn connection_that_ended_a_response_is_never_used_again() {
+    actix::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let pool = ConnectionPool::new();
+        let serve = async {
+            let mut streams = Vec::new();
+            for _ in 0..20 {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut request = [0; 1024];
+                assert!(stream.read(&mut request).await.unwrap() > 0);
+                stream
+                    .write_all(b"HTTP/1.1 200 OK\r\n\r\nok")
+                    .await
+                    .unwrap();
+                stream.shutdown().await.unwrap();
+                // Still readable, so that a request on it would be lost.
+                streams.push(stream);
+            }
+        };
+        let calls = async {
+            for _ in 0..20 {
+                call(&pool, address, Reuse::Any).await;
+            }
+        };
+        tokio::join!(calls, serve);
+    });
+}
