Log and count the limits that servers name

Now: event `server_limit` (named, lifted), `server_limit` in `request_ended`, `apricotwell_server_limits_total` and `apricotwell_limited_requests_total`. The choice of servers does not use it.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -24,6 +24,7 @@
 use crate::quota::{QuotaBounds, QuotaTable};
 use crate::request::RequestHead;
 use crate::retries::{RetryBounds, RetryBudget};
+use crate::server_limits::LimitTable;
 
 /// Retry delay sent to clients if it can't be estimated when a server becomes available.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -101,6 +102,8 @@
     pub feeds: FeedViews,
     /// Backend servers.
     pub backends: BackendTable,
+    /// Request limits that servers named.
+    pub server_limits: LimitTable,
     /// Other instances.
     pub peers: PeerTable,
     /// Demand for models at this instance.
@@ -125,6 +128,7 @@
             freshness: Freshness::new(config.revocation_bound),
             feeds: FeedViews::default(),
             backends: BackendTable::default(),
+            server_limits: LimitTable::default(),
             peers: PeerTable::default(),
             demand: DemandTable::default(),
             lease: Lease::new(config.lease),
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod quota;
 pub mod request;
 pub mod retries;
+pub mod server_limits;
 
 /// Types that nearly every user of the crate needs.
 pub mod prelude {
@@ -52,4 +53,5 @@
     pub use crate::quota::QuotaBounds;
     pub use crate::request::{AttemptId, PromptSegment, RequestHead};
     pub use crate::retries::RetryBounds;
+    pub use crate::server_limits::{LimitResponse, RequestRate};
 }
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -38,7 +38,7 @@
 }
 
 /// Decoded head of a server's response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// Whether it belongs to the attempt that was sent.
     pub matches_attempt: bool,
@@ -48,6 +48,8 @@
     pub misdirected: bool,
     /// Whether it carries the seal that marks responses produced by a server.
     pub is_sealed: bool,
+    /// Requests per second that the server accepts from all instances together, if it names a limit.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// Translates client requests for servers, and responses for clients.
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -304,9 +304,11 @@
         } else {
             Reuse::Within(MAX_FRESH_IDLE)
         };
+        let sent_at = self.gateway.now();
+        self.trace.server_limit = self.limit_of(server);
         let response = self.gateway.pool.send(address, server_request, reuse);
         let result = tokio::time::timeout(self.head_timeout(), response).await;
-        self.classify_response(result, flight)
+        self.classify_response(result, flight, sent_at)
     }
 
     // Records that the server receives the prompt; returns the prompt tokens not yet in its cache.
@@ -325,6 +327,7 @@
         &mut self,
         result: Result<Result<StreamingResponse, SendError>, tokio::time::error::Elapsed>,
         flight: FlightGuard<P>,
+        sent_at: Instant,
     ) -> AttemptOutcome<P> {
         let response = match result {
             Ok(Ok(response)) => response,
@@ -348,6 +351,7 @@
             self.record_rejection(&flight.server);
             return AttemptOutcome::NotRun("misdirected".to_owned());
         }
+        self.record_limit(&flight.server, sent_at, head.rate_limit);
         if head.not_run {
             self.record_rejection(&flight.server);
             return AttemptOutcome::NotRun("turned away".to_owned());
@@ -360,6 +364,32 @@
         AttemptOutcome::Response(Box::new(response), flight)
     }
 
+    // Returns the limit that the server is known to have when a request is sent to it.
+    fn limit_of(&self, server: &ServerId) -> Option<RequestRate> {
+        let dispatcher = self.gateway.dispatcher.borrow();
+        let rate = dispatcher.server_limits.rate(server)?;
+        self.gateway.metrics.count_limited_request();
+        Some(rate)
+    }
+
+    // Records the limit that a response of a server names, or that it names none.
+    fn record_limit(&self, server: &ServerId, sent_at: Instant, rate: Option<RequestRate>) {
+        let now = self.gateway.now();
+        let response = LimitResponse { sent_at, rate };
+        let limits = &mut self.gateway.dispatcher.borrow_mut().server_limits;
+        if !limits.record_response(now, server, response) {
+            return;
+        }
+        let outcome = if rate.is_some() { "named" } else { "lifted" };
+        self.gateway.metrics.count_limit(outcome);
+        Event::new("server_limit")
+            .with("server", &**server)
+            .with("outcome", outcome)
+            .with("rate", rate)
+            .with("request", self.request.attempt.as_str())
+            .log();
+    }
+
     // Records that the server rejected a request for the requested model.
     fn record_rejection(&self, server: &ServerId) {
         let Some(model) = &self.admission.requested_model else {
@@ -461,6 +491,7 @@
             .with("partial_bytes", received.map(|body| body.partial_bytes))
             .with("failure", received.and_then(|body| body.failure.as_deref()))
             .with("runs", self.runs)
+            .with("server_limit", self.trace.server_limit)
             .with("model", self.model_name())
             .with("tokens", self.admission.tokens)
             .with("waited_ms", self.millis_to(self.server_found))
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
     responses: Family<ResponseLabels, Counter>,
+    server_limits: Family<OutcomeLabels, Counter>,
+    limited_requests: Counter,
     first_byte: Histogram,
     store_calls: Family<OutcomeLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
@@ -51,6 +53,18 @@
             "Responses of servers by framing and by how they ended",
             responses.clone(),
         );
+        let server_limits = Family::default();
+        registry.register(
+            "server_limits",
+            "Limits that servers named or lifted",
+            server_limits.clone(),
+        );
+        let limited_requests = Counter::default();
+        registry.register(
+            "limited_requests",
+            "Requests sent to servers with a known limit",
+            limited_requests.clone(),
+        );
         let first_byte = Histogram::new(LATENCY_BOUNDS);
         registry.register(
             "first_byte_seconds",
@@ -71,6 +85,8 @@
             registry,
             requests,
             responses,
+            server_limits,
+            limited_requests,
             first_byte,
             store_calls,
             orders,
@@ -90,6 +106,16 @@
         self.responses.get_or_create(&labels).inc();
     }
 
+    /// Counts a change of a server's limit: `named` or `lifted`.
+    pub fn count_limit(&self, outcome: &str) {
+        count(&self.server_limits, outcome);
+    }
+
+    /// Counts a request that is sent to a server with a known limit.
+    pub fn count_limited_request(&self) {
+        self.limited_requests.inc();
+    }
+
     /// Records the time to the first byte of a response.
     pub fn observe_first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
--- a/crates/apricotwell_gateway/src/trace.rs
+++ b/crates/apricotwell_gateway/src/trace.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use apricotwell_dispatch::prelude::RequestRate;
 use apricotwell_framing::BodyFraming;
 
 /// What was received of a response's body.
@@ -22,6 +23,8 @@
 pub struct ResponseTrace {
     /// Body of the last response that ended; `None` before.
     pub received: Option<ReceivedBody>,
+    /// Limit that the last server was known to have when the request was sent to it.
+    pub server_limit: Option<RequestRate>,
     /// Time at which the first bytes were received.
     pub first_byte: Option<Instant>,
     /// Longest pause between bytes.
