Keep the limits that servers name, over all instances together

Class: a bound that a server counts over all instances, and each instance knows only its own requests.

Limits and their ends travel in heartbeats. A request whose turn comes after its client has left is refused at once.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Admission and routing of requests, over the combined state of one instance.
 
 mod messaging;
+mod permits;
 mod selection;
 
 use std::hash::{BuildHasher, Hasher};
@@ -19,6 +20,7 @@
 use crate::lease::{Lease, LeaseConfig};
 use crate::model::RequestedModel;
 use crate::peers::PeerTable;
+use crate::permits::{GrantTable, PermitTable};
 use crate::placement::{Order, PlacementPlanner};
 use crate::prompt_cache::PromptCacheTable;
 use crate::quota::{QuotaBounds, QuotaTable};
@@ -85,6 +87,8 @@
     Send(ServerId, SocketAddr),
     /// Keep it queued and decide again when the state changes.
     Wait,
+    /// Keep it queued until there is a permit for this server, and decide again then.
+    AwaitPermit(ServerId),
     /// Refuse it.
     Refuse(Refusal),
 }
@@ -104,6 +108,8 @@
     pub backends: BackendTable,
     /// Request limits that servers named.
     pub server_limits: LimitTable,
+    /// Permits to send to servers with a limit.
+    pub permits: PermitTable,
     /// Other instances.
     pub peers: PeerTable,
     /// Demand for models at this instance.
@@ -114,6 +120,7 @@
     pub planner: PlacementPlanner,
     /// Prompt segments that servers have likely cached.
     pub prompts: PromptCacheTable,
+    grants: GrantTable,
     quotas: QuotaTable,
     retries: Map<ServiceId, RetryBudget>,
     draining: bool,
@@ -129,6 +136,8 @@
             feeds: FeedViews::default(),
             backends: BackendTable::default(),
             server_limits: LimitTable::default(),
+            permits: PermitTable::new(config.incarnation),
+            grants: GrantTable::default(),
             peers: PeerTable::default(),
             demand: DemandTable::default(),
             lease: Lease::new(config.lease),
@@ -351,6 +360,7 @@
             self.backends.remove_instance(&instance);
         }
         self.backends.expire(now);
+        self.expire_limits(now);
     }
 
     /// Plans the model placement of every service; returns the orders to send and the servers to
--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -45,6 +45,7 @@
             models: Vec::new(),
             fence: fence.unwrap_or_default(),
             zone: self.config.zone.to_string(),
+            limits: self.server_limits.recent(now, self.limit_report_time()),
         }
     }
 
@@ -69,6 +70,9 @@
             self.apply_spending(now, &catalog, &instance, heartbeat);
         }
         self.lease.observe_fence(heartbeat.fence);
+        for limit in &heartbeat.limits {
+            self.server_limits.apply_limit(now, limit);
+        }
         true
     }
 
--- a/crates/apricotwell_dispatch/src/dispatcher/selection.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/selection.rs
@@ -2,7 +2,7 @@
 //!
 //! The request goes to the server with the least expected delay among those that can run it. If all
 //! of them are full, or a model must be loaded first, it waits as long as a response in time is
-//! still possible, and is refused otherwise.
+//! still possible, and is refused otherwise. A server that named a limit is used with a permit only.
 
 use std::time::{Duration, Instant};
 
@@ -64,11 +64,8 @@
             .filter(|server| server.serves(now, requested) && !tried.contains(&server.entry.id))
             .copied()
             .collect();
-        if let Some(server) = self.least_delayed(now, admission, request, &candidates) {
-            return RoutingDecision::Send(server.entry.id.clone(), server.entry.address);
-        }
-        if !candidates.is_empty() {
-            return RoutingDecision::Wait;
+        if let Some(decision) = self.select_candidate(now, admission, request, &candidates) {
+            return decision;
         }
         let Some(requested) = requested else {
             return RoutingDecision::Refuse(overloaded(
@@ -79,6 +76,53 @@
         self.await_load(now, admission, requested, &usable)
     }
 
+    // Selects one of the servers that can run the request, `None` if there is none.
+    fn select_candidate(
+        &self,
+        now: Instant,
+        admission: &Admission,
+        request: &RequestHead,
+        candidates: &[&Backend],
+    ) -> Option<RoutingDecision> {
+        let limits = &self.server_limits;
+        let (limited, open): (Vec<&Backend>, Vec<&Backend>) = candidates
+            .iter()
+            .partition(|server| limits.rate(&server.entry.id).is_some());
+        let (permitted, other): (Vec<&Backend>, Vec<&Backend>) = limited
+            .iter()
+            .partition(|server| self.permits.is_held(now, &server.entry.id));
+        // A permit expires, so it is used first.
+        for servers in [&permitted, &open] {
+            if let Some(server) = self.least_delayed(now, admission, request, servers) {
+                let id = server.entry.id.clone();
+                return Some(RoutingDecision::Send(id, server.entry.address));
+            }
+        }
+        let Some(server) = self.least_delayed(now, admission, request, &other) else {
+            return (!candidates.is_empty()).then_some(RoutingDecision::Wait);
+        };
+        Some(self.await_permit(now, admission, server, open.is_empty()))
+    }
+
+    // Decides for a request that needs a permit for `server`; it can also wait for another one
+    // unless that is the only one.
+    fn await_permit(
+        &self,
+        now: Instant,
+        admission: &Admission,
+        server: &Backend,
+        is_only: bool,
+    ) -> RoutingDecision {
+        let id = &server.entry.id;
+        let turn = self.permits.turn(id).unwrap_or(now);
+        if is_only && turn + RESPONSE_MARGIN >= admission.silence_deadline {
+            let retry_after = turn.saturating_duration_since(now);
+            let text = "the server of this model is overloaded; retry later";
+            return RoutingDecision::Refuse(overloaded(text, retry_after));
+        }
+        RoutingDecision::AwaitPermit(id.clone())
+    }
+
     // Returns the server with the least expected delay, `None` if all are full.
     fn least_delayed<'a>(
         &self,
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod model;
 pub mod orders;
 pub mod peers;
+pub mod permits;
 pub mod placement;
 pub mod prompt_cache;
 pub mod quota;
--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -170,6 +170,12 @@
         ready.map(|(id, _)| id.clone()).min()
     }
 
+    /// Returns whether heartbeats of an instance are received.
+    pub fn is_heard(&self, now: Instant, instance: &str) -> bool {
+        let peer = self.peers.get(instance);
+        peer.is_some_and(|peer| self.is_alive(now, peer))
+    }
+
     /// Returns the number of instances that report their spending in time, including this one.
     pub fn reporting_count(&self, now: Instant) -> usize {
         1 + self
--- a/crates/apricotwell_dispatch/src/server_limits.rs
+++ b/crates/apricotwell_dispatch/src/server_limits.rs
@@ -1,15 +1,20 @@
 //! Request limits that backend servers name while they are overloaded.
 //!
 //! A server names its limit in its responses: the requests per second that it accepts from all
-//! instances together. The limit holds until a response lacks it.
+//! instances together. The limit holds until a response lacks it. What one instance learns, the
+//! others learn from its heartbeats; the latest notice counts.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use apricotwell_messages::ServerLimit;
 use apricotwell_types::{Map, ServerId};
 
 /// Requests per second.
 pub type RequestRate = f64;
 
+/// Maximum number of limits in one heartbeat.
+const MAX_REPORTED: usize = 32;
+
 /// What a server last said about its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct LimitNotice {
@@ -17,6 +22,8 @@
     rate: Option<RequestRate>,
     // Time at which the server said so, at the earliest.
     at: Instant,
+    // Time at which the rate last changed.
+    changed: Instant,
 }
 
 /// Response of a server, as far as it concerns the server's limit.
@@ -28,10 +35,22 @@
     pub rate: Option<RequestRate>,
 }
 
+/// Change of a server's limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitChange {
+    /// Server.
+    pub server: ServerId,
+    /// New limit; `None` if it was lifted.
+    pub rate: Option<RequestRate>,
+    /// Whether another instance learnt it.
+    pub is_heard: bool,
+}
+
 /// Limits of all servers that named one.
 #[derive(Debug, Default)]
 pub struct LimitTable {
     servers: Map<ServerId, LimitNotice>,
+    changes: Vec<LimitChange>,
 }
 
 impl LimitTable {
@@ -40,33 +59,106 @@
         self.servers.get(server)?.rate
     }
 
-    /// Applies a server's response; returns whether the server's limit changed.
+    /// Returns the servers with a limit, with the time of the last notice of each.
+    pub fn limited(&self) -> impl Iterator<Item = (&ServerId, Instant)> {
+        let limited = self
+            .servers
+            .iter()
+            .filter(|(_, known)| known.rate.is_some());
+        limited.map(|(server, known)| (server, known.at))
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<LimitChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Applies a server's response.
     ///
     /// A response without a limit lifts it only if its request was sent after the limit was named:
     /// others may have been written before.
-    pub fn record_response(
+    pub fn record_response(&mut self, now: Instant, server: &ServerId, response: LimitResponse) {
+        let at = response.rate.map_or(response.sent_at, |_| now);
+        if self.apply(now, server, response.rate, at) {
+            self.record_change(server, false);
+        }
+    }
+
+    /// Returns the limits that changed within `time`, for the other instances.
+    pub fn recent(&self, now: Instant, time: Duration) -> Vec<ServerLimit> {
+        let recent = self
+            .servers
+            .iter()
+            .filter(|(_, known)| now.saturating_duration_since(known.changed) < time);
+        recent
+            .take(MAX_REPORTED)
+            .map(|(server, known)| encode(now, server, *known))
+            .collect()
+    }
+
+    /// Returns a server's limit for another instance, `None` if the server never named one.
+    pub fn encode(&self, now: Instant, server: &str) -> Option<ServerLimit> {
+        let known = self.servers.get(server)?;
+        Some(encode(now, server, *known))
+    }
+
+    /// Applies what another instance knows of a server's limit.
+    pub fn apply_limit(&mut self, now: Instant, limit: &ServerLimit) {
+        let age = Duration::from_millis(u64::from(limit.age_ms));
+        let Some(at) = now.checked_sub(age) else {
+            return;
+        };
+        let rate = limit.rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
+        let server = limit.server.as_str().into();
+        if self.apply(now, &server, rate, at) {
+            self.record_change(&server, true);
+        }
+    }
+
+    /// Forgets the servers that `is_listed` rejects.
+    pub fn retain<F>(&mut self, is_listed: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.servers.retain(|server, _| is_listed(server));
+    }
+
+    fn record_change(&mut self, server: &ServerId, is_heard: bool) {
+        self.changes.push(LimitChange {
+            server: server.clone(),
+            rate: self.rate(server),
+            is_heard,
+        });
+    }
+
+    // Applies a notice unless a later one is known; returns whether the limit changed.
+    fn apply(
         &mut self,
         now: Instant,
         server: &ServerId,
-        response: LimitResponse,
+        rate: Option<RequestRate>,
+        at: Instant,
     ) -> bool {
         let known = self.servers.get(server).copied();
-        let notice = LimitNotice {
-            rate: response.rate,
-            at: response.rate.map_or(response.sent_at, |_| now),
-        };
-        let is_news = match known {
-            Some(known) => notice.at > known.at,
-            None => notice.rate.is_some(),
-        };
-        if is_news {
-            self.servers.insert(server.clone(), notice);
+        if known.is_some_and(|known| at <= known.at) || (known.is_none() && rate.is_none()) {
+            return false;
         }
-        is_news && known.and_then(|known| known.rate) != notice.rate
+        let is_changed = known.and_then(|known| known.rate) != rate;
+        let changed = match known {
+            Some(known) if !is_changed => known.changed,
+            _ => now,
+        };
+        let notice = LimitNotice { rate, at, changed };
+        self.servers.insert(server.clone(), notice);
+        is_changed
     }
+}
 
-    /// Forgets a server that was restarted or removed from the list.
-    pub fn remove_server(&mut self, server: &str) {
-        self.servers.remove(server);
+fn encode(now: Instant, server: &str, known: LimitNotice) -> ServerLimit {
+    let age = now.saturating_duration_since(known.at).as_millis();
+    ServerLimit {
+        server: server.to_owned(),
+        rate: known.rate,
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
     }
 }
--- a/crates/apricotwell_dispatch/tests/dispatcher.rs
+++ b/crates/apricotwell_dispatch/tests/dispatcher.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::backends::BackendEntry;
+use apricotwell_dispatch::permits::PermitAnswer;
 use apricotwell_dispatch::prelude::*;
 use apricotwell_types::{KeyDigest, RefusalKind};
 
@@ -347,3 +348,106 @@
     own.expire(later);
     assert_eq!(own.feed_source(later), FeedSource::Store);
 }
+
+fn name_limit(dispatcher: &mut Dispatcher, now: Instant, server: &str, rate: Option<f64>) {
+    let response = LimitResponse { sent_at: now, rate };
+    let limits = &mut dispatcher.server_limits;
+    limits.record_response(now, &server.into(), response);
+}
+
+fn hold_permit(dispatcher: &mut Dispatcher, now: Instant, server: &str) {
+    dispatcher.permits.begin_wait(&server.into());
+    let (number, _) = dispatcher.permits.take_due(now)[0];
+    dispatcher
+        .permits
+        .apply(now, server, number, PermitAnswer::Granted);
+    dispatcher.permits.end_wait(server);
+}
+
+#[test]
+fn a_limited_server_is_used_with_a_permit_only() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    for id in ["one", "two", "three"] {
+        name_limit(&mut dispatcher, now, id, Some(1.0));
+    }
+    let decision = select_server(&mut dispatcher, now, "a", "held");
+    assert!(matches!(decision, RoutingDecision::AwaitPermit(_)));
+    hold_permit(&mut dispatcher, now, "two");
+    let decision = select_server(&mut dispatcher, now, "b", "held");
+    assert!(matches!(decision, RoutingDecision::Send(server, _) if &*server == "two"));
+    dispatcher.permits.take(now, "two");
+    let decision = select_server(&mut dispatcher, now, "c", "held");
+    assert!(matches!(decision, RoutingDecision::AwaitPermit(_)));
+}
+
+#[test]
+fn servers_without_a_limit_take_what_a_limited_one_does_not() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    name_limit(&mut dispatcher, now, "one", Some(1.0));
+    for number in 0..8 {
+        let decision = select_server(&mut dispatcher, now, &number.to_string(), "held");
+        let RoutingDecision::Send(server, _) = decision else {
+            panic!("no server was selected");
+        };
+        assert_ne!(&*server, "one");
+        dispatcher.backends.begin_request(now, &server, 900.0);
+    }
+}
+
+#[test]
+fn a_request_is_refused_at_once_if_its_turn_for_a_permit_is_too_late() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    for id in ["one", "two", "three"] {
+        name_limit(&mut dispatcher, now, id, Some(1.0));
+        dispatcher.permits.begin_wait(&id.into());
+        let (number, _) = dispatcher.permits.take_due(now)[0];
+        let answer = PermitAnswer::Refused(Duration::from_secs(20));
+        dispatcher.permits.apply(now, id, number, answer);
+    }
+    let decision = select_server(&mut dispatcher, now, "a", "held");
+    let RoutingDecision::Refuse(refusal) = decision else {
+        panic!("the request was not refused");
+    };
+    assert_eq!(refusal.retry_after, Some(Duration::from_secs(20)));
+}
+
+#[test]
+fn a_limit_is_lifted_only_by_the_answer_to_a_later_request() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    let later = now + Duration::from_millis(50);
+    name_limit(&mut dispatcher, later, "one", Some(1.0));
+    let limits = &mut dispatcher.server_limits;
+    let earlier = LimitResponse {
+        sent_at: now,
+        rate: None,
+    };
+    limits.record_response(later, &"one".into(), earlier);
+    assert_eq!(limits.rate("one"), Some(1.0));
+    let after = LimitResponse {
+        sent_at: later + Duration::from_millis(1),
+        rate: None,
+    };
+    limits.record_response(later + Duration::from_millis(9), &"one".into(), after);
+    assert_eq!(limits.rate("one"), None);
+}
+
+#[test]
+fn an_instance_learns_a_limit_and_its_end_from_heartbeats() {
+    let now = Instant::now();
+    let mut told = dispatcher(now);
+    let mut other = dispatcher(now);
+    other.config.id = "10.0.0.2:7600".into();
+    name_limit(&mut told, now, "one", Some(1.4));
+    let heartbeat = told.heartbeat(now);
+    other.apply_heartbeat(now, &heartbeat);
+    assert_eq!(other.server_limits.rate("one"), Some(1.4));
+    let later = now + Duration::from_secs(1);
+    name_limit(&mut told, later, "one", None);
+    let heartbeat = told.heartbeat(later);
+    other.apply_heartbeat(later, &heartbeat);
+    assert_eq!(other.server_limits.rate("one"), None);
+}
--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/fleet/fleet.rs
@@ -0,0 +1,395 @@
+//! Fleet of instances in virtual time that share servers with limits.
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::time::{Duration, Instant};
+
+use apricotwell_dispatch::backends::BackendEntry;
+use apricotwell_dispatch::peers::heartbeat_interval;
+use apricotwell_dispatch::prelude::*;
+use apricotwell_messages::{Heartbeat, PermitRequest, PermitResponse};
+use apricotwell_types::{InstanceId, ServerId};
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Step of the virtual time.
+const STEP: Duration = Duration::from_millis(50);
+/// Time for which the fleet runs before servers name their limits.
+const START: Duration = Duration::from_secs(6);
+/// Interval at which the membership is renewed at the store.
+const RENEWAL: Duration = Duration::from_millis(500);
+/// Interval at which the member list is read again, at least and per instance.
+const LIST_INTERVAL: (Duration, Duration) = (Duration::from_secs(3), Duration::from_millis(60));
+/// Bytes of the headers of a datagram, and of the message round the body.
+const HEADER_BYTES: usize = 28 + 3;
+const SEED: u64 = 26;
+
+/// What goes wrong.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Faults {
+    /// Number of parts that the fleet falls into during `cut`.
+    pub(crate) parts: usize,
+    /// When the parts don't hear each other.
+    pub(crate) cut: Option<Range<Duration>>,
+    /// Interval at which instances restart, in turn.
+    pub(crate) restart_interval: Option<Duration>,
+    /// Interval at which all instances restart at once, each before it can list the later ones.
+    pub(crate) restart_all: Option<Duration>,
+    /// Interval at which instances freeze, in turn, and for how long.
+    pub(crate) freeze: Option<(Duration, Duration)>,
+    /// Interval at which instances join.
+    pub(crate) join_interval: Option<Duration>,
+    /// Share of the datagrams that are lost.
+    pub(crate) loss: f64,
+    /// Longest delay of datagrams.
+    pub(crate) delay: Duration,
+}
+
+#[derive(Clone, Debug)]
+enum Body {
+    Heartbeat(Box<Heartbeat>),
+    Request(PermitRequest),
+    Response(PermitResponse),
+}
+
+#[derive(Clone, Debug)]
+struct Datagram {
+    from: usize,
+    to: usize,
+    body: Body,
+}
+
+struct Member {
+    dispatcher: Dispatcher,
+    heartbeat_due: Instant,
+    renewal_due: Instant,
+    list_due: Instant,
+    frozen_until: Instant,
+}
+
+/// Fleet whose instances all have requests for limited servers.
+pub(crate) struct Fleet {
+    start: Instant,
+    now: Instant,
+    servers: Vec<(ServerId, f64)>,
+    members: Vec<Member>,
+    // Datagrams in transit, by time of arrival.
+    transit: BTreeMap<Instant, Vec<Datagram>>,
+    sent: Vec<Vec<Instant>>,
+    // Bytes of permit requests and responses, by the instance that granted.
+    permit_bytes: BTreeMap<usize, usize>,
+    random: StdRng,
+    faults: Faults,
+    turn: usize,
+}
+
+fn id(index: usize) -> InstanceId {
+    format!("10.0.{}.{}:7100", index / 200, index % 200).into()
+}
+
+fn config(index: usize, incarnation: u64) -> InstanceConfig {
+    InstanceConfig {
+        id: id(index),
+        incarnation,
+        zone: "a".into(),
+        address: format!("10.0.{}.{}:80", index / 200, index % 200),
+        first_start: true,
+        revocation_bound: Duration::from_secs(5),
+        quota: QuotaBounds {
+            window: Duration::from_secs(8),
+            excess: 0.1,
+            slack: 11_000.0,
+        },
+        retries: RetryBounds {
+            ratio: 0.2,
+            window: Duration::from_secs(10),
+            slack: 58.0,
+        },
+        lease: LeaseConfig {
+            term: Duration::from_secs(2),
+            handover_pause: Duration::from_secs(3),
+            max_renewal_gap: Duration::from_millis(700),
+            fenced: true,
+        },
+    }
+}
+
+fn entry(id: &ServerId) -> BackendEntry {
+    BackendEntry {
+        id: id.clone(),
+        service: "engines".into(),
+        address: "10.1.0.1:80".parse().unwrap(),
+        zone: "a".into(),
+        slots: 8,
+        draining: false,
+        remaining: None,
+        started_ms: 1,
+        inventory: Inventory::default(),
+    }
+}
+
+impl Fleet {
+    pub(crate) fn new(instances: usize, rates: &[f64], faults: Faults) -> Self {
+        let start = Instant::now() + Duration::from_secs(3600);
+        let servers = rates
+            .iter()
+            .enumerate()
+            .map(|(index, rate)| (format!("server-{index}").into(), *rate));
+        let mut fleet = Self {
+            start,
+            now: start,
+            servers: servers.collect(),
+            members: Vec::new(),
+            transit: BTreeMap::new(),
+            sent: vec![Vec::new(); rates.len()],
+            permit_bytes: BTreeMap::new(),
+            random: StdRng::seed_from_u64(SEED),
+            faults,
+            turn: 0,
+        };
+        for index in 0..instances {
+            let member = fleet.start_member(index, index);
+            fleet.members.push(member);
+        }
+        fleet
+    }
+
+    /// Runs the fleet until its servers have had limits for `length`.
+    pub(crate) fn run(&mut self, length: Duration) {
+        let end = self.start + START + length;
+        let mut limited = false;
+        while self.now < end {
+            self.now += STEP;
+            self.inject_faults();
+            self.deliver();
+            if !limited && self.now >= self.start + START {
+                limited = true;
+                self.name_limits();
+            }
+            for index in 0..self.members.len() {
+                if self.members[index].frozen_until <= self.now {
+                    self.step(index);
+                }
+            }
+        }
+    }
+
+    /// Returns when requests were sent to a server.
+    pub(crate) fn sent(&self, server: usize) -> &[Instant] {
+        &self.sent[server]
+    }
+
+    /// Returns the most requests that were sent to a server in any window.
+    pub(crate) fn most_sent(&self, server: usize, window: Duration) -> usize {
+        let sent = &self.sent[server];
+        let counts = sent.iter().enumerate().map(|(first, at)| {
+            let within = sent[first..].iter().take_while(|it| **it < *at + window);
+            within.count()
+        });
+        counts.max().unwrap_or(0)
+    }
+
+    /// Returns the bytes of permit requests and responses at the instance with most of them.
+    pub(crate) fn most_permit_bytes(&self) -> usize {
+        self.permit_bytes.values().copied().max().unwrap_or(0)
+    }
+
+    // Starts an instance that can list the first `listed` others.
+    fn start_member(&mut self, index: usize, listed: usize) -> Member {
+        let incarnation = self.now.saturating_duration_since(self.start).as_millis() as u64 + 1;
+        let mut dispatcher = Dispatcher::new(config(index, incarnation));
+        for (server, _) in &self.servers {
+            dispatcher.backends.apply_entry(self.now, entry(server));
+        }
+        let instances = self.members.len().max(index + 1);
+        let others = (0..listed).filter(|other| *other != index);
+        dispatcher.peers.apply_members(self.now, others.map(id));
+        let (shortest, per_instance) = LIST_INTERVAL;
+        // The first heartbeat is sent at once, the next ones at different times.
+        Member {
+            dispatcher,
+            heartbeat_due: self.now,
+            renewal_due: self.now,
+            list_due: self.now + shortest.max(per_instance * instances as u32),
+            frozen_until: self.now,
+        }
+    }
+
+    fn name_limits(&mut self) {
+        for member in &mut self.members {
+            for (server, rate) in &self.servers {
+                let response = LimitResponse {
+                    sent_at: self.now,
+                    rate: Some(*rate),
+                };
+                let limits = &mut member.dispatcher.server_limits;
+                limits.record_response(self.now, server, response);
+                member.dispatcher.permits.begin_wait(server);
+            }
+        }
+    }
+
+    fn inject_faults(&mut self) {
+        let is_due = |interval: Option<Duration>| {
+            let elapsed = self.now.saturating_duration_since(self.start);
+            interval.is_some_and(|it| elapsed.as_millis() % it.as_millis() < STEP.as_millis())
+        };
+        let restarts = is_due(self.faults.restart_interval);
+        let freezes = is_due(self.faults.freeze.map(|(interval, _)| interval));
+        let restarts_all = is_due(self.faults.restart_all);
+        let joins = is_due(self.faults.join_interval);
+        if self.now < self.start + START {
+            return;
+        }
+        self.turn += usize::from(restarts || freezes);
+        let next = self.turn % self.members.len();
+        if restarts {
+            let mut member = self.start_member(next, self.members.len());
+            self.wait_for_permits(&mut member);
+            self.members[next] = member;
+        }
+        if restarts_all {
+            for index in 0..self.members.len() {
+                let mut member = self.start_member(index, index);
+                self.wait_for_permits(&mut member);
+                self.members[index] = member;
+            }
+        }
+        if freezes && let Some((_, time)) = self.faults.freeze {
+            self.members[next].frozen_until = self.now + time;
+        }
+        if joins {
+            let mut member = self.start_member(self.members.len(), self.members.len());
+            self.wait_for_permits(&mut member);
+            self.members.push(member);
+        }
+    }
+
+    // An instance that starts learns the limits from the first responses, its requests wait at once.
+    fn wait_for_permits(&self, member: &mut Member) {
+        for (server, rate) in &self.servers {
+            let response = LimitResponse {
+                sent_at: self.now,
+                rate: Some(*rate),
+            };
+            let dispatcher = &mut member.dispatcher;
+            dispatcher
+                .server_limits
+                .record_response(self.now, server, response);
+            dispatcher.permits.begin_wait(server);
+        }
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let elapsed = self.now.saturating_duration_since(self.start + START);
+        let is_now = self
+            .faults
+            .cut
+            .as_ref()
+            .is_some_and(|cut| cut.contains(&elapsed));
+        is_now && from % self.faults.parts != to % self.faults.parts
+    }
+
+    fn send(&mut self, from: usize, to: usize, body: Body) {
+        if self.is_cut(from, to) || self.random.random_bool(self.faults.loss) {
+            return;
+        }
+        let delay = self
+            .faults
+            .delay
+            .mul_f64(self.random.random_range(0.0..1.0));
+        let arrival = self.now + delay;
+        let datagram = Datagram { from, to, body };
+        self.transit.entry(arrival).or_default().push(datagram);
+    }
+
+    // Delivers what has arrived, and the answers that need no time.
+    fn deliver(&mut self) {
+        while let Some(first) = self.transit.first_entry() {
+            if *first.key() > self.now {
+                return;
+            }
+            for datagram in first.remove() {
+                self.receive(datagram);
+            }
+        }
+    }
+
+    fn receive(&mut self, datagram: Datagram) {
+        let Datagram { from, to, body } = datagram.clone();
+        if self.members[to].frozen_until > self.now {
+            let thawed = self.members[to].frozen_until;
+            self.transit.entry(thawed).or_default().push(datagram);
+            return;
+        }
+        let now = self.now;
+        let dispatcher = &mut self.members[to].dispatcher;
+        match body {
+            Body::Heartbeat(heartbeat) => {
+                dispatcher.apply_heartbeat(now, &heartbeat);
+            }
+            Body::Request(request) => {
+                let mut bytes = request.encoded_len() + HEADER_BYTES;
+                let response = dispatcher.answer_permit(now, &request);
+                if let Some(response) = &response {
+                    bytes += response.encoded_len() + HEADER_BYTES;
+                }
+                *self.permit_bytes.entry(to).or_default() += bytes;
+                if let Some(response) = response {
+                    self.send(to, from, Body::Response(response));
+                }
+            }
+            Body::Response(response) => {
+                dispatcher.apply_permit(now, &response);
+                self.use_permits(to);
+            }
+        }
+    }
+
+    fn use_permits(&mut self, index: usize) {
+        let dispatcher = &mut self.members[index].dispatcher;
+        for (server, (id, _)) in self.servers.iter().enumerate() {
+            while dispatcher.permits.is_held(self.now, id) {
+                dispatcher.permits.take(self.now, id);
+                self.sent[server].push(self.now);
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize) {
+        let now = self.now;
+        let instances = self.members.len();
+        let member = &mut self.members[index];
+        if member.renewal_due <= now {
+            member.renewal_due = now + RENEWAL;
+            member.dispatcher.peers.refresh_members(now);
+        }
+        if member.list_due <= now {
+            let (shortest, per_instance) = LIST_INTERVAL;
+            member.list_due = now + shortest.max(per_instance * instances as u32);
+            let others = (0..instances).filter(|other| *other != index);
+            member.dispatcher.peers.apply_members(now, others.map(id));
+        }
+        if member.heartbeat_due <= now {
+            let interval = heartbeat_interval(instances as u32);
+            // Instances start at different times.
+            let first = interval.mul_f64((index % 16) as f64 / 16.0);
+            let is_first = now <= self.start + STEP;
+            member.heartbeat_due = now + if is_first { first } else { interval };
+            member.dispatcher.expire(now);
+            let heartbeat = Box::new(member.dispatcher.heartbeat(now));
+            for to in (0..instances).filter(|to| *to != index) {
+                self.send(index, to, Body::Heartbeat(heartbeat.clone()));
+            }
+        }
+        let (requests, _) = self.members[index].dispatcher.take_permit_requests(now);
+        for (target, request) in requests {
+            let to = (0..instances).find(|other| id(*other) == target);
+            if let Some(to) = to {
+                self.send(index, to, Body::Request(request));
+            }
+        }
+        self.use_permits(index);
+    }
+}
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::adapter::{ClientProtocol, Platform};
 use crate::events::{Event, FLUSH_INTERVAL, LineWriter};
 use crate::gateway::Gateway;
-use crate::{feeds, heartbeats, membership, placement, requests, usage};
+use crate::{feeds, heartbeats, membership, permits, placement, requests, usage};
 
 /// Backlog of connections that wait to be accepted.
 const BACKLOG: u32 = 512;
@@ -71,6 +71,7 @@
         Rc::clone(&gateway),
         Rc::clone(&socket),
     ));
+    actix::spawn(permits::run(Rc::clone(&gateway), Rc::clone(&socket)));
     actix::spawn(heartbeats::receive(Rc::clone(&gateway), socket));
     actix::spawn(placement::run(Rc::clone(&gateway)));
     actix::spawn(usage::run(Rc::clone(&gateway)));
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -75,6 +75,8 @@
     pub heartbeat_due: Notify,
     /// Notified when new demand should be sent to the lease holder at once.
     pub demand_changed: Notify,
+    /// Notified when a request needs a permit for a server with a limit.
+    pub permits_due: Notify,
     /// Notified when the models loaded on servers may have changed.
     pub inventory_changed: Notify,
     /// Notified when the placement should be planned again.
@@ -119,6 +121,7 @@
             servers_changed: Notify::new(),
             heartbeat_due: Notify::new(),
             demand_changed: Notify::new(),
+            permits_due: Notify::new(),
             inventory_changed: Notify::new(),
             replan: Notify::new(),
             shutdown: Notify::new(),
--- a/crates/apricotwell_gateway/src/guard.rs
+++ b/crates/apricotwell_gateway/src/guard.rs
@@ -60,6 +60,7 @@
         let now = gateway.now();
         let mut dispatcher = gateway.dispatcher.borrow_mut();
         dispatcher.backends.begin_request(now, &server, tokens);
+        dispatcher.permits.take(now, &server);
         drop(dispatcher);
         Self {
             gateway: Rc::clone(gateway),
@@ -89,6 +90,42 @@
     }
 }
 
+/// Counts a request as waiting for a permit until the guard is dropped.
+pub struct PermitGuard<P>
+where
+    P: Platform,
+{
+    gateway: Rc<Gateway<P>>,
+    /// Server that the permit is for.
+    pub server: ServerId,
+}
+
+impl<P> PermitGuard<P>
+where
+    P: Platform,
+{
+    /// Counts one request.
+    pub fn new(gateway: &Rc<Gateway<P>>, server: ServerId) -> Self {
+        let mut dispatcher = gateway.dispatcher.borrow_mut();
+        dispatcher.permits.begin_wait(&server);
+        gateway.permits_due.notify_one();
+        Self {
+            gateway: Rc::clone(gateway),
+            server,
+        }
+    }
+}
+
+impl<P> Drop for PermitGuard<P>
+where
+    P: Platform,
+{
+    fn drop(&mut self) {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.permits.end_wait(&self.server);
+    }
+}
+
 /// Counts a request as waiting for a model until the guard is dropped.
 pub struct WaitGuard<P>
 where
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -11,7 +11,8 @@
 use crate::adapter::{Attempt, ClientProtocol, Platform};
 use crate::events::Event;
 use crate::gateway::Gateway;
-use crate::guard::{ActiveGuard, FlightGuard, WaitGuard};
+use crate::guard::{ActiveGuard, FlightGuard, PermitGuard, WaitGuard};
+use crate::permits::log_limit_changes;
 use crate::requests::BufferedBody;
 use crate::trace::{ReceivedBody, ResponseTrace};
 
@@ -235,6 +236,7 @@
     // Selects a server, waiting for one if necessary.
     async fn find_server(&mut self) -> Result<(ServerId, std::net::SocketAddr), Refusal> {
         let mut waiting = None;
+        let mut permit: Option<PermitGuard<P>> = None;
         loop {
             let changed = self.gateway.servers_changed.notified();
             tokio::pin!(changed);
@@ -247,13 +249,19 @@
             match choice {
                 RoutingDecision::Send(server, address) => {
                     self.server_found = Some(now);
+                    self.probe_limits(now);
                     return Ok((server, address));
                 }
                 RoutingDecision::Refuse(refusal) if self.runs == 0 => return Err(refusal),
                 RoutingDecision::Refuse(refusal) => {
                     return Err(self.refusal(refusal.kind, &refusal.message));
                 }
-                RoutingDecision::Wait => {}
+                RoutingDecision::Wait => permit = None,
+                RoutingDecision::AwaitPermit(server) => {
+                    if permit.as_ref().is_none_or(|permit| permit.server != server) {
+                        permit = Some(PermitGuard::new(&self.gateway, server));
+                    }
+                }
             }
             if self.must_stop_waiting() {
                 let text = "this instance is shutting down; use another one";
@@ -273,6 +281,13 @@
         }
     }
 
+    fn probe_limits(&self, now: Instant) {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        if dispatcher.probe_limits(now, &self.admission) {
+            self.gateway.permits_due.notify_one();
+        }
+    }
+
     /// Sends one attempt and waits for the head of the response.
     pub async fn send(
         &mut self,
@@ -351,7 +366,11 @@
             self.record_rejection(&flight.server);
             return AttemptOutcome::NotRun("misdirected".to_owned());
         }
-        self.record_limit(&flight.server, sent_at, head.rate_limit);
+        // Only an answer of the server itself, and not a late one to an earlier attempt, says that a
+        // limit no longer holds.
+        if head.rate_limit.is_some() || (head.matches_attempt && head.is_sealed) {
+            self.record_limit(&flight.server, sent_at, head.rate_limit);
+        }
         if head.not_run {
             self.record_rejection(&flight.server);
             return AttemptOutcome::NotRun("turned away".to_owned());
@@ -376,18 +395,12 @@
     fn record_limit(&self, server: &ServerId, sent_at: Instant, rate: Option<RequestRate>) {
         let now = self.gateway.now();
         let response = LimitResponse { sent_at, rate };
-        let limits = &mut self.gateway.dispatcher.borrow_mut().server_limits;
-        if !limits.record_response(now, server, response) {
-            return;
-        }
-        let outcome = if rate.is_some() { "named" } else { "lifted" };
-        self.gateway.metrics.count_limit(outcome);
-        Event::new("server_limit")
-            .with("server", &**server)
-            .with("outcome", outcome)
-            .with("rate", rate)
-            .with("request", self.request.attempt.as_str())
-            .log();
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher
+            .server_limits
+            .record_response(now, server, response);
+        drop(dispatcher);
+        log_limit_changes(&self.gateway);
     }
 
     // Records that the server rejected a request for the requested model.
--- a/crates/apricotwell_gateway/src/heartbeats.rs
+++ b/crates/apricotwell_gateway/src/heartbeats.rs
@@ -12,6 +12,7 @@
 
 use crate::adapter::Platform;
 use crate::gateway::Gateway;
+use crate::permits;
 
 /// Minimum interval between heartbeats sent because of a change.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(30);
@@ -244,6 +245,12 @@
         if let Some(response) = datagram.response {
             gateway.feed_queries.deliver(response);
         }
+        if let Some(request) = datagram.permit_request {
+            permits::answer(&gateway, &socket, sender, &request).await;
+        }
+        if let Some(response) = datagram.permit_response {
+            permits::apply(&gateway, &response);
+        }
     }
 }
 
@@ -259,6 +266,7 @@
     if !is_newer {
         return;
     }
+    permits::log_limit_changes(gateway);
     if heartbeat.models.iter().any(|usage| usage.waiting > 0) {
         gateway.replan.notify_one();
     }
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod heartbeats;
 pub mod membership;
 pub mod metrics;
+pub mod permits;
 pub mod placement;
 pub mod relay;
 pub mod requests;
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -35,6 +35,7 @@
     responses: Family<ResponseLabels, Counter>,
     server_limits: Family<OutcomeLabels, Counter>,
     limited_requests: Counter,
+    permits: Family<OutcomeLabels, Counter>,
     first_byte: Histogram,
     store_calls: Family<OutcomeLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
@@ -65,6 +66,12 @@
             "Requests sent to servers with a known limit",
             limited_requests.clone(),
         );
+        let permits = Family::default();
+        registry.register(
+            "permits",
+            "Permits for servers with a limit that other instances asked for",
+            permits.clone(),
+        );
         let first_byte = Histogram::new(LATENCY_BOUNDS);
         registry.register(
             "first_byte_seconds",
@@ -87,6 +94,7 @@
             responses,
             server_limits,
             limited_requests,
+            permits,
             first_byte,
             store_calls,
             orders,
@@ -116,6 +124,11 @@
         self.limited_requests.inc();
     }
 
+    /// Counts another instance's request for a permit.
+    pub fn count_permit(&self, granted: bool) {
+        count(&self.permits, if granted { "granted" } else { "refused" });
+    }
+
     /// Records the time to the first byte of a response.
     pub fn observe_first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
--- a/crates/apricotwell_messages/src/feeds.rs
+++ b/crates/apricotwell_messages/src/feeds.rs
@@ -4,6 +4,7 @@
 //! so lost, late and duplicate responses are harmless.
 
 use crate::heartbeat::{Heartbeat, HeldModel, InventoryUpdate};
+use crate::permits::{PermitRequest, PermitResponse};
 
 /// Query for the changes on a feed after an offset.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -107,4 +108,10 @@
     /// Inventories of backend servers.
     #[prost(message, optional, tag = "4")]
     pub inventory: Option<InventoryUpdate>,
+    /// Request for a permit to send to a limited server.
+    #[prost(message, optional, tag = "5")]
+    pub permit_request: Option<PermitRequest>,
+    /// Response to such a request.
+    #[prost(message, optional, tag = "6")]
+    pub permit_response: Option<PermitResponse>,
 }
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -3,6 +3,8 @@
 //! A heartbeat contains complete values rather than changes, so lost, late and duplicate heartbeats
 //! are harmless: `incarnation` and `number` order the heartbeats of one instance.
 
+use crate::permits::ServerLimit;
+
 /// Number of one instance's requests in flight on one backend server.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ServerUse {
@@ -132,6 +134,9 @@
     /// Zone.
     #[prost(string, tag = "11")]
     pub zone: String,
+    /// Limits of backend servers that changed recently.
+    #[prost(message, repeated, tag = "12")]
+    pub limits: Vec<ServerLimit>,
 }
 
 /// Tokens that one organisation spent at all instances in the last window.
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -19,6 +19,7 @@
 mod feeds;
 mod heartbeat;
 mod member_update;
+mod permits;
 mod tokens;
 
 pub use claims::{ClaimFinish, ClaimFinishAck, ClaimReply, ClaimRequest, ClaimVerdict};
@@ -32,6 +33,7 @@
     ServerInventory, ServerUse, Spending,
 };
 pub use member_update::MemberUpdate;
+pub use permits::{PermitRequest, PermitResponse, ServerLimit};
 pub use tokens::{BucketState, GrantBalance, TokenGrant, TokenRequest};
 
 /// Commonly used types.
