--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_messages::FleetSpending;
+use apricotwell_permits::prelude::LimitedServers;
 use apricotwell_types::{InstanceId, Map, Refusal, RefusalKind, ServerId, Tokens, ZoneId};
 
 use crate::backends::BackendTable;
@@ -20,13 +21,11 @@
 use crate::lease::{Lease, LeaseConfig};
 use crate::model::RequestedModel;
 use crate::peers::PeerTable;
-use crate::permits::{GrantTable, PermitTable};
 use crate::placement::{Order, PlacementPlanner};
 use crate::prompt_cache::PromptCacheTable;
 use crate::quota::{QuotaBounds, QuotaTable};
 use crate::request::RequestHead;
 use crate::retries::{RetryBounds, RetryBudget};
-use crate::server_limits::LimitTable;
 
 /// Retry delay sent to clients if it can't be estimated when a server becomes available.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -106,10 +105,8 @@
     pub feeds: FeedViews,
     /// Backend servers.
     pub backends: BackendTable,
-    /// Request limits that servers named.
-    pub server_limits: LimitTable,
-    /// Permits to send to servers with a limit.
-    pub permits: PermitTable,
+    /// Limits that servers named, and permits to send within them.
+    pub limited: LimitedServers,
     /// Other instances.
     pub peers: PeerTable,
     /// Demand for models at this instance.
@@ -120,7 +117,6 @@
     pub planner: PlacementPlanner,
     /// Prompt segments that servers have likely cached.
     pub prompts: PromptCacheTable,
-    grants: GrantTable,
     quotas: QuotaTable,
     retries: Map<ServiceId, RetryBudget>,
     draining: bool,
@@ -135,9 +131,7 @@
             freshness: Freshness::new(config.revocation_bound),
             feeds: FeedViews::default(),
             backends: BackendTable::default(),
-            server_limits: LimitTable::default(),
-            permits: PermitTable::new(config.incarnation),
-            grants: GrantTable::default(),
+            limited: LimitedServers::new(config.incarnation),
             peers: PeerTable::default(),
             demand: DemandTable::default(),
             lease: Lease::new(config.lease),
--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -45,7 +45,7 @@
             models: Vec::new(),
             fence: fence.unwrap_or_default(),
             zone: self.config.zone.to_string(),
-            limits: self.server_limits.recent(now, self.limit_report_time()),
+            limits: self.limited.limits.recent(now, self.limit_report_time()),
         }
     }
 
@@ -71,7 +71,7 @@
         }
         self.lease.observe_fence(heartbeat.fence);
         for limit in &heartbeat.limits {
-            self.server_limits.apply_limit(now, limit);
+            self.limited.limits.apply_limit(now, limit);
         }
         true
     }
--- a/crates/apricotwell_dispatch/src/dispatcher/selection.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/selection.rs
@@ -84,13 +84,13 @@
         request: &RequestHead,
         candidates: &[&Backend],
     ) -> Option<RoutingDecision> {
-        let limits = &self.server_limits;
+        let limits = &self.limited.limits;
         let (limited, open): (Vec<&Backend>, Vec<&Backend>) = candidates
             .iter()
             .partition(|server| limits.rate(&server.entry.id).is_some());
         let (permitted, other): (Vec<&Backend>, Vec<&Backend>) = limited
             .iter()
-            .partition(|server| self.permits.is_held(now, &server.entry.id));
+            .partition(|server| self.limited.permits.is_held(now, &server.entry.id));
         // A permit expires, so it is used first.
         for servers in [&permitted, &open] {
             if let Some(server) = self.least_delayed(now, admission, request, servers) {
@@ -114,7 +114,7 @@
         is_only: bool,
     ) -> RoutingDecision {
         let id = &server.entry.id;
-        let turn = self.permits.turn(id).unwrap_or(now);
+        let turn = self.limited.permits.turn(id).unwrap_or(now);
         if is_only && turn + RESPONSE_MARGIN >= admission.silence_deadline {
             let retry_after = turn.saturating_duration_since(now);
             let text = "the server of this model is overloaded; retry later";
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -29,13 +29,11 @@
 pub mod model;
 pub mod orders;
 pub mod peers;
-pub mod permits;
 pub mod placement;
 pub mod prompt_cache;
 pub mod quota;
 pub mod request;
 pub mod retries;
-pub mod server_limits;
 
 /// Types that nearly every user of the crate needs.
 pub mod prelude {
@@ -54,5 +52,4 @@
     pub use crate::quota::QuotaBounds;
     pub use crate::request::{AttemptId, PromptSegment, RequestHead};
     pub use crate::retries::RetryBounds;
-    pub use crate::server_limits::{LimitResponse, RequestRate};
 }
--- a/crates/apricotwell_dispatch/tests/dispatcher.rs
+++ b/crates/apricotwell_dispatch/tests/dispatcher.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::backends::BackendEntry;
-use apricotwell_dispatch::permits::PermitAnswer;
 use apricotwell_dispatch::prelude::*;
+use apricotwell_permits::prelude::*;
 use apricotwell_types::{KeyDigest, RefusalKind};
 
 const REVOCATION: Duration = Duration::from_secs(5);
@@ -351,17 +351,18 @@
 
 fn name_limit(dispatcher: &mut Dispatcher, now: Instant, server: &str, rate: Option<f64>) {
     let response = LimitResponse { sent_at: now, rate };
-    let limits = &mut dispatcher.server_limits;
+    let limits = &mut dispatcher.limited.limits;
     limits.record_response(now, &server.into(), response);
 }
 
 fn hold_permit(dispatcher: &mut Dispatcher, now: Instant, server: &str) {
-    dispatcher.permits.begin_wait(&server.into());
-    let (number, _) = dispatcher.permits.take_due(now)[0];
+    dispatcher.limited.permits.begin_wait(&server.into());
+    let (number, _) = dispatcher.limited.permits.take_due(now)[0];
     dispatcher
+        .limited
         .permits
         .apply(now, server, number, PermitAnswer::Granted);
-    dispatcher.permits.end_wait(server);
+    dispatcher.limited.permits.end_wait(server);
 }
 
 #[test]
@@ -376,7 +377,7 @@
     hold_permit(&mut dispatcher, now, "two");
     let decision = select_server(&mut dispatcher, now, "b", "held");
     assert!(matches!(decision, RoutingDecision::Send(server, _) if &*server == "two"));
-    dispatcher.permits.take(now, "two");
+    dispatcher.limited.permits.take(now, "two");
     let decision = select_server(&mut dispatcher, now, "c", "held");
     assert!(matches!(decision, RoutingDecision::AwaitPermit(_)));
 }
@@ -402,10 +403,10 @@
     let mut dispatcher = dispatcher(now);
     for id in ["one", "two", "three"] {
         name_limit(&mut dispatcher, now, id, Some(1.0));
-        dispatcher.permits.begin_wait(&id.into());
-        let (number, _) = dispatcher.permits.take_due(now)[0];
+        dispatcher.limited.permits.begin_wait(&id.into());
+        let (number, _) = dispatcher.limited.permits.take_due(now)[0];
         let answer = PermitAnswer::Refused(Duration::from_secs(20));
-        dispatcher.permits.apply(now, id, number, answer);
+        dispatcher.limited.permits.apply(now, id, number, answer);
     }
     let decision = select_server(&mut dispatcher, now, "a", "held");
     let RoutingDecision::Refuse(refusal) = decision else {
@@ -420,7 +421,7 @@
     let mut dispatcher = dispatcher(now);
     let later = now + Duration::from_millis(50);
     name_limit(&mut dispatcher, later, "one", Some(1.0));
-    let limits = &mut dispatcher.server_limits;
+    let limits = &mut dispatcher.limited.limits;
     let earlier = LimitResponse {
         sent_at: now,
         rate: None,
@@ -444,10 +445,10 @@
     name_limit(&mut told, now, "one", Some(1.4));
     let heartbeat = told.heartbeat(now);
     other.apply_heartbeat(now, &heartbeat);
-    assert_eq!(other.server_limits.rate("one"), Some(1.4));
+    assert_eq!(other.limited.limits.rate("one"), Some(1.4));
     let later = now + Duration::from_secs(1);
     name_limit(&mut told, later, "one", None);
     let heartbeat = told.heartbeat(later);
     other.apply_heartbeat(later, &heartbeat);
-    assert_eq!(other.server_limits.rate("one"), None);
+    assert_eq!(other.limited.limits.rate("one"), None);
 }
--- a/crates/apricotwell_dispatch/tests/fleet/fleet.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/fleet.rs
@@ -8,6 +8,7 @@
 use apricotwell_dispatch::peers::heartbeat_interval;
 use apricotwell_dispatch::prelude::*;
 use apricotwell_messages::{Heartbeat, PermitRequest, PermitResponse};
+use apricotwell_permits::prelude::LimitResponse;
 use apricotwell_types::{InstanceId, ServerId};
 use prost::Message;
 use rand::rngs::StdRng;
@@ -223,9 +224,9 @@
                     sent_at: self.now,
                     rate: Some(*rate),
                 };
-                let limits = &mut member.dispatcher.server_limits;
+                let limits = &mut member.dispatcher.limited.limits;
                 limits.record_response(self.now, server, response);
-                member.dispatcher.permits.begin_wait(server);
+                member.dispatcher.limited.permits.begin_wait(server);
             }
         }
     }
@@ -275,9 +276,10 @@
             };
             let dispatcher = &mut member.dispatcher;
             dispatcher
-                .server_limits
+                .limited
+                .limits
                 .record_response(self.now, server, response);
-            dispatcher.permits.begin_wait(server);
+            dispatcher.limited.permits.begin_wait(server);
         }
     }
 
@@ -341,7 +343,7 @@
                 }
             }
             Body::Response(response) => {
-                dispatcher.apply_permit(now, &response);
+                dispatcher.limited.apply(now, &response);
                 self.use_permits(to);
             }
         }
@@ -350,8 +352,8 @@
     fn use_permits(&mut self, index: usize) {
         let dispatcher = &mut self.members[index].dispatcher;
         for (server, (id, _)) in self.servers.iter().enumerate() {
-            while dispatcher.permits.is_held(self.now, id) {
-                dispatcher.permits.take(self.now, id);
+            while dispatcher.limited.permits.is_held(self.now, id) {
+                dispatcher.limited.permits.take(self.now, id);
                 self.sent[server].push(self.now);
             }
         }
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use apricotwell_dispatch::prelude::*;
+use apricotwell_permits::prelude::RequestRate;
 use apricotwell_types::{Fence, Offset, Refusal, ServerId};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request, response};
--- a/crates/apricotwell_gateway/src/guard.rs
+++ b/crates/apricotwell_gateway/src/guard.rs
@@ -60,7 +60,7 @@
         let now = gateway.now();
         let mut dispatcher = gateway.dispatcher.borrow_mut();
         dispatcher.backends.begin_request(now, &server, tokens);
-        dispatcher.permits.take(now, &server);
+        dispatcher.limited.permits.take(now, &server);
         drop(dispatcher);
         Self {
             gateway: Rc::clone(gateway),
@@ -107,7 +107,7 @@
     /// Counts one request.
     pub fn new(gateway: &Rc<Gateway<P>>, server: ServerId) -> Self {
         let mut dispatcher = gateway.dispatcher.borrow_mut();
-        dispatcher.permits.begin_wait(&server);
+        dispatcher.limited.permits.begin_wait(&server);
         gateway.permits_due.notify_one();
         Self {
             gateway: Rc::clone(gateway),
@@ -122,7 +122,7 @@
 {
     fn drop(&mut self) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        dispatcher.permits.end_wait(&self.server);
+        dispatcher.limited.permits.end_wait(&self.server);
     }
 }
 
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -5,6 +5,7 @@
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_http::pool::{Reuse, SendError, StreamingResponse};
+use apricotwell_permits::prelude::{LimitResponse, RequestRate};
 use apricotwell_types::{Refusal, RefusalKind, RunOutcome, ServerId};
 use http::request;
 
@@ -386,7 +387,7 @@
     // Returns the limit that the server is known to have when a request is sent to it.
     fn limit_of(&self, server: &ServerId) -> Option<RequestRate> {
         let dispatcher = self.gateway.dispatcher.borrow();
-        let rate = dispatcher.server_limits.rate(server)?;
+        let rate = dispatcher.limited.limits.rate(server)?;
         self.gateway.metrics.count_limited_request();
         Some(rate)
     }
@@ -397,7 +398,8 @@
         let response = LimitResponse { sent_at, rate };
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         dispatcher
-            .server_limits
+            .limited
+            .limits
             .record_response(now, server, response);
         drop(dispatcher);
         log_limit_changes(&self.gateway);
--- a/crates/apricotwell_gateway/src/permits.rs
+++ b/crates/apricotwell_gateway/src/permits.rs
@@ -22,7 +22,7 @@
 {
     loop {
         send_requests(&gateway, &socket).await;
-        let is_waiting = gateway.dispatcher.borrow().permits.has_waiting();
+        let is_waiting = gateway.dispatcher.borrow().limited.permits.has_waiting();
         let due = gateway.permits_due.notified();
         if is_waiting {
             // Lost answers and refusals are repeated without a notification.
@@ -85,7 +85,7 @@
     P: Platform,
 {
     let now = gateway.now();
-    if gateway.dispatcher.borrow_mut().apply_permit(now, response) {
+    if gateway.dispatcher.borrow_mut().limited.apply(now, response) {
         gateway.servers_changed.notify_waiters();
     }
     log_limit_changes(gateway);
@@ -97,7 +97,12 @@
 where
     P: Platform,
 {
-    let changes = gateway.dispatcher.borrow_mut().server_limits.take_changes();
+    let changes = gateway
+        .dispatcher
+        .borrow_mut()
+        .limited
+        .limits
+        .take_changes();
     for change in changes {
         let outcome = if change.rate.is_some() {
             "named"
--- a/crates/apricotwell_gateway/src/trace.rs
+++ b/crates/apricotwell_gateway/src/trace.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use apricotwell_dispatch::prelude::RequestRate;
 use apricotwell_framing::BodyFraming;
+use apricotwell_permits::prelude::RequestRate;
 
 /// What was received of a response's body.
 #[derive(Clone, Debug)]
--- a/crates/apricotwell_dispatch/src/permits.rs
+++ b/crates/apricotwell_permits/src/permits.rs
@@ -1,23 +1,8 @@
-//! Permits to send single requests to servers that named a limit for all instances together.
-//!
-//! An instance sends a request to a limited server only with a permit, which it asks for when it has
-//! a request for the server. For each server, every instance ranks all instances of the fleet in the
-//! same order and asks the first one that it hears, which grants permits at the server's rate. No
-//! instance is set aside for this, and none has to agree with another on who is first:
-//!
-//! - an instance that ranks below others that it doesn't hear grants only [`SILENT_FACTOR`] of the
-//!   rate for each of them, and none below [`MAX_SILENT`], so that all instances together stay below
-//!   1.32 times the rate even if none hears another;
-//! - it grants only its share of the rate while it doesn't hear all instances;
-//! - it pauses before its first permit, so that its predecessor has heard of it or is gone;
-//! - permits expire, so that those of an instance that was frozen are void.
+//! Permits that an instance holds and asks for.
 
 use std::time::{Duration, Instant};
 
-use apricotwell_types::{InstanceId, Map, ServerId};
-
-use crate::peers::heartbeat_interval;
-use crate::server_limits::RequestRate;
+use apricotwell_types::{Map, ServerId};
 
 /// Time from the request for a permit until the permit expires.
 const PERMIT_LIFETIME: Duration = Duration::from_millis(500);
@@ -25,62 +10,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Permits for one server that an instance holds or asks for at a time.
 const MAX_OUTSTANDING: usize = 4;
-/// Longest time after which a refused instance of a small fleet asks again.
-const MIN_MAX_TURN: Duration = Duration::from_secs(2);
-/// The same per instance of a large fleet, so that a granter is asked at a bounded rate.
-const MAX_TURN_PER_INSTANCE: Duration = Duration::from_millis(25);
 /// Longest pause that a refusal can ask for.
 const MAX_REFUSAL: Duration = Duration::from_secs(60);
-/// Longest interval between two permits; stands for never.
-const MAX_INTERVAL: Duration = Duration::from_secs(24 * 3600);
-/// Share of the rate that is granted for each instance that ranks higher and is not heard.
-const SILENT_FACTOR: f64 = 0.25;
-/// Number of such instances from which on nothing is granted.
-const MAX_SILENT: u32 = 2;
-/// Shortest pause before the first permit for a server.
-const MIN_PAUSE: Duration = Duration::from_secs(1);
-
-/// Who grants the permits for a server, as this instance sees it.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Granter {
-    /// This instance, at this share of the server's rate.
-    Own(f64),
-    /// Another instance.
-    Peer(InstanceId),
-    /// None that this instance hears.
-    Unknown,
-}
-
-/// Selects the granter among the instances of the fleet, which are passed in the order of their rank
-/// for the server: whether it is this one, and if not, whether it is heard.
-///
-/// `share` is the share of the fleet that this instance hears.
-pub fn select_granter<I>(ranked: I, share: f64) -> Granter
-where
-    I: IntoIterator<Item = Candidate>,
-{
-    let mut silent = 0;
-    for candidate in ranked {
-        match candidate {
-            Candidate::Own => return Granter::Own(SILENT_FACTOR.powi(silent as i32) * share),
-            Candidate::Heard(instance) => return Granter::Peer(instance),
-            Candidate::Silent if silent == MAX_SILENT => break,
-            Candidate::Silent => silent += 1,
-        }
-    }
-    Granter::Unknown
-}
-
-/// Instance that may grant permits.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Candidate {
-    /// This instance.
-    Own,
-    /// An instance whose heartbeats are received.
-    Heard(InstanceId),
-    /// An instance that may be running, but is not heard.
-    Silent,
-}
 
 /// Answer to a request for a permit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -242,63 +173,3 @@
             .retain(|server, permits| permits.waiting > 0 || is_listed(server));
     }
 }
-
-#[derive(Debug)]
-struct Schedule {
-    // When the next permit can be granted.
-    next: Instant,
-    // When the next instance that is refused is to ask again.
-    next_turn: Instant,
-}
-
-/// Permits that this instance grants.
-#[derive(Debug, Default)]
-pub struct GrantTable {
-    servers: Map<ServerId, Schedule>,
-}
-
-impl GrantTable {
-    /// Grants or refuses a permit for a server, of whose `rate` this instance grants `share`, in a
-    /// fleet of `instances`.
-    ///
-    /// The first permit is granted after a pause, in which the other instances hear of this one.
-    pub fn grant(
-        &mut self,
-        now: Instant,
-        server: &ServerId,
-        (rate, share): (RequestRate, f64),
-        instances: u32,
-    ) -> PermitAnswer {
-        let pause = heartbeat_interval(instances).max(MIN_PAUSE);
-        let max_turn = MIN_MAX_TURN.max(MAX_TURN_PER_INSTANCE * instances);
-        let schedule = self.servers.entry(server.clone()).or_insert(Schedule {
-            next: now + pause,
-            next_turn: now + pause,
-        });
-        let interval = Duration::try_from_secs_f64(1.0 / (rate * share))
-            .map_or(MAX_INTERVAL, |interval| interval.min(MAX_INTERVAL));
-        if rate > 0.0 && now >= schedule.next {
-            // Requests arrive unevenly, so a permit that was not asked for in time is kept, but by
-            // the first candidate only: the bound over all candidates counts on it.
-            let kept = if share < 1.0 {
-                Duration::ZERO
-            } else {
-                interval
-            };
-            let earliest = now.checked_sub(kept).unwrap_or(now);
-            schedule.next = schedule.next.max(earliest) + interval;
-            return PermitAnswer::Granted;
-        }
-        let turn = schedule.next_turn.max(schedule.next).max(now);
-        schedule.next_turn = (turn + interval).min(now + max_turn);
-        PermitAnswer::Refused(turn.saturating_duration_since(now).min(max_turn))
-    }
-
-    /// Forgets the servers for which this instance no longer grants permits.
-    pub fn retain<F>(&mut self, is_own: F)
-    where
-        F: Fn(&str) -> bool,
-    {
-        self.servers.retain(|server, _| is_own(server));
-    }
-}
