--- a/crates/apricotwell_fakes/src/history.rs
+++ b/crates/apricotwell_fakes/src/history.rs
@@ -36,6 +36,8 @@
     pub call_runs: BTreeMap<u64, u32>,
     /// Time and outcome of each finished call, by call number.
     pub outcomes: BTreeMap<u64, (Instant, CallOutcome)>,
+    /// Server and time of each request that an engine received, in order.
+    pub arrivals: Vec<(String, Instant)>,
     /// Tokens used, in order of dispatch.
     pub token_uses: Vec<TokenUse>,
     violations: Vec<String>,
--- a/crates/apricotwell_fakes/src/simulation.rs
+++ b/crates/apricotwell_fakes/src/simulation.rs
@@ -227,6 +227,8 @@
     leaving: bool,
     // Whether the engine is unreachable, although it runs.
     unreachable: bool,
+    // Requests per second that it accepts from all instances together.
+    limit: Option<f64>,
 }
 
 impl Engine {
--- a/crates/apricotwell_fakes/src/simulation/events.rs
+++ b/crates/apricotwell_fakes/src/simulation/events.rs
@@ -389,6 +389,8 @@
                 return AttemptOutcome::NotRun { unreachable: true };
             }
         }
+        let arrival = (dispatch.server.to_string(), self.now);
+        self.history.arrivals.push(arrival);
         *self.history.call_runs.entry(number).or_default() += 1;
         if let Some(key) = &call.key {
             let runs = self.history.runs.entry(key.clone()).or_default();
--- a/crates/apricotwell_fakes/src/simulation/faults.rs
+++ b/crates/apricotwell_fakes/src/simulation/faults.rs
@@ -114,6 +114,7 @@
             lose_replies: 0,
             leaving: false,
             unreachable: false,
+            limit: None,
         };
         self.engines.insert(name.to_owned(), engine);
     }
@@ -134,6 +135,13 @@
         }
     }
 
+    /// Makes an engine name a limit on its requests per second, or none, in its responses.
+    pub fn set_engine_limit(&mut self, name: &str, limit: Option<f64>) {
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.limit = limit;
+        }
+    }
+
     /// Makes an engine drop its replicas without a restart.
     pub fn drop_replicas(&mut self, name: &str) {
         if let Some(engine) = self.engines.get_mut(name) {
