Keep the limits that engines name, on the OpenAI interface

It now asks for permits with the same crate, over its links, ranks the members that are alive or listed, and reads the limit from x-request-limit. The stand-in engine learns to name one.

--- a/crates/apricotwell_entry/src/relay.rs
+++ b/crates/apricotwell_entry/src/relay.rs
@@ -17,6 +17,7 @@
 use apricotwell_framing::BodyFraming;
 use apricotwell_http::pool::{ConnectionPool, Reuse, SendError, StreamingResponse};
 use apricotwell_node::{AttemptOutcome, Dispatch, StoredAnswer};
+use apricotwell_permits::prelude::{LimitResponse, RequestRate};
 use apricotwell_types::{Refusal, RefusalKind, RequestId, RunOutcome, Tokens};
 
 use crate::NodeDriver;
@@ -136,8 +137,10 @@
     dispatch: &Dispatch,
     outgoing: &OutgoingRequest,
 ) -> Result<HttpResponse, AttemptOutcome> {
+    let sent_at = Instant::now();
     let response = send(driver, connections, dispatch, outgoing).await?;
     check_attempt(&response, &dispatch.attempt)?;
+    report_limit(driver, dispatch, sent_at, &response);
     check_status(&response, outgoing.pass_errors)?;
     let content_type = response.content_type().to_owned();
     let is_event_stream = content_type.starts_with(EVENT_STREAM);
@@ -225,6 +228,21 @@
     }
 }
 
+// Reports the limit that a server names for all instances together, or that it names none any more.
+fn report_limit(
+    driver: &NodeDriver,
+    dispatch: &Dispatch,
+    sent_at: Instant,
+    response: &StreamingResponse,
+) {
+    let rate = header(response, "x-request-limit").and_then(|text| text.trim().parse().ok());
+    let rate = rate.filter(|rate: &RequestRate| rate.is_finite() && *rate >= 0.0);
+    if rate.is_some() || dispatch.is_limited {
+        let response = LimitResponse { sent_at, rate };
+        driver.update(|node, now| node.on_server_limit(now, &dispatch.server, response));
+    }
+}
+
 fn check_status(response: &StreamingResponse, pass_errors: bool) -> Result<(), AttemptOutcome> {
     let outcome = header(response, "x-outcome");
     if outcome.as_deref() == Some(RunOutcome::NotRun.as_str()) {
--- a/crates/apricotwell_entry/tests/connections.rs
+++ b/crates/apricotwell_entry/tests/connections.rs
@@ -144,3 +144,22 @@
     assert!(after < before + 16 * 1024, "from {before} to {after} KiB");
     assert_eq!(fleet.chat(0, "hadegisbru", CHAT).status, 200);
 }
+
+#[test]
+fn an_engine_that_names_a_limit_gets_requests_at_that_rate() {
+    let fleet = fleet("limited");
+    fleet.set_faults(fleet.engine(0), r#"{"request_limit":1}"#);
+    assert_eq!(fleet.chat(0, "hadegisbru", CHAT).status, 200);
+    let started = Instant::now();
+    for _ in 0..3 {
+        assert_eq!(fleet.chat(0, "hadegisbru", CHAT).status, 200);
+    }
+    assert!(started.elapsed() >= Duration::from_secs(2));
+    fleet.set_faults(fleet.engine(0), r#"{"request_limit":0}"#);
+    assert_eq!(fleet.chat(0, "hadegisbru", CHAT).status, 200);
+    let started = Instant::now();
+    for _ in 0..3 {
+        assert_eq!(fleet.chat(0, "hadegisbru", CHAT).status, 200);
+    }
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
--- a/crates/apricotwell_fakes/src/simulation.rs
+++ b/crates/apricotwell_fakes/src/simulation.rs
@@ -16,6 +16,7 @@
     Action, AttemptOutcome, Dispatch, EngineOrder, ListedServer, Node, NodeSettings, OrderKind,
     OrderOutcome, ServerReport, StoredAnswer, Submission, Target,
 };
+use apricotwell_permits::prelude::LimitResponse;
 use apricotwell_records::{
     AppendError, Body, CHECKPOINT_STREAM, CONTROL_STREAM, LogBatch, OperatorKey, PutConfig,
     ReadError, Record,
@@ -162,6 +163,7 @@
     OrderEnded(u64, OrderOutcome),
     Report(ServerId, Option<ServerReport>),
     AttemptEnded(RequestId, String, AttemptOutcome),
+    ServerLimit(ServerId, LimitResponse),
     List,
 }
 
--- a/crates/apricotwell_fakes/src/simulation/events.rs
+++ b/crates/apricotwell_fakes/src/simulation/events.rs
@@ -85,6 +85,9 @@
                     node.on_attempt_ended(now, request, &attempt, outcome)
                 });
             }
+            ProcessEvent::ServerLimit(server, response) => {
+                self.with_node(name, |node| node.on_server_limit(now, &server, response));
+            }
             ProcessEvent::List => self.refresh_lists(name),
         }
     }
@@ -371,6 +374,16 @@
         };
         let call = self.calls[&number].clone();
         let outcome = self.run_call(number, &call, dispatch);
+        let engine = self.engines.get(&*dispatch.server);
+        let rate = engine.and_then(|engine| engine.limit);
+        if rate.is_some() || dispatch.is_limited {
+            let response = LimitResponse {
+                sent_at: self.now,
+                rate,
+            };
+            let event = ProcessEvent::ServerLimit(dispatch.server.clone(), response);
+            self.schedule_after(delay * 2, name, event);
+        }
         let run_time = match outcome {
             AttemptOutcome::Answered { .. } => self.options.request_time,
             _ => Duration::ZERO,
--- a/crates/apricotwell_messages/src/envelope.rs
+++ b/crates/apricotwell_messages/src/envelope.rs
@@ -4,6 +4,7 @@
 
 use crate::claims::{ClaimFinish, ClaimFinishAck, ClaimReply, ClaimRequest};
 use crate::member_update::MemberUpdate;
+use crate::permits::{PermitRequest, PermitResponse};
 use crate::tokens::{BucketState, TokenGrant, TokenRequest};
 
 /// Envelope around each message.
@@ -24,7 +25,7 @@
     /// Message; `None` for a kind that this version does not know.
     #[prost(
         oneof = "Message",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27"
     )]
     pub body: Option<Message>,
 }
@@ -134,6 +135,12 @@
     /// Chunk of a snapshot.
     #[prost(message, tag = "25")]
     SnapshotChunk(SnapshotChunk),
+    /// Requests a permit to send to a limited server.
+    #[prost(message, tag = "26")]
+    PermitRequest(PermitRequest),
+    /// Grants or refuses a permit.
+    #[prost(message, tag = "27")]
+    PermitResponse(PermitResponse),
 }
 
 /// Probes the receiver, which replies with an [`Ack`].
--- a/crates/apricotwell_node/src/action.rs
+++ b/crates/apricotwell_node/src/action.rs
@@ -90,6 +90,8 @@
     pub replica: Option<ReplicaId>,
     /// Model, or the queue name of a plain service.
     pub model: ModelId,
+    /// Whether the server is known to have a limit, so that a response without one lifts it.
+    pub is_limited: bool,
     /// Time left until the request's deadline.
     pub remaining: Duration,
 }
--- a/crates/apricotwell_node/src/fleet.rs
+++ b/crates/apricotwell_node/src/fleet.rs
@@ -5,7 +5,9 @@
 use apricotwell_leases::{
     Evidence, Freshness, LeasePlan, LeaseState, LiveMember, OwnLeases, View, plan_leases,
 };
-use apricotwell_membership::{Contact, MemberState, Membership, OutgoingMessage, ProbeMessage};
+use apricotwell_membership::{
+    Contact, Member, MemberState, Membership, OutgoingMessage, ProbeMessage,
+};
 use apricotwell_messages::{
     Ack, Envelope, LogEvidence, MemberUpdate, Message, Ping, PingFor, RelayedEvidence,
 };
@@ -124,6 +126,18 @@
         &self.membership
     }
 
+    /// Returns the id of this instance.
+    pub(crate) fn own_id(&self) -> &InstanceId {
+        &self.own_id
+    }
+
+    /// Returns the other instances that may be running: the members that are not known to be dead,
+    /// and those that the platform still lists.
+    pub(crate) fn possible_members(&self) -> impl Iterator<Item = &Member> {
+        let members = self.membership.all_members();
+        members.filter(|member| member.listed || member.update.state != MemberState::Dead)
+    }
+
     /// Returns the ids and zones of the members that accept clients, this one included.
     pub(crate) fn ready_members(&self) -> Vec<(InstanceId, String)> {
         let peers = self.membership.members().filter(|member| {
--- a/crates/apricotwell_node/src/node.rs
+++ b/crates/apricotwell_node/src/node.rs
@@ -3,6 +3,7 @@
 mod coordination;
 mod failures;
 mod idempotency;
+mod limits;
 mod peers;
 mod serving;
 
@@ -13,6 +14,7 @@
 use apricotwell_leases::{LeaseState, View};
 use apricotwell_membership::{Contact, Member, MemberState};
 use apricotwell_messages::{Envelope, Message};
+use apricotwell_permits::prelude::LimitedServers;
 use apricotwell_placement::{DemandTable, PlacementPlanner};
 use apricotwell_records::{AppendError, Body, LogBatch, ReadError, Record};
 use apricotwell_retry::RetryBudget;
@@ -62,6 +64,7 @@
     claim_client: ClaimClient,
     claim_coordinator: ClaimCoordinator,
     servers: ServerRegistry,
+    limited: LimitedServers,
     orders: OrderManager,
     demand: DemandTable,
     planner: PlacementPlanner,
@@ -101,6 +104,7 @@
             retry_budgets: Map::default(),
             claim_client: ClaimClient::default(),
             claim_coordinator: ClaimCoordinator::default(),
+            limited: LimitedServers::new(settings.incarnation),
             servers: ServerRegistry::new(settings.report_period, settings.server_timeout),
             orders: OrderManager::new(settings.load_timeout),
             demand: DemandTable::new(settings.demand_period * DEMAND_PERIODS),
@@ -202,6 +206,7 @@
     /// Handles the platform's list of backend servers.
     pub fn on_servers(&mut self, now: Instant, list: Vec<crate::ListedServer>) {
         self.servers.set_list(list);
+        self.expire_limits(now);
         self.dispatch_queued(now);
     }
 
@@ -307,6 +312,7 @@
         self.expire_requests(now);
         self.send_demand(now);
         self.dispatch_queued(now);
+        self.request_permits(now);
         self.flush(now);
     }
 
--- a/crates/apricotwell_node/src/node/peers.rs
+++ b/crates/apricotwell_node/src/node/peers.rs
@@ -77,6 +77,10 @@
                     self.caught_up = true;
                 }
             }
+            Some(Message::PermitRequest(request)) => {
+                self.on_permit_request(now, &from, &request);
+            }
+            Some(Message::PermitResponse(response)) => self.on_permit_response(now, &response),
             Some(Message::Ping(_) | Message::Ack(_) | Message::PingFor(_)) | None => {}
         }
     }
--- a/crates/apricotwell_node/src/node/serving.rs
+++ b/crates/apricotwell_node/src/node/serving.rs
@@ -317,6 +317,7 @@
         let servers: Vec<Candidate> = candidates
             .iter()
             .map(|(candidate, _)| candidate.clone())
+            .filter(|candidate| self.is_permitted(now, &candidate.server))
             .filter(|candidate| {
                 !is_suspect || self.router.estimated_load(now, &candidate.server) == 0.0
             })
@@ -404,6 +405,7 @@
         );
         let needs_claim = claim.is_some() && !request.claimed;
         self.router.begin_request(&server, prefix);
+        self.limited.permits.take(now, &server);
         let base = self.request_name(id);
         let Some(request) = self.requests.get_mut(id) else {
             return;
@@ -478,6 +480,7 @@
         self.emit(now, event);
         self.actions.push(Action::Dispatch(Dispatch {
             request: id,
+            is_limited: self.limited.limits.rate(&server).is_some(),
             attempt,
             server,
             address,
--- a/crates/apricotwell_node/src/server_registry.rs
+++ b/crates/apricotwell_node/src/server_registry.rs
@@ -276,6 +276,12 @@
         unknown_replicas
     }
 
+    /// Returns whether a server is on the list or in the ledger.
+    pub(crate) fn is_known(&self, server: &str, state: &State) -> bool {
+        let info = self.servers.get(server);
+        info.is_some_and(|info| info.listed.is_some()) || state.ledger().server(server).is_some()
+    }
+
     /// Drops the servers that are neither on the list nor in the ledger.
     pub(crate) fn retain(&mut self, state: &State) {
         self.servers
--- a/crates/apricotwell_permits/src/limits.rs
+++ b/crates/apricotwell_permits/src/limits.rs
@@ -59,6 +59,11 @@
         self.servers.get(server)?.rate
     }
 
+    /// Returns whether no server ever named a limit.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// Returns the servers with a limit, with the time of the last notice of each.
     pub fn limited(&self) -> impl Iterator<Item = (&ServerId, Instant)> {
         let limited = self
--- a/crates/apricotwell_permits/src/permits.rs
+++ b/crates/apricotwell_permits/src/permits.rs
@@ -86,6 +86,16 @@
         }
     }
 
+    /// Sets how many requests wait for permits, by server.
+    pub fn set_waiting(&mut self, waiting: &Map<ServerId, usize>) {
+        for (server, permits) in &mut self.servers {
+            permits.waiting = waiting.get(server).copied().unwrap_or(0);
+        }
+        for (server, count) in waiting {
+            self.servers.entry(server.clone()).or_default().waiting = *count;
+        }
+    }
+
     /// Asks for one permit although no request waits for it, unless that was done within `interval`;
     /// returns whether a permit is to be asked for now.
     pub fn probe(&mut self, now: Instant, server: &ServerId, interval: Duration) -> bool {
--- a/crates/apricotwell_standins/src/engine.rs
+++ b/crates/apricotwell_standins/src/engine.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use actix_web::http::header::HeaderMap;
+use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_web::web::{Bytes, Data, Json};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use futures_util::stream;
@@ -65,6 +65,9 @@
     wrong_attempts: Option<u32>,
     /// Completions to break off.
     cut: Option<Cut>,
+    /// Requests per second that the engine accepts from all instances together, named in its
+    /// responses; 0 for no limit.
+    request_limit: Option<f64>,
 }
 
 #[derive(Default)]
@@ -75,6 +78,7 @@
     hanging_requests: u32,
     wrong_attempts: u32,
     cut: Option<Cut>,
+    request_limit: Option<f64>,
 }
 
 #[derive(Clone)]
@@ -265,6 +269,8 @@
         .unwrap_or(faults.hanging_requests);
     faults.wrong_attempts = requested.wrong_attempts.unwrap_or(faults.wrong_attempts);
     faults.cut = requested.cut.or(faults.cut);
+    let limit = requested.request_limit.or(faults.request_limit);
+    faults.request_limit = limit.filter(|limit| *limit > 0.0);
     HttpResponse::Ok().finish()
 }
 
@@ -336,9 +342,19 @@
         sleep(pause).await;
         send_completion(guard, &completion, &attempt)
     };
+    let response = name_limit(engine.faults().request_limit, response);
     cut::apply(&mut engine.faults().cut, response)
 }
 
+fn name_limit(limit: Option<f64>, mut response: HttpResponse) -> HttpResponse {
+    let value = limit.and_then(|limit| HeaderValue::from_str(&limit.to_string()).ok());
+    if let Some(value) = value {
+        let name = HeaderName::from_static("x-request-limit");
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
 fn plan_completion(body: &CompletionBody, path: &str, break_stream: bool) -> Completion {
     let prompt = if body.messages.is_null() {
         body.prompt.to_string()
