Reproduce the fault of LIMIT in the retry budget: instances that start alone each take the whole slack

Each instance takes its share by the instances that it knows. 410 that start at once know none and take 18,860 retries where 140 are allowed.

--- a/crates/apricotwell_dispatch/tests/retries.rs
+++ b/crates/apricotwell_dispatch/tests/retries.rs
@@ -39,3 +39,23 @@
     assert!(!budget.try_take(now + BOUNDS.window, INSTANCES));
     assert!(budget.try_take(now + BOUNDS.window * 2, INSTANCES));
 }
+
+#[test]
+fn instances_that_start_alone_together_stay_below_the_bounds() {
+    const INSTANCES: usize = 410;
+    let start = Instant::now();
+    let mut retries = 0;
+    for _ in 0..INSTANCES {
+        let mut budget = RetryBudget::new(BOUNDS);
+        budget.record_request(start);
+        // Each has heard of no other yet.
+        while budget.try_take(start + Duration::from_millis(500), 1) {
+            retries += 1;
+        }
+    }
+    let allowed = BOUNDS.ratio * INSTANCES as f64 + BOUNDS.slack;
+    assert!(
+        f64::from(retries) <= allowed,
+        "{retries} retries, allowed {allowed}"
+    );
+}
