Log which servers end as they begin to answer, and under which prompts

A server that breaks off a response within a second of its first bytes is now asked for a connection, which is kept, and watched in the server list for six seconds; if it has ended, server_crashed names it with the ids of the prompts' parts. apricotwell_crash_checks_total counts what was found. Nothing acts on it.

--- /dev/null
+++ b/crates/apricotwell_gateway/src/crash_checks.rs
@@ -0,0 +1,117 @@
+//! Checks whether a server that broke off responses has ended.
+//!
+//! A response may be broken off by a server that lives on. A server has ended if it accepts no
+//! connections, or if the server list shows soon after that it was removed or started again.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use apricotwell_types::{Map, ServerId};
+
+use crate::adapter::Platform;
+use crate::events::Event;
+use crate::gateway::Gateway;
+
+/// Time in which the other responses of a server that has ended break off as well.
+const GATHER_TIME: Duration = Duration::from_millis(60);
+/// Interval at which the server list is looked at.
+const LIST_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after which a server that is still listed has not ended.
+const LIST_TIME: Duration = Duration::from_secs(6);
+/// Requests of one server that are checked together.
+const MAX_REQUESTS: usize = 64;
+/// Requests of one server whose parts are logged.
+const MAX_LOGGED: usize = 16;
+
+/// Prompt of a request: the ids of its segments.
+type PromptIds = Vec<u64>;
+
+/// Servers that are being checked, with the prompts that they were beginning to answer.
+#[derive(Debug, Default)]
+pub struct CrashChecks {
+    servers: RefCell<Map<ServerId, Vec<PromptIds>>>,
+}
+
+/// Server at the time when it broke off a response.
+struct CheckedServer {
+    id: ServerId,
+    address: SocketAddr,
+    started_ms: u64,
+    at: Instant,
+}
+
+/// Checks a server that broke off a response to a request that it was beginning to answer.
+pub fn begin<P>(gateway: &Rc<Gateway<P>>, server: &ServerId, prompt: PromptIds)
+where
+    P: Platform,
+{
+    let mut servers = gateway.crash_checks.servers.borrow_mut();
+    if let Some(prompts) = servers.get_mut(server) {
+        if prompts.len() < MAX_REQUESTS {
+            prompts.push(prompt);
+        }
+        return;
+    }
+    let dispatcher = gateway.dispatcher.borrow();
+    let Some(backend) = dispatcher.backends.get(server) else {
+        return;
+    };
+    let checked = CheckedServer {
+        id: server.clone(),
+        address: backend.entry.address,
+        started_ms: backend.entry.started_ms,
+        at: gateway.now(),
+    };
+    servers.insert(server.clone(), vec![prompt]);
+    let gateway = Rc::clone(gateway);
+    actix::spawn(async move { check(&gateway, checked).await });
+}
+
+async fn check<P>(gateway: &Rc<Gateway<P>>, server: CheckedServer)
+where
+    P: Platform,
+{
+    tokio::time::sleep(GATHER_TIME).await;
+    let mut has_ended = !gateway.pool.is_accepting(server.address).await;
+    while !has_ended && !is_over(gateway, &server) {
+        tokio::time::sleep(LIST_INTERVAL).await;
+        has_ended = has_left_list(gateway, &server);
+    }
+    let prompts = gateway.crash_checks.servers.borrow_mut().remove(&server.id);
+    gateway.metrics.count_crash_check(has_ended);
+    if has_ended {
+        log_crash(&server, &prompts.unwrap_or_default());
+    }
+}
+
+fn is_over<P>(gateway: &Gateway<P>, server: &CheckedServer) -> bool
+where
+    P: Platform,
+{
+    gateway.now().saturating_duration_since(server.at) >= LIST_TIME
+}
+
+fn has_left_list<P>(gateway: &Gateway<P>, server: &CheckedServer) -> bool
+where
+    P: Platform,
+{
+    let dispatcher = gateway.dispatcher.borrow();
+    let backend = dispatcher.backends.get(&server.id);
+    backend
+        .is_none_or(|backend| backend.entry.started_ms != server.started_ms || !backend.is_listed())
+}
+
+fn log_crash(server: &CheckedServer, prompts: &[PromptIds]) {
+    let hex = |prompt: &PromptIds| {
+        let ids: Vec<String> = prompt.iter().map(|id| format!("{id:x}")).collect();
+        ids.join(",")
+    };
+    let logged: Vec<String> = prompts.iter().take(MAX_LOGGED).map(hex).collect();
+    Event::new("server_crashed")
+        .with("server", &*server.id)
+        .with("requests", prompts.len())
+        .with("prompts", logged)
+        .log();
+}
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use crate::adapter::Platform;
 use crate::budget::Budget;
 use crate::clock::BootClock;
+use crate::crash_checks::CrashChecks;
 use crate::feed_queries::FeedQueries;
 use crate::metrics::Metrics;
 
@@ -83,6 +84,8 @@
     pub replan: Notify,
     /// Notified once, when client connections should be closed for shutdown.
     pub shutdown: Notify,
+    /// Servers that may have ended.
+    pub crash_checks: CrashChecks,
     /// Pending feed queries to other instances.
     pub feed_queries: FeedQueries,
     /// Budget of client connections.
@@ -125,6 +128,7 @@
             inventory_changed: Notify::new(),
             replan: Notify::new(),
             shutdown: Notify::new(),
+            crash_checks: CrashChecks::default(),
             feed_queries,
             connection_budget: Budget::new(MAX_CONNECTIONS),
             body_budget: Budget::new(MAX_BODY_BYTES),
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -10,6 +10,7 @@
 use http::request;
 
 use crate::adapter::{Attempt, ClientProtocol, Platform};
+use crate::crash_checks;
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard, PermitGuard, WaitGuard};
@@ -27,6 +28,8 @@
 /// Fraction of the grace period during which requests may still wait for a server after a request
 /// to stop.
 const WAIT_GRACE_FRACTION: f64 = 0.55;
+/// Time after the first bytes of a response from which on its server has begun to answer safely.
+const BEGINNING_TIME: Duration = Duration::from_secs(1);
 /// Number of rejections by servers after which a request is refused.
 const MAX_REJECTIONS: usize = 8;
 
@@ -354,6 +357,7 @@
             Ok(Err(SendError::Lost(reason))) => {
                 self.runs += 1;
                 flight.record_outcome(true);
+                self.check_crash(&flight.server, None);
                 return AttemptOutcome::Lost(reason);
             }
             Err(_) => {
@@ -470,6 +474,18 @@
             .saturating_duration_since(now)
     }
 
+    /// Checks whether a server that broke off its response, whose first bytes came at `began`, has
+    /// ended as it began to answer.
+    pub fn check_crash(&self, server: &ServerId, began: Option<Instant>) {
+        let now = self.gateway.now();
+        let is_beginning =
+            began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
+        if is_beginning && !self.request.prompt.is_empty() {
+            let prompt = self.request.prompt.iter().map(|segment| segment.id);
+            crash_checks::begin(&self.gateway, server, prompt.collect());
+        }
+    }
+
     /// Records how the body of a response ended.
     pub fn end_response(&mut self, received: ReceivedBody) {
         let is_whole = received.failure.is_none();
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod adapter;
 pub mod budget;
 pub mod clock;
+pub mod crash_checks;
 pub mod daemon;
 pub mod events;
 pub mod feed_queries;
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -36,6 +36,7 @@
     server_limits: Family<OutcomeLabels, Counter>,
     limited_requests: Counter,
     permits: Family<OutcomeLabels, Counter>,
+    crash_checks: Family<OutcomeLabels, Counter>,
     first_byte: Histogram,
     store_calls: Family<OutcomeLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
@@ -72,6 +73,12 @@
             "Permits for servers with a limit that other instances asked for",
             permits.clone(),
         );
+        let crash_checks = Family::default();
+        registry.register(
+            "crash_checks",
+            "Checks of servers that broke off responses, by what was found",
+            crash_checks.clone(),
+        );
         let first_byte = Histogram::new(LATENCY_BOUNDS);
         registry.register(
             "first_byte_seconds",
@@ -95,6 +102,7 @@
             server_limits,
             limited_requests,
             permits,
+            crash_checks,
             first_byte,
             store_calls,
             orders,
@@ -129,6 +137,14 @@
         count(&self.permits, if granted { "granted" } else { "refused" });
     }
 
+    /// Counts a check of a server that broke off a response.
+    pub fn count_crash_check(&self, has_ended: bool) {
+        count(
+            &self.crash_checks,
+            if has_ended { "ended" } else { "running" },
+        );
+    }
+
     /// Records the time to the first byte of a response.
     pub fn observe_first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! Relay of event streams from servers to clients.
 
 use std::fmt;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use apricotwell_framing::{BodyFraming, EventScanner};
 use apricotwell_http::pool::StreamingResponse;
@@ -50,6 +50,8 @@
     framing: BodyFraming,
     scanner: EventScanner,
     last_event: Option<u64>,
+    // Time at which the first bytes of the last server's response were received.
+    began: Option<Instant>,
     status: u16,
     ended: bool,
 }
@@ -72,6 +74,7 @@
             response: Some((response, flight)),
             incomplete_event: BytesMut::new(),
             scanner: EventScanner::default(),
+            began: None,
             ended: false,
         }
     }
@@ -102,7 +105,10 @@
                 // A stalled server is kept while no other one can resume the stream.
                 Err(_) if !self.handler.has_other_server(&flight.server) => continue,
                 Err(_) => "no event in time".to_owned(),
-                Ok(Some(Err(error))) => error.to_string(),
+                Ok(Some(Err(error))) => {
+                    self.handler.check_crash(&flight.server, self.began);
+                    error.to_string()
+                }
                 Ok(Some(Ok(bytes))) => match self.take_complete_events(bytes, resumable) {
                     Some(events) => {
                         self.handler.record_bytes();
@@ -112,7 +118,10 @@
                 },
                 Ok(None) => match self.scanner.check_end(self.framing) {
                     Ok(()) => return self.finish(),
-                    Err(truncation) => truncation.to_string(),
+                    Err(truncation) => {
+                        self.handler.check_crash(&flight.server, self.began);
+                        truncation.to_string()
+                    }
                 },
             };
             if !resumable || !self.resume(&reason).await {
@@ -124,6 +133,7 @@
     // Returns the complete events received so far; returns all bytes if the stream can't be
     // resumed.
     fn take_complete_events(&mut self, bytes: Bytes, resumable: bool) -> Option<Bytes> {
+        self.began.get_or_insert(self.handler.gateway.now());
         let events_end = self.scanner.feed(&bytes);
         if !resumable {
             return Some(bytes);
@@ -163,6 +173,7 @@
                     .log();
                 self.framing = response.framing();
                 self.scanner = EventScanner::default();
+                self.began = None;
                 self.response = Some((response, flight));
                 true
             }
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -289,7 +289,10 @@
             response.headers_mut().remove(http::header::CONTENT_LENGTH);
             return Ok(response);
         }
-        Ok(Err(reason)) => reason,
+        Ok(Err(reason)) => {
+            handler.check_crash(&flight.server, None);
+            reason
+        }
         Err(_) => "the deadline passed during the response".to_owned(),
     };
     received.failure = Some(reason.clone());
--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -34,6 +34,9 @@
 /// Margin before a server's idle timeout in which a connection is no longer used, so that a request
 /// is not sent on a connection that the server is just closing.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Time after which a new connection counts as accepted; a process that has ended may leave behind
+/// something that accepts connections and closes them.
+const ACCEPT_TIME: Duration = Duration::from_millis(50);
 /// Limit on the idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Size limit of the read buffer of one connection.
@@ -145,6 +148,19 @@
         response.collect(limit).await.map_err(SendError::Lost)
     }
 
+    /// Returns whether a server accepts connections; the new connection is kept for later requests.
+    pub async fn is_accepting(self: &Rc<Self>, address: SocketAddr) -> bool {
+        let Ok(sender) = connect(address).await else {
+            return false;
+        };
+        tokio::time::sleep(ACCEPT_TIME).await;
+        let is_open = !sender.is_closed();
+        if is_open {
+            self.put(address, sender, MAX_IDLE);
+        }
+        is_open
+    }
+
     /// Closes all idle connections to an address.
     ///
     /// To be called after a timeout on one connection, since its cause may affect the others too.
