Quarantine parts of requests that crash servers

Class: a fault that only several instances together have seen, in requests of which each is new.

Change: the parts of the requests that a server was beginning to answer when it ended are recorded and told to all instances. Three separate crashes convict a part, if no answer with it was sound since and no convicted part explains them.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Admission and routing of requests, over the combined state of one instance.
 
+mod crashes;
 mod messaging;
 mod permits;
 mod selection;
@@ -9,8 +10,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use apricotwell_messages::FleetSpending;
+use apricotwell_messages::{FleetSpending, FleetState};
 use apricotwell_permits::prelude::LimitedServers;
+use apricotwell_quarantine::prelude::{Crash, Quarantine};
 use apricotwell_types::{InstanceId, Map, Refusal, RefusalKind, ServerId, Tokens, ZoneId};
 
 use crate::backends::BackendTable;
@@ -105,6 +107,8 @@
     pub feeds: FeedViews,
     /// Backend servers.
     pub backends: BackendTable,
+    /// Parts of requests that crash servers.
+    pub quarantine: Quarantine,
     /// Limits that servers named, and permits to send within them.
     pub limited: LimitedServers,
     /// Other instances.
@@ -117,6 +121,8 @@
     pub planner: PlacementPlanner,
     /// Prompt segments that servers have likely cached.
     pub prompts: PromptCacheTable,
+    // Crashes that this instance saw recently.
+    own_crashes: Vec<Crash>,
     quotas: QuotaTable,
     retries: Map<ServiceId, RetryBudget>,
     draining: bool,
@@ -131,7 +137,9 @@
             freshness: Freshness::new(config.revocation_bound),
             feeds: FeedViews::default(),
             backends: BackendTable::default(),
+            quarantine: Quarantine::default(),
             limited: LimitedServers::new(config.incarnation),
+            own_crashes: Vec::new(),
             peers: PeerTable::default(),
             demand: DemandTable::default(),
             lease: Lease::new(config.lease),
@@ -319,14 +327,19 @@
             .is_some_and(|organisation| self.quotas.is_near_limit(now, organisation))
     }
 
-    /// Returns the fleet's spending in the last window, to be saved in the store.
-    pub fn fleet_spending(&mut self, now: Instant) -> FleetSpending {
-        self.quotas.snapshot(now)
+    /// Returns what is to be saved in the store: the fleet's spending and the quarantined parts.
+    pub fn fleet_state(&mut self, now: Instant) -> FleetState {
+        FleetState {
+            organisations: self.quotas.snapshot(now).organisations,
+            blocked: self.blocked_parts(now),
+        }
     }
 
-    /// Restores the fleet's spending from what was saved in the store.
-    pub fn restore_spending(&mut self, now: Instant, spending: &FleetSpending) {
-        self.quotas.restore(now, spending);
+    /// Restores what was saved in the store.
+    pub fn restore_fleet_state(&mut self, now: Instant, state: FleetState) {
+        let organisations = state.organisations;
+        self.quotas.restore(now, &FleetSpending { organisations });
+        self.adopt_blocked_parts(now, &state.blocked);
     }
 
     /// Returns whether some organisation is close to its limit.
@@ -355,6 +368,7 @@
         }
         self.backends.expire(now);
         self.expire_limits(now);
+        self.quarantine.expire(now);
     }
 
     /// Plans the model placement of every service; returns the orders to send and the servers to
--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -16,6 +16,7 @@
     /// Returns this instance's next heartbeat, without the demand for models.
     pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
         self.heartbeats += 1;
+        let crashes = self.crash_knowledge(now);
         let servers = self
             .backends
             .iter()
@@ -46,6 +47,7 @@
             fence: fence.unwrap_or_default(),
             zone: self.config.zone.to_string(),
             limits: self.limited.limits.recent(now, self.limit_report_time()),
+            crashes,
         }
     }
 
@@ -70,6 +72,9 @@
             self.apply_spending(now, &catalog, &instance, heartbeat);
         }
         self.lease.observe_fence(heartbeat.fence);
+        if let Some(crashes) = &heartbeat.crashes {
+            self.apply_crash_knowledge(now, crashes);
+        }
         for limit in &heartbeat.limits {
             self.limited.limits.apply_limit(now, limit);
         }
--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/fleet.rs
@@ -0,0 +1,9 @@
+//! Whole fleets in virtual time: what servers count over all instances, and what one instance learns
+//! for the others.
+
+#[path = "fleet/crashes.rs"]
+mod crashes;
+#[path = "fleet/limits.rs"]
+mod limits;
+#[path = "fleet/simulation.rs"]
+mod simulation;
--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/fleet/crashes.rs
@@ -0,0 +1,121 @@
+//! Parts of requests that crash servers, recognised by a whole fleet in virtual time.
+
+use std::time::Duration;
+
+use crate::simulation::{Faults, Fleet};
+use apricotwell_quarantine::prelude::PartId;
+
+/// Time after the fifth crash within which no instance may send a request with the part.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Requests with the part that may be sent later, all in all.
+const MAX_LATE: usize = 3;
+const GENERAL: PartId = 1;
+const SOUND: PartId = 2;
+const BAD: PartId = 66;
+
+// Requests with a bad part come at any instance, one each `pause`, and each crashes a server if it is
+// sent. Returns how many were sent later than allowed.
+fn play(instances: usize, pause: Duration, parts: &[PartId], faults: Faults) -> (Fleet, usize) {
+    let mut fleet = Fleet::new(instances, &[], faults);
+    fleet.pass(Duration::from_secs(12));
+    let mut crashes = 0;
+    let (mut late, mut since_fifth) = (0, Duration::ZERO);
+    for number in 0..200 {
+        let index = (number * 131) % fleet.len();
+        let part = parts[number % parts.len()];
+        if !fleet.refuses(index, &[GENERAL, part, 1000 + number as u64]) {
+            crashes += 1;
+            late += usize::from(crashes > 5 * parts.len() && since_fifth > CONTACT);
+            let server = format!("server-{number}");
+            fleet.crash(index, &server, &[GENERAL, part, 1000 + number as u64]);
+        }
+        // Sound requests that share all but that part are answered elsewhere.
+        let other = (number * 37 + 5) % fleet.len();
+        fleet.answer(other, &[GENERAL, SOUND, 5000 + number as u64]);
+        fleet.pass(pause);
+        if crashes >= 5 * parts.len() {
+            since_fifth += pause;
+        }
+    }
+    (fleet, late)
+}
+
+fn assert_told(fleet: &mut Fleet, parts: &[PartId]) {
+    for index in 0..fleet.len() {
+        assert!(
+            !fleet.refuses(index, &[GENERAL, SOUND, 1]),
+            "sound at {index}"
+        );
+        for part in parts {
+            assert!(
+                fleet.refuses(index, &[GENERAL, *part, 2]),
+                "{part} at {index}"
+            );
+        }
+    }
+}
+
+#[test]
+fn part_that_crashes_servers_is_refused_everywhere_in_time() {
+    for instances in [9, 410] {
+        for ms in [100, 700] {
+            let pause = Duration::from_millis(ms);
+            let (mut fleet, late) = play(instances, pause, &[BAD], Faults::default());
+            assert!(
+                late <= MAX_LATE,
+                "{instances} instances, {ms} ms: {late} late"
+            );
+            assert_told(&mut fleet, &[BAD]);
+        }
+    }
+}
+
+#[test]
+fn several_parts_at_once_are_refused_and_sound_requests_are_not() {
+    let parts = [BAD, BAD + 1, BAD + 2];
+    for instances in [9, 410] {
+        let pause = Duration::from_millis(400);
+        let (mut fleet, late) = play(instances, pause, &parts, Faults::default());
+        assert!(late <= MAX_LATE, "{instances} instances: {late} late");
+        assert_told(&mut fleet, &parts);
+    }
+}
+
+#[test]
+fn part_is_refused_in_time_with_lost_and_late_heartbeats() {
+    for instances in [9, 410] {
+        let faults = Faults {
+            loss: 0.3,
+            delay: Duration::from_millis(300),
+            ..Faults::default()
+        };
+        let pause = Duration::from_millis(400);
+        let (mut fleet, late) = play(instances, pause, &[BAD], faults);
+        assert!(late <= MAX_LATE, "{instances} instances: {late} late");
+        assert_told(&mut fleet, &[BAD]);
+    }
+}
+
+#[test]
+fn instances_that_restart_one_after_the_other_do_not_forget_a_part() {
+    let pause = Duration::from_millis(400);
+    let (mut fleet, _) = play(9, pause, &[BAD], Faults::default());
+    for index in 0..9 {
+        fleet.restart(index);
+        fleet.pass(Duration::from_secs(2));
+        assert!(fleet.refuses(index, &[GENERAL, BAD, 3]), "instance {index}");
+    }
+    assert_told(&mut fleet, &[BAD]);
+}
+
+#[test]
+fn instance_that_is_cut_off_learns_a_part_when_the_cut_heals() {
+    let faults = Faults {
+        parts: 2,
+        cut: Some(Duration::from_secs(2)..Duration::from_secs(60)),
+        ..Faults::default()
+    };
+    let (mut fleet, _) = play(9, Duration::from_millis(300), &[BAD], faults);
+    fleet.pass(Duration::from_secs(3));
+    assert_told(&mut fleet, &[BAD]);
+}
--- a/crates/apricotwell_dispatch/tests/limits.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/limits.rs
@@ -1,11 +1,8 @@
 //! Limits that servers name for all instances together, kept by a whole fleet in virtual time.
 
-#[path = "fleet/fleet.rs"]
-mod fleet;
-
 use std::time::Duration;
 
-use fleet::{Faults, Fleet};
+use crate::simulation::{Faults, Fleet};
 
 /// Time in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
--- a/crates/apricotwell_dispatch/tests/fleet/fleet.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -1,4 +1,4 @@
-//! Fleet of instances in virtual time that share servers with limits.
+//! Fleet of instances in virtual time that share servers with limits and tell each other of crashes.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -9,6 +9,7 @@
 use apricotwell_dispatch::prelude::*;
 use apricotwell_messages::{Heartbeat, PermitRequest, PermitResponse};
 use apricotwell_permits::prelude::LimitResponse;
+use apricotwell_quarantine::prelude::{Crash, PartId};
 use apricotwell_types::{InstanceId, ServerId};
 use prost::Message;
 use rand::rngs::StdRng;
@@ -24,6 +25,8 @@
 const LIST_INTERVAL: (Duration, Duration) = (Duration::from_secs(3), Duration::from_millis(60));
 /// Bytes of the headers of a datagram, and of the message round the body.
 const HEADER_BYTES: usize = 28 + 3;
+/// Shortest time between two heartbeats of an instance, per instance of the fleet.
+const URGENT_INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(4);
 const SEED: u64 = 26;
 
 /// What goes wrong.
@@ -161,17 +164,21 @@
         let end = self.start + START + length;
         let mut limited = false;
         while self.now < end {
-            self.now += STEP;
-            self.inject_faults();
-            self.deliver();
             if !limited && self.now >= self.start + START {
                 limited = true;
                 self.name_limits();
             }
-            for index in 0..self.members.len() {
-                if self.members[index].frozen_until <= self.now {
-                    self.step(index);
-                }
+            self.advance();
+        }
+    }
+
+    fn advance(&mut self) {
+        self.now += STEP;
+        self.inject_faults();
+        self.deliver();
+        for index in 0..self.members.len() {
+            if self.members[index].frozen_until <= self.now {
+                self.step(index);
             }
         }
     }
@@ -283,6 +290,50 @@
         }
     }
 
+    /// Ends a server that was beginning to answer a request of an instance, which tells the others
+    /// as soon as its heartbeats allow.
+    pub(crate) fn crash(&mut self, index: usize, server: &str, parts: &[PartId]) {
+        let now = self.now;
+        let pause = URGENT_INTERVAL_PER_INSTANCE * self.members.len() as u32;
+        let member = &mut self.members[index];
+        member.dispatcher.record_crash(Crash {
+            server: server.into(),
+            at: now,
+            requests: vec![parts.to_vec()],
+        });
+        member.heartbeat_due = member.heartbeat_due.min(now + pause);
+    }
+
+    /// Completes an answer of an instance that began just before.
+    pub(crate) fn answer(&mut self, index: usize, parts: &[PartId]) {
+        let quarantine = &mut self.members[index].dispatcher.quarantine;
+        quarantine.record_sound(self.now, parts);
+    }
+
+    /// Returns whether an instance refuses requests with these parts.
+    pub(crate) fn refuses(&mut self, index: usize, parts: &[PartId]) -> bool {
+        let dispatcher = &mut self.members[index].dispatcher;
+        dispatcher.check_quarantine(self.now, parts).is_some()
+    }
+
+    /// Returns the number of instances.
+    pub(crate) fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Restarts an instance, which forgets everything.
+    pub(crate) fn restart(&mut self, index: usize) {
+        self.members[index] = self.start_member(index, self.members.len());
+    }
+
+    /// Lets time pass.
+    pub(crate) fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.advance();
+        }
+    }
+
     fn is_cut(&self, from: usize, to: usize) -> bool {
         let elapsed = self.now.saturating_duration_since(self.start + START);
         let is_now = self
--- a/crates/apricotwell_gateway/src/crash_checks.rs
+++ b/crates/apricotwell_gateway/src/crash_checks.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use apricotwell_quarantine::prelude::{Crash, PartId};
 use apricotwell_types::{Map, ServerId};
 
 use crate::adapter::Platform;
@@ -22,16 +23,13 @@
 const LIST_TIME: Duration = Duration::from_secs(6);
 /// Requests of one server that are checked together.
 const MAX_REQUESTS: usize = 64;
-/// Requests of one server whose parts are logged.
+/// Requests of one server that are logged.
 const MAX_LOGGED: usize = 16;
 
-/// Prompt of a request: the ids of its segments.
-type PromptIds = Vec<u64>;
-
-/// Servers that are being checked, with the prompts that they were beginning to answer.
+/// Servers that are being checked, with the parts of the requests that they were beginning to answer.
 #[derive(Debug, Default)]
 pub struct CrashChecks {
-    servers: RefCell<Map<ServerId, Vec<PromptIds>>>,
+    servers: RefCell<Map<ServerId, Vec<Vec<PartId>>>>,
 }
 
 /// Server at the time when it broke off a response.
@@ -43,14 +41,14 @@
 }
 
 /// Checks a server that broke off a response to a request that it was beginning to answer.
-pub fn begin<P>(gateway: &Rc<Gateway<P>>, server: &ServerId, prompt: PromptIds)
+pub fn begin<P>(gateway: &Rc<Gateway<P>>, server: &ServerId, parts: Vec<PartId>)
 where
     P: Platform,
 {
     let mut servers = gateway.crash_checks.servers.borrow_mut();
-    if let Some(prompts) = servers.get_mut(server) {
-        if prompts.len() < MAX_REQUESTS {
-            prompts.push(prompt);
+    if let Some(requests) = servers.get_mut(server) {
+        if requests.len() < MAX_REQUESTS {
+            requests.push(parts);
         }
         return;
     }
@@ -64,7 +62,7 @@
         started_ms: backend.entry.started_ms,
         at: gateway.now(),
     };
-    servers.insert(server.clone(), vec![prompt]);
+    servers.insert(server.clone(), vec![parts]);
     let gateway = Rc::clone(gateway);
     actix::spawn(async move { check(&gateway, checked).await });
 }
@@ -79,10 +77,37 @@
         tokio::time::sleep(LIST_INTERVAL).await;
         has_ended = has_left_list(gateway, &server);
     }
-    let prompts = gateway.crash_checks.servers.borrow_mut().remove(&server.id);
+    let requests = gateway.crash_checks.servers.borrow_mut().remove(&server.id);
     gateway.metrics.count_crash_check(has_ended);
-    if has_ended {
-        log_crash(&server, &prompts.unwrap_or_default());
+    if !has_ended {
+        return;
+    }
+    let requests = requests.unwrap_or_default();
+    log_crash(&server, &requests);
+    gateway.dispatcher.borrow_mut().record_crash(Crash {
+        server: server.id,
+        at: server.at,
+        requests,
+    });
+    gateway.heartbeat_due.notify_one();
+    log_quarantine(gateway);
+}
+
+/// Logs and counts the parts that were quarantined or released since the last call.
+pub fn log_quarantine<P>(gateway: &Gateway<P>)
+where
+    P: Platform,
+{
+    let changes = gateway.dispatcher.borrow_mut().quarantine.take_changes();
+    for (part, is_blocked) in changes {
+        let name = if is_blocked {
+            "part_quarantined"
+        } else {
+            "part_released"
+        };
+        gateway.metrics.count_quarantine(name);
+        Event::new(name).with("part", format!("{part:x}")).log();
+        gateway.servers_changed.notify_waiters();
     }
 }
 
@@ -103,15 +128,15 @@
         .is_none_or(|backend| backend.entry.started_ms != server.started_ms || !backend.is_listed())
 }
 
-fn log_crash(server: &CheckedServer, prompts: &[PromptIds]) {
-    let hex = |prompt: &PromptIds| {
-        let ids: Vec<String> = prompt.iter().map(|id| format!("{id:x}")).collect();
+fn log_crash(server: &CheckedServer, requests: &[Vec<PartId>]) {
+    let hex = |parts: &Vec<PartId>| {
+        let ids: Vec<String> = parts.iter().map(|id| format!("{id:x}")).collect();
         ids.join(",")
     };
-    let logged: Vec<String> = prompts.iter().take(MAX_LOGGED).map(hex).collect();
+    let logged: Vec<String> = requests.iter().take(MAX_LOGGED).map(hex).collect();
     Event::new("server_crashed")
         .with("server", &*server.id)
-        .with("requests", prompts.len())
-        .with("prompts", logged)
+        .with("requests", requests.len())
+        .with("parts", logged)
         .log();
 }
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -1,12 +1,14 @@
 //! Handling of one admitted request: server selection, attempts and retries.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_http::pool::{Reuse, SendError, StreamingResponse};
 use apricotwell_permits::prelude::{LimitResponse, RequestRate};
-use apricotwell_types::{Refusal, RefusalKind, RunOutcome, ServerId};
+use apricotwell_quarantine::prelude::PartId;
+use apricotwell_types::{BodyDigest, Refusal, RefusalKind, RunOutcome, ServerId};
 use http::request;
 
 use crate::adapter::{Attempt, ClientProtocol, Platform};
@@ -29,7 +31,7 @@
 /// to stop.
 const WAIT_GRACE_FRACTION: f64 = 0.55;
 /// Time after the first bytes of a response from which on its server has begun to answer safely.
-const BEGINNING_TIME: Duration = Duration::from_secs(1);
+pub const BEGINNING_TIME: Duration = Duration::from_secs(1);
 /// Number of rejections by servers after which a request is refused.
 const MAX_REJECTIONS: usize = 8;
 
@@ -56,6 +58,8 @@
     rejections: usize,
     /// Time at which a server was selected for the last attempt.
     server_found: Option<Instant>,
+    // Parts of the request that may crash servers.
+    parts: OnceCell<Vec<PartId>>,
     /// Progress of the responses.
     pub trace: ResponseTrace,
     // Counts the request as active until its response has ended.
@@ -97,6 +101,7 @@
             runs: 0,
             rejections: 0,
             server_found: None,
+            parts: OnceCell::new(),
             trace: ResponseTrace::default(),
             _active: ActiveGuard::new(gateway),
         }
@@ -237,6 +242,14 @@
         Refusal::not_run(kind, text).with_retry_after(Duration::from_millis(300))
     }
 
+    // Returns the refusal of a quarantined request, which may have run before.
+    fn quarantined(&self, refusal: Refusal) -> Refusal {
+        if self.runs > 0 {
+            return self.refusal(refusal.kind, &refusal.message);
+        }
+        refusal
+    }
+
     // Selects a server, waiting for one if necessary.
     async fn find_server(&mut self) -> Result<(ServerId, std::net::SocketAddr), Refusal> {
         let mut waiting = None;
@@ -246,6 +259,9 @@
             tokio::pin!(changed);
             changed.as_mut().enable();
             let now = self.gateway.now();
+            if let Some(refusal) = self.quarantine_refusal(now) {
+                return Err(self.quarantined(refusal));
+            }
             let choice = {
                 let dispatcher = self.gateway.dispatcher.borrow();
                 dispatcher.select_server(now, &self.admission, &self.request, &self.excluded)
@@ -480,12 +496,61 @@
         let now = self.gateway.now();
         let is_beginning =
             began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
-        if is_beginning && !self.request.prompt.is_empty() {
-            let prompt = self.request.prompt.iter().map(|segment| segment.id);
-            crash_checks::begin(&self.gateway, server, prompt.collect());
+        if is_beginning {
+            let parts = self.parts().to_vec();
+            crash_checks::begin(&self.gateway, server, parts);
         }
     }
 
+    /// Records that a server which began its response at `began` did not crash.
+    pub fn record_sound(&self, began: Instant) {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let quarantine = &mut dispatcher.quarantine;
+        if quarantine.has_crashes() {
+            quarantine.record_sound(began, self.parts());
+        } else {
+            let shared: Vec<PartId> = self.shared_parts().collect();
+            quarantine.record_sound(began, &shared);
+        }
+        drop(dispatcher);
+        crash_checks::log_quarantine(&self.gateway);
+    }
+
+    // Returns the parts of the prompt that other requests share, the most general one first.
+    fn shared_parts(&self) -> impl Iterator<Item = PartId> {
+        let shared = self.request.prompt.split_last();
+        let shared = shared.map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|segment| segment.id)
+    }
+
+    // Returns the parts of the request that may crash servers: the shared ones, and the request as a
+    // whole.
+    fn parts(&self) -> &[PartId] {
+        self.parts.get_or_init(|| {
+            let whole = self.whole_request();
+            self.shared_parts().chain([whole]).collect()
+        })
+    }
+
+    // Returns the id of the whole request: equal requests of one organisation have the same.
+    fn whole_request(&self) -> PartId {
+        let organisation = self.admission.organisation.as_ref();
+        let name = organisation.map_or("", |organisation| &*organisation.name);
+        let sender = format!("{name} {}{}", self.request.host, self.request.path);
+        let digest = BodyDigest::of_body(&sender, &self.body.bytes);
+        let (id, _) = digest.0.split_at(size_of::<PartId>());
+        id.iter().fold(0, |id, byte| id << 8 | PartId::from(*byte))
+    }
+
+    // Returns the refusal of a request with a quarantined part.
+    fn quarantine_refusal(&self, now: Instant) -> Option<Refusal> {
+        if !self.gateway.dispatcher.borrow().quarantine.has_blocked() {
+            return None;
+        }
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.check_quarantine(now, self.parts())
+    }
+
     /// Records how the body of a response ended.
     pub fn end_response(&mut self, received: ReceivedBody) {
         let is_whole = received.failure.is_none();
--- a/crates/apricotwell_gateway/src/heartbeats.rs
+++ b/crates/apricotwell_gateway/src/heartbeats.rs
@@ -12,7 +12,7 @@
 
 use crate::adapter::Platform;
 use crate::gateway::Gateway;
-use crate::permits;
+use crate::{crash_checks, permits};
 
 /// Minimum interval between heartbeats sent because of a change.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(30);
@@ -267,6 +267,7 @@
         return;
     }
     permits::log_limit_changes(gateway);
+    crash_checks::log_quarantine(gateway);
     if heartbeat.models.iter().any(|usage| usage.waiting > 0) {
         gateway.replan.notify_one();
     }
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -37,6 +37,7 @@
     limited_requests: Counter,
     permits: Family<OutcomeLabels, Counter>,
     crash_checks: Family<OutcomeLabels, Counter>,
+    quarantine: Family<OutcomeLabels, Counter>,
     first_byte: Histogram,
     store_calls: Family<OutcomeLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
@@ -79,6 +80,12 @@
             "Checks of servers that broke off responses, by what was found",
             crash_checks.clone(),
         );
+        let quarantine = Family::default();
+        registry.register(
+            "quarantine",
+            "Parts of requests that were quarantined or released",
+            quarantine.clone(),
+        );
         let first_byte = Histogram::new(LATENCY_BOUNDS);
         registry.register(
             "first_byte_seconds",
@@ -103,6 +110,7 @@
             limited_requests,
             permits,
             crash_checks,
+            quarantine,
             first_byte,
             store_calls,
             orders,
@@ -145,6 +153,11 @@
         );
     }
 
+    /// Counts a part of requests that was quarantined or released.
+    pub fn count_quarantine(&self, change: &str) {
+        count(&self.quarantine, change);
+    }
+
     /// Records the time to the first byte of a response.
     pub fn observe_first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -11,7 +11,7 @@
 
 use crate::adapter::Platform;
 use crate::guard::FlightGuard;
-use crate::handler::RequestHandler;
+use crate::handler::{BEGINNING_TIME, RequestHandler};
 use crate::trace::ReceivedBody;
 
 /// Time without data after which a resumable stream is moved to another server.
@@ -52,6 +52,8 @@
     last_event: Option<u64>,
     // Time at which the first bytes of the last server's response were received.
     began: Option<Instant>,
+    // Whether that response showed the request to be sound.
+    is_sound: bool,
     status: u16,
     ended: bool,
 }
@@ -75,6 +77,7 @@
             incomplete_event: BytesMut::new(),
             scanner: EventScanner::default(),
             began: None,
+            is_sound: false,
             ended: false,
         }
     }
@@ -130,10 +133,21 @@
         }
     }
 
+    // Records the parts of the request as sound once the response has gone on for some time.
+    fn record_progress(&mut self) {
+        let now = self.handler.gateway.now();
+        let began = *self.began.get_or_insert(now);
+        let has_begun = now.saturating_duration_since(began) >= BEGINNING_TIME;
+        if has_begun && !self.is_sound {
+            self.is_sound = true;
+            self.handler.record_sound(began);
+        }
+    }
+
     // Returns the complete events received so far; returns all bytes if the stream can't be
     // resumed.
     fn take_complete_events(&mut self, bytes: Bytes, resumable: bool) -> Option<Bytes> {
-        self.began.get_or_insert(self.handler.gateway.now());
+        self.record_progress();
         let events_end = self.scanner.feed(&bytes);
         if !resumable {
             return Some(bytes);
@@ -174,6 +188,7 @@
                 self.framing = response.framing();
                 self.scanner = EventScanner::default();
                 self.began = None;
+                self.is_sound = false;
                 self.response = Some((response, flight));
                 true
             }
@@ -193,6 +208,9 @@
         self.ended = true;
         let (_, flight) = self.response.take()?;
         flight.record_outcome(self.status >= 500);
+        if let Some(began) = self.began {
+            self.handler.record_sound(began);
+        }
         self.end_response(None);
         self.handler
             .log_end("answered", Some(&flight.server), self.status);
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -271,6 +271,7 @@
         partial_bytes: 0,
         failure: None,
     };
+    let began = handler.gateway.now();
     let collected = tokio::time::timeout(
         handler.remaining(),
         server_response.collect(MAX_RESPONSE_BYTES),
@@ -280,6 +281,7 @@
             handler.end_response(received);
             let failed = head.status.is_server_error();
             flight.record_outcome(failed);
+            handler.record_sound(began);
             handler.record_bytes();
             let outcome = if failed { "server_failed" } else { "answered" };
             handler.log_end(outcome, Some(&flight.server), head.status.as_u16());
--- a/crates/apricotwell_gateway/src/usage.rs
+++ b/crates/apricotwell_gateway/src/usage.rs
@@ -1,4 +1,5 @@
-//! Persists the quota usage of organisations across a restart of the whole fleet.
+//! Persists what must survive a restart of the whole fleet: the quota usage of organisations, and
+//! the parts of requests that crash servers.
 //!
 //! Instances learn from each other's heartbeats how much each organisation used in the last window.
 //! If all of them are killed, that state is lost and a flood of requests could use its rate limit
@@ -8,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use apricotwell_messages::FleetSpending;
+use apricotwell_messages::FleetState;
 use prost::Message;
 
 use crate::adapter::{Platform, Store};
@@ -44,7 +45,7 @@
         let usage = {
             let mut dispatcher = gateway.dispatcher.borrow_mut();
             let is_holder = dispatcher.lease.fence(now).is_some();
-            is_holder.then(|| dispatcher.fleet_spending(now))
+            is_holder.then(|| dispatcher.fleet_state(now))
         };
         let Some(usage) = usage else {
             continue;
@@ -63,15 +64,16 @@
     loop {
         let saved = gateway.store.load_usage().await;
         gateway.metrics.count_store_call("kept");
-        let error = match saved.map(|saved| saved.as_deref().map(FleetSpending::decode)) {
+        let error = match saved.map(|saved| saved.as_deref().map(FleetState::decode)) {
             Ok(None) => return,
             Ok(Some(Ok(usage))) => {
                 let now = gateway.now();
                 let mut dispatcher = gateway.dispatcher.borrow_mut();
-                dispatcher.restore_spending(now, &usage);
                 Event::new("spending_restored")
                     .with("organisations", usage.organisations.len())
+                    .with("quarantined", usage.blocked.len())
                     .log();
+                dispatcher.restore_fleet_state(now, usage);
                 return;
             }
             Ok(Some(Err(error))) => error.to_string(),
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -3,6 +3,7 @@
 //! A heartbeat contains complete values rather than changes, so lost, late and duplicate heartbeats
 //! are harmless: `incarnation` and `number` order the heartbeats of one instance.
 
+use crate::crashes::{BlockedPartReport, CrashKnowledge};
 use crate::permits::ServerLimit;
 
 /// Number of one instance's requests in flight on one backend server.
@@ -137,6 +138,9 @@
     /// Limits of backend servers that changed recently.
     #[prost(message, repeated, tag = "12")]
     pub limits: Vec<ServerLimit>,
+    /// Crashes of backend servers; absent if there is nothing to report.
+    #[prost(message, optional, tag = "13")]
+    pub crashes: Option<CrashKnowledge>,
 }
 
 /// Tokens that one organisation spent at all instances in the last window.
@@ -150,10 +154,23 @@
     pub buckets: Vec<f64>,
 }
 
-/// Tokens spent at all instances in the last window, saved in the store for instances that start.
+/// Tokens spent at all instances in the last window.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct FleetSpending {
     /// Organisations that spent tokens.
     #[prost(message, repeated, tag = "1")]
     pub organisations: Vec<OrganisationSpending>,
 }
+
+/// What the fleet must not forget if all instances stop, saved in the store.
+///
+/// Field 1 is that of [`FleetSpending`], which earlier versions saved.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FleetState {
+    /// Organisations that spent tokens in the last window.
+    #[prost(message, repeated, tag = "1")]
+    pub organisations: Vec<OrganisationSpending>,
+    /// Quarantined parts of requests.
+    #[prost(message, repeated, tag = "2")]
+    pub blocked: Vec<BlockedPartReport>,
+}
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod claims;
+mod crashes;
 mod envelope;
 mod feeds;
 mod heartbeat;
@@ -23,14 +24,15 @@
 mod tokens;
 
 pub use claims::{ClaimFinish, ClaimFinishAck, ClaimReply, ClaimRequest, ClaimVerdict};
+pub use crashes::{BlockedPartReport, CrashKnowledge, CrashReport, RequestParts, SoundPartReport};
 pub use envelope::{
     Ack, Demand, DemandItem, Envelope, LogEvidence, Message, Ping, PingFor, Reclaim, RecordsReply,
     RecordsRequest, RelayedEvidence, SnapshotChunk, SnapshotRequest,
 };
 pub use feeds::{Datagram, FeedQuery, FeedResponse, ServerChange, ServerEntry};
 pub use heartbeat::{
-    FleetSpending, Heartbeat, HeldModel, InventoryUpdate, ModelUse, OrganisationSpending,
-    ServerInventory, ServerUse, Spending,
+    FleetSpending, FleetState, Heartbeat, HeldModel, InventoryUpdate, ModelUse,
+    OrganisationSpending, ServerInventory, ServerUse, Spending,
 };
 pub use member_update::MemberUpdate;
 pub use permits::{PermitRequest, PermitResponse, ServerLimit};
--- /dev/null
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -0,0 +1,331 @@
+//! Records of crashes and the parts that they convict.
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use apricotwell_types::{Map, ServerId};
+
+/// Id of a part of a request; equal parts have the same id.
+pub type PartId = u64;
+
+/// Separate crashes after which a part is quarantined.
+const MAX_CRASHES: usize = 3;
+/// Time within which crashes count as one, since they may have one other cause.
+const COMMON_CAUSE_TIME: Duration = Duration::from_millis(300);
+/// Time within which reports of the end of one server are about the same end.
+const SAME_CRASH_TIME: Duration = Duration::from_secs(3);
+/// Time for which crashes are remembered.
+const CRASH_LIFETIME: Duration = Duration::from_secs(600);
+/// Largest number of crashes that are remembered.
+const MAX_REMEMBERED: usize = 128;
+/// Largest number of requests that are remembered of one crash.
+const MAX_REQUESTS: usize = 64;
+/// Time for which a sound part is remembered if no crash is recorded under it.
+const SOUND_LIFETIME: Duration = Duration::from_secs(10);
+/// Time from the last crash under a quarantined part to its first trial; doubles with each trial.
+const FIRST_TRIAL: Duration = Duration::from_secs(120);
+
+/// End of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Server.
+    pub server: ServerId,
+    /// When it ended.
+    pub at: Instant,
+    /// Parts of each request that it was beginning to answer, the most general part first.
+    pub requests: Vec<Vec<PartId>>,
+}
+
+/// Quarantined part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BlockedPart {
+    /// Part.
+    pub part: PartId,
+    /// Last known crash under it.
+    pub crashed_at: Instant,
+    /// Number of trials since it was quarantined.
+    pub trials: u32,
+}
+
+impl BlockedPart {
+    fn trial_at(&self) -> Instant {
+        self.crashed_at + FIRST_TRIAL * 2u32.saturating_pow(self.trials.min(16))
+    }
+}
+
+/// Part that an answer showed to be sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SoundPart {
+    /// Part.
+    pub part: PartId,
+    /// When a server began an answer that did not crash it.
+    pub at: Instant,
+}
+
+/// Crashes that are known, and the parts that are quarantined because of them.
+///
+/// # Invariants
+///
+/// Crashes are sorted by time. No quarantined part was sound after its last crash.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    crashes: Vec<Crash>,
+    sound: Map<PartId, Instant>,
+    blocked: Map<PartId, BlockedPart>,
+    // Parts that the known crashes convict.
+    convicted: Vec<PartId>,
+    // Parts that were quarantined or released since the last call of `take_changes`.
+    changes: Vec<(PartId, bool)>,
+}
+
+impl Quarantine {
+    /// Returns the first quarantined part among those of a request, if any.
+    pub fn blocked_part(&self, parts: &[PartId]) -> Option<PartId> {
+        if self.blocked.is_empty() {
+            return None;
+        }
+        let mut parts = parts.iter().copied();
+        parts.find(|part| self.blocked.contains_key(part))
+    }
+
+    /// Returns whether any part is quarantined.
+    pub fn has_blocked(&self) -> bool {
+        !self.blocked.is_empty()
+    }
+
+    /// Returns whether any crash is known, so that sound requests matter as a whole.
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty() || !self.blocked.is_empty()
+    }
+
+    /// Returns all quarantined parts.
+    pub fn blocked(&self) -> impl Iterator<Item = &BlockedPart> {
+        self.blocked.values()
+    }
+
+    /// Records the end of a server, or more requests that it was beginning to answer.
+    pub fn record_crash(&mut self, crash: Crash) {
+        for part in crash.requests.iter().flatten() {
+            if let Some(blocked) = self.blocked.get_mut(part) {
+                blocked.crashed_at = blocked.crashed_at.max(crash.at);
+            }
+        }
+        let known = self.crashes.iter_mut().find(|known| {
+            known.server == crash.server && distance(known.at, crash.at) < SAME_CRASH_TIME
+        });
+        match known {
+            Some(known) => add_requests(known, crash.requests),
+            None => self.insert_crash(crash),
+        }
+        self.convict();
+    }
+
+    /// Records that a server which began an answer with these parts at `at` did not crash.
+    pub fn record_sound(&mut self, at: Instant, parts: &[PartId]) {
+        for part in parts {
+            let known = self.sound.entry(*part).or_insert(at);
+            *known = (*known).max(at);
+            let is_refuted = |blocked: &BlockedPart| at > blocked.crashed_at;
+            if self.blocked.get(part).is_some_and(is_refuted) {
+                self.blocked.remove(part);
+                self.changes.push((*part, false));
+            }
+        }
+    }
+
+    /// Quarantines a part that another instance did, unless it was sound since.
+    pub fn adopt(&mut self, part: BlockedPart) {
+        let sound = self.sound.get(&part.part);
+        if sound.is_some_and(|sound| *sound > part.crashed_at) {
+            return;
+        }
+        let is_new = !self.blocked.contains_key(&part.part);
+        let known = self.blocked.entry(part.part).or_insert(part);
+        known.crashed_at = known.crashed_at.max(part.crashed_at);
+        known.trials = known.trials.max(part.trials);
+        if is_new {
+            self.changes.push((part.part, true));
+        }
+    }
+
+    /// Returns whether a request with a quarantined part may run as a trial, and if so counts it.
+    ///
+    /// To be called by one instance of the fleet only.
+    pub fn take_trial(&mut self, now: Instant, part: PartId) -> bool {
+        let Some(blocked) = self.blocked.get_mut(&part) else {
+            return false;
+        };
+        let is_due = now >= blocked.trial_at();
+        blocked.trials += u32::from(is_due);
+        is_due
+    }
+
+    /// Returns the parts under which a server ended and that were sound after that.
+    pub fn cleared(&self) -> Vec<SoundPart> {
+        let mut cleared: Vec<SoundPart> = self
+            .crashes
+            .iter()
+            .flat_map(|crash| {
+                crash
+                    .requests
+                    .iter()
+                    .flatten()
+                    .map(|part| (crash.at, *part))
+            })
+            .filter_map(|(crashed, part)| {
+                let at = *self.sound.get(&part)?;
+                (at > crashed).then_some(SoundPart { part, at })
+            })
+            .collect();
+        cleared.sort_by_key(|sound| (sound.part, sound.at));
+        cleared.dedup();
+        cleared
+    }
+
+    /// Returns the parts that were quarantined (`true`) or released since the last call.
+    pub fn take_changes(&mut self) -> Vec<(PartId, bool)> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Forgets old records.
+    pub fn expire(&mut self, now: Instant) {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        self.crashes.retain(|crash| age(crash.at) < CRASH_LIFETIME);
+        let crashes = &self.crashes;
+        let is_suspect = |part: &PartId| {
+            let mut requests = crashes.iter().flat_map(|crash| &crash.requests);
+            requests.any(|parts| parts.contains(part))
+        };
+        self.sound
+            .retain(|part, at| age(*at) < SOUND_LIFETIME || is_suspect(part));
+    }
+
+    fn insert_crash(&mut self, mut crash: Crash) {
+        crash.requests.truncate(MAX_REQUESTS);
+        let index = self.crashes.partition_point(|known| known.at <= crash.at);
+        self.crashes.insert(index, crash);
+        if self.crashes.len() > MAX_REMEMBERED {
+            self.crashes.remove(0);
+        }
+    }
+
+    // Quarantines the parts that the known crashes convict. Releases those that they convicted
+    // before and that others turn out to explain.
+    fn convict(&mut self) {
+        let tallies = self.tally();
+        let guilty = self.guilty_parts(&tallies);
+        for part in &guilty {
+            if !self.blocked.contains_key(part) {
+                self.block(*part);
+            }
+        }
+        let is_explained = |part: &PartId| {
+            let tally = tallies.get(part);
+            !guilty.contains(part) && tally.is_some_and(|tally| tally.crashes >= MAX_CRASHES)
+        };
+        let convicted = std::mem::take(&mut self.convicted);
+        for part in convicted.into_iter().filter(is_explained) {
+            if self.blocked.remove(&part).is_some() {
+                self.changes.push((part, false));
+            }
+        }
+        self.convicted = guilty;
+    }
+
+    fn block(&mut self, part: PartId) {
+        let under = self.crashes.iter().filter(|crash| contains(crash, part));
+        let Some(crashed_at) = under.map(|crash| crash.at).max() else {
+            return;
+        };
+        let blocked = BlockedPart {
+            part,
+            crashed_at,
+            trials: 0,
+        };
+        self.blocked.insert(part, blocked);
+        self.changes.push((part, true));
+    }
+
+    // Returns the fewest parts that explain all crashes that need an explanation: first the one with
+    // the most crashes, of several the most specific, and so on for the crashes that are left.
+    fn guilty_parts(&self, tallies: &Map<PartId, Tally>) -> Vec<PartId> {
+        let mut suspects: Vec<(PartId, &Tally)> = tallies
+            .iter()
+            .filter(|(_, tally)| tally.crashes >= MAX_CRASHES)
+            .map(|(part, tally)| (*part, tally))
+            .collect();
+        suspects.sort_by_key(|(part, tally)| Reverse((tally.crashes, tally.position, *part)));
+        let mut guilty: Vec<PartId> = Vec::new();
+        for (part, _) in suspects {
+            let is_needed = self.crashes.iter().any(|crash| {
+                self.counts(crash, part) && !guilty.iter().any(|other| contains(crash, *other))
+            });
+            if is_needed {
+                guilty.push(part);
+            }
+        }
+        guilty
+    }
+
+    // Returns whether a crash counts against a part: it happened under it, and not before an answer
+    // that showed the part to be sound.
+    fn counts(&self, crash: &Crash, part: PartId) -> bool {
+        let sound = self.sound.get(&part);
+        contains(crash, part) && sound.is_none_or(|sound| crash.at >= *sound)
+    }
+
+    fn tally(&self) -> Map<PartId, Tally> {
+        let mut tallies: Map<PartId, Tally> = Map::default();
+        for crash in &self.crashes {
+            let ranked = crash
+                .requests
+                .iter()
+                .flat_map(|parts| parts.iter().enumerate());
+            for (position, part) in ranked {
+                let sound = self.sound.get(part);
+                if sound.is_none_or(|sound| crash.at >= *sound) {
+                    tallies.entry(*part).or_default().count(crash.at, position);
+                }
+            }
+        }
+        tallies
+    }
+}
+
+// Crashes under one part since it was last sound.
+#[derive(Debug, Default)]
+struct Tally {
+    // Number of separate crashes, and the time of the last one that was counted.
+    crashes: usize,
+    last: Option<Instant>,
+    // Largest position in a request; a larger one is more specific.
+    position: usize,
+}
+
+impl Tally {
+    // Counts a crash; crashes come in the order of their times.
+    fn count(&mut self, at: Instant, position: usize) {
+        self.position = self.position.max(position);
+        if self.last.is_none_or(|last| at >= last + COMMON_CAUSE_TIME) {
+            self.crashes += 1;
+            self.last = Some(at);
+        }
+    }
+}
+
+fn contains(crash: &Crash, part: PartId) -> bool {
+    crash.requests.iter().any(|parts| parts.contains(&part))
+}
+
+fn add_requests(crash: &mut Crash, requests: Vec<Vec<PartId>>) {
+    for parts in requests {
+        if crash.requests.len() < MAX_REQUESTS && !crash.requests.contains(&parts) {
+            crash.requests.push(parts);
+        }
+    }
+}
+
+fn distance(one: Instant, other: Instant) -> Duration {
+    one.saturating_duration_since(other)
+        .max(other.saturating_duration_since(one))
+}
--- /dev/null
+++ b/crates/apricotwell_quarantine/tests/quarantine.rs
@@ -0,0 +1,261 @@
+//! Which parts of requests are quarantined, and which are not.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_quarantine::prelude::*;
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Parts: shared by all requests, by some, and those that crash servers.
+const GENERAL: PartId = 1;
+const SOUND: PartId = 2;
+const BAD: PartId = 66;
+const OTHER_BAD: PartId = 67;
+
+struct Days {
+    start: Instant,
+    quarantine: Quarantine,
+    servers: u64,
+}
+
+impl Days {
+    fn new() -> Self {
+        Self {
+            start: Instant::now(),
+            quarantine: Quarantine::default(),
+            servers: 0,
+        }
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.start + Duration::from_millis(ms)
+    }
+
+    // Ends a new server at `ms`.
+    fn crash(&mut self, ms: u64, requests: &[&[PartId]]) {
+        self.servers += 1;
+        let crash = Crash {
+            server: format!("server-{}", self.servers).into(),
+            at: self.at(ms),
+            requests: requests.iter().map(|parts| parts.to_vec()).collect(),
+        };
+        self.quarantine.record_crash(crash);
+    }
+
+    fn sound(&mut self, ms: u64, parts: &[PartId]) {
+        self.quarantine.record_sound(self.at(ms), parts);
+    }
+
+    fn blocked(&self) -> Vec<PartId> {
+        let mut blocked: Vec<PartId> = self.quarantine.blocked().map(|it| it.part).collect();
+        blocked.sort_unstable();
+        blocked
+    }
+}
+
+#[test]
+fn part_is_quarantined_after_three_separate_crashes() {
+    let mut days = Days::new();
+    for (number, ms) in [0, 1000, 2000].into_iter().enumerate() {
+        assert_eq!(days.blocked(), []);
+        days.crash(
+            ms,
+            &[
+                &[GENERAL, BAD, 100 + number as u64],
+                &[GENERAL, SOUND, 200 + number as u64],
+            ],
+        );
+        days.sound(ms + 100, &[GENERAL, SOUND, 300]);
+    }
+    assert_eq!(days.blocked(), [BAD]);
+    assert_eq!(days.quarantine.blocked_part(&[GENERAL, SOUND, 5]), None);
+    assert_eq!(days.quarantine.blocked_part(&[GENERAL, BAD, 5]), Some(BAD));
+}
+
+#[test]
+fn several_parts_that_crash_servers_are_told_apart() {
+    let mut days = Days::new();
+    for number in 0..3 {
+        let ms = number * 2000;
+        days.crash(
+            ms,
+            &[
+                &[GENERAL, BAD, 100 + number],
+                &[GENERAL, SOUND, 200 + number],
+            ],
+        );
+        days.crash(ms + 700, &[&[GENERAL, OTHER_BAD, 300 + number]]);
+        days.sound(ms + 900, &[GENERAL, SOUND, 400 + number]);
+    }
+    assert_eq!(days.blocked(), [BAD, OTHER_BAD]);
+}
+
+#[test]
+fn servers_that_end_together_convict_no_part() {
+    let mut days = Days::new();
+    for number in 0..40 {
+        days.crash(number * 5, &[&[GENERAL, SOUND, 100 + number]]);
+    }
+    days.sound(300, &[GENERAL, SOUND, 1]);
+    // The same happens again.
+    for number in 0..40 {
+        days.crash(5000 + number * 5, &[&[GENERAL, SOUND, 100 + number]]);
+    }
+    assert_eq!(days.blocked(), []);
+}
+
+#[test]
+fn sound_answers_between_crashes_protect_a_part() {
+    let mut days = Days::new();
+    for number in 0..20 {
+        days.crash(number * 1000, &[&[GENERAL, SOUND, 100 + number]]);
+        days.sound(number * 1000 + 500, &[GENERAL, SOUND, 500 + number]);
+    }
+    assert_eq!(days.blocked(), []);
+}
+
+#[test]
+fn general_part_is_quarantined_if_it_is_what_requests_share() {
+    let mut days = Days::new();
+    for number in 0..3 {
+        days.crash(number * 1000, &[&[BAD, 20 + number, 100 + number]]);
+    }
+    assert_eq!(days.blocked(), [BAD]);
+}
+
+#[test]
+fn general_part_is_quarantined_by_the_next_crash_if_a_specific_one_hid_it() {
+    let mut days = Days::new();
+    for number in 0..3 {
+        days.crash(number * 1000, &[&[BAD, SOUND, 100 + number]]);
+    }
+    assert_eq!(days.blocked(), [SOUND]);
+    days.crash(3000, &[&[BAD, 9, 200]]);
+    assert_eq!(days.blocked(), [BAD]);
+}
+
+#[test]
+fn repeats_of_one_request_convict_the_request_and_not_its_parts() {
+    const WHOLE: PartId = 1 << 60;
+    let mut days = Days::new();
+    for number in 0..3 {
+        days.crash(number * 1000, &[&[GENERAL, SOUND, WHOLE]]);
+    }
+    assert_eq!(days.blocked(), [WHOLE]);
+}
+
+#[test]
+fn crash_that_a_quarantined_part_explains_convicts_no_other() {
+    let mut days = Days::new();
+    for number in 0..12 {
+        // Each of the victims is hit several times.
+        let victim = 20 + number % 3;
+        days.crash(
+            number * 1000,
+            &[
+                &[GENERAL, BAD, 100 + number],
+                &[GENERAL, victim, 200 + number],
+            ],
+        );
+        days.sound(number * 1000 + 500, &[GENERAL]);
+    }
+    assert_eq!(days.blocked(), [BAD]);
+}
+
+#[test]
+fn part_that_was_sound_before_is_quarantined() {
+    let mut days = Days::new();
+    days.sound(900, &[GENERAL, BAD, 1]);
+    for number in 0..3 {
+        days.crash(1000 + number * 1000, &[&[GENERAL, BAD, 100 + number]]);
+        // Answers that began before the part crashed servers go on.
+        days.sound(900, &[GENERAL, BAD, 2]);
+        days.sound(1500 + number * 1000, &[GENERAL]);
+    }
+    assert_eq!(days.blocked(), [BAD]);
+}
+
+#[test]
+fn sound_answer_after_the_last_crash_releases_a_part() {
+    let mut days = Days::new();
+    for number in 0..3 {
+        days.crash(number * 1000, &[&[SOUND]]);
+    }
+    assert_eq!(days.blocked(), [SOUND]);
+    days.sound(1999, &[SOUND]);
+    assert_eq!(days.blocked(), [SOUND]);
+    days.sound(2001, &[SOUND]);
+    assert_eq!(days.blocked(), []);
+    let changes = days.quarantine.take_changes();
+    assert_eq!(changes, [(SOUND, true), (SOUND, false)]);
+}
+
+#[test]
+fn reports_of_several_instances_about_one_crash_count_once() {
+    let mut days = Days::new();
+    for delay in [0, 400, 900] {
+        let crash = Crash {
+            server: "server".into(),
+            at: days.at(delay),
+            requests: vec![vec![GENERAL, BAD, 100 + delay]],
+        };
+        days.quarantine.record_crash(crash);
+    }
+    assert_eq!(days.blocked(), []);
+}
+
+#[test]
+fn part_of_another_instance_is_adopted_unless_it_was_sound_since() {
+    let mut days = Days::new();
+    let part = |part, ms| BlockedPart {
+        part,
+        crashed_at: days.start + Duration::from_millis(ms),
+        trials: 0,
+    };
+    let (old, new) = (part(SOUND, 1000), part(BAD, 3000));
+    days.sound(2000, &[SOUND, BAD]);
+    days.quarantine.adopt(old);
+    days.quarantine.adopt(new);
+    assert_eq!(days.blocked(), [BAD]);
+}
+
+#[test]
+fn trials_of_a_quarantined_part_become_rarer() {
+    let mut days = Days::new();
+    for number in 0..3 {
+        days.crash(number * 1000, &[&[BAD]]);
+    }
+    let mut trials = Vec::new();
+    for second in 0..3600 {
+        let now = days.start + SECOND * second;
+        if days.quarantine.take_trial(now, BAD) {
+            trials.push(second);
+            days.crash(u64::from(second) * 1000 + 50, &[&[BAD]]);
+        }
+    }
+    assert_eq!(trials.len(), 4, "{trials:?}");
+    assert!(trials[0] >= 120);
+}
+
+proptest! {
+    #[test]
+    fn sound_part_stays_free_beside_one_that_crashes_servers(
+        victims in proptest::collection::vec((0u64..12, any::<bool>()), 30),
+    ) {
+        let mut days = Days::new();
+        for (number, (victim, is_answered)) in victims.into_iter().enumerate() {
+            let (number, ms) = (number as u64, number as u64 * 800);
+            let victim = 20 + victim;
+            // Until the part is known, each crash hits a request with another one.
+            if days.blocked().is_empty() {
+                days.crash(ms, &[&[GENERAL, BAD, 100 + number], &[GENERAL, victim, 200 + number]]);
+            }
+            if is_answered {
+                days.sound(ms + 400, &[GENERAL, victim, 300 + number]);
+            }
+            days.sound(ms + 500, &[GENERAL]);
+        }
+        let blocked = days.blocked();
+        prop_assert!(blocked.len() <= 1, "{blocked:?}");
+    }
+}
