Give up responses that go on without an end

A server in trouble may send bytes without an end. Callers of a resumable stream waited for their deadline while the instance collected one event without an end in memory, at the speed of the link; on the OpenAI interface a body without an end was forwarded for as long as the client read. An event of more than 1 MiB is now taken for one without an end, in both interfaces, and a forwarded response of more than 16 MiB on the OpenAI interface; both count as broken off.

--- a/crates/apricotwell_entry/src/streams.rs
+++ b/crates/apricotwell_entry/src/streams.rs
@@ -30,6 +30,9 @@
 /// Bytes of a stream's end that are kept to find the done marker and the usage event.
 const TAIL_BYTES: usize = 4096;
 
+/// Size limit of a forwarded response: a larger one is taken for one without an end.
+const MAX_FORWARDED_BYTES: usize = 16 << 20;
+
 thread_local! {
     static OPEN_STREAMS: RefCell<Vec<Weak<StreamState>>> = const { RefCell::new(Vec::new()) };
 }
@@ -119,6 +122,8 @@
     state: Rc<StreamState>,
     body: BodyScanner,
     tail: StreamTail,
+    // Bytes of the body so far.
+    forwarded: usize,
     stored_body: Option<Vec<u8>>,
     // Set once an error event has been sent. The connection is aborted after this delay rather
     // than at once, because a body error discards data that is not yet written.
@@ -144,6 +149,7 @@
             state,
             body,
             tail: StreamTail::default(),
+            forwarded: 0,
             stored_body,
             flush_delay: None,
         }
@@ -151,6 +157,10 @@
 
     fn forward(&mut self, chunk: Bytes) -> Poll<Option<io::Result<Bytes>>> {
         self.body.feed(&chunk);
+        self.forwarded += chunk.len();
+        if self.body.is_oversized() || self.forwarded > MAX_FORWARDED_BYTES {
+            return self.fail(AttemptOutcome::Disconnected { partial: true });
+        }
         if self.state.context.is_event_stream {
             self.tail.feed(&chunk);
         }
--- a/crates/apricotwell_entry/tests/truncation.rs
+++ b/crates/apricotwell_entry/tests/truncation.rs
@@ -1,6 +1,7 @@
 //! Responses of backend servers that are broken off, for each framing.
 
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 use apricotwell_local::{FleetOptions, LocalFleet, RawResponse, send_raw};
 
@@ -139,3 +140,21 @@
         }
     }
 }
+
+#[test]
+fn completion_without_an_end_is_given_up() {
+    let fleet = fleet("endless");
+    for body in [CHAT, STREAM] {
+        fleet.set_faults(fleet.engine(0), r#"{"endless":1}"#);
+        let started = Instant::now();
+        let answer = fleet.chat(0, "hadegisbru", body);
+        assert!(!deceives(&answer, |_| false), "{body}: {}", answer.status);
+        assert!(
+            answer.body.len() < 20 << 20,
+            "{body}: {} bytes",
+            answer.body.len()
+        );
+        assert!(started.elapsed() < Duration::from_secs(10), "{body}");
+    }
+    assert_eq!(fleet.chat(0, "hadegisbru", CHAT).status, 200);
+}
--- a/crates/apricotwell_framing/src/body.rs
+++ b/crates/apricotwell_framing/src/body.rs
@@ -70,6 +70,15 @@
         }
     }
 
+    /// Returns whether an event of a stream is so large that it has to be taken for one without an
+    /// end.
+    pub fn is_oversized(&self) -> bool {
+        match &self.content {
+            Content::Events(events) => events.is_oversized(),
+            Content::Json(_) | Content::Other => false,
+        }
+    }
+
     /// Returns the number of whole events; 0 if the body is no stream of events.
     pub fn events(&self) -> u64 {
         match &self.content {
--- a/crates/apricotwell_framing/src/events.rs
+++ b/crates/apricotwell_framing/src/events.rs
@@ -2,6 +2,9 @@
 
 use crate::{BodyFraming, Truncation};
 
+/// Size limit of one event.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Finds where the events of a stream end, however the stream is cut into pieces.
 ///
 /// A line ends with LF, CR LF or CR, and an event ends with an empty line.
@@ -42,6 +45,11 @@
         self.partial_bytes
     }
 
+    /// Returns whether the current event is so large that it has to be taken for one without an end.
+    pub fn is_oversized(&self) -> bool {
+        self.partial_bytes > MAX_EVENT_BYTES
+    }
+
     /// Checks that a stream that ends here is not known to be incomplete.
     ///
     /// A stream that ends with its connection has no other mark of its end than a whole event.
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -117,6 +117,7 @@
                         self.handler.record_bytes();
                         return Some(Ok(events));
                     }
+                    None if self.scanner.is_oversized() => "an event is too large".to_owned(),
                     None => continue,
                 },
                 Ok(None) => match self.scanner.check_end(self.framing) {
@@ -149,6 +150,9 @@
     fn take_complete_events(&mut self, bytes: Bytes, resumable: bool) -> Option<Bytes> {
         self.record_progress();
         let events_end = self.scanner.feed(&bytes);
+        if self.scanner.is_oversized() {
+            return None;
+        }
         if !resumable {
             return Some(bytes);
         }
--- a/crates/apricotwell_standins/src/cut.rs
+++ b/crates/apricotwell_standins/src/cut.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_web::HttpResponse;
-use actix_web::body::{BodySize, MessageBody};
+use actix_web::body::{BodySize, BodyStream, MessageBody};
 use actix_web::http::header::CONTENT_LENGTH;
 use actix_web::web::Bytes;
 use futures_util::{Stream, StreamExt, stream};
@@ -36,6 +36,20 @@
     responses: u32,
 }
 
+/// Bytes that a response without an end sends at a time.
+const ENDLESS_BLOCK: usize = 16 << 10;
+
+/// Returns a response with the head of another one and a body that has no end, nor a line.
+pub(crate) fn without_end(response: HttpResponse) -> HttpResponse {
+    let block = Bytes::from(vec![b'x'; ENDLESS_BLOCK]);
+    let blocks = stream::repeat_with(move || Ok::<_, io::Error>(block.clone()));
+    let (mut response, _) = response.into_parts();
+    response.headers_mut().remove(CONTENT_LENGTH);
+    response
+        .set_body(BodyStream::new(blocks))
+        .map_into_boxed_body()
+}
+
 /// Cuts a response if `cut` says so, and counts it.
 pub(crate) fn apply(cut: &mut Option<Cut>, response: HttpResponse) -> HttpResponse {
     match cut {
--- a/crates/apricotwell_standins/src/engine.rs
+++ b/crates/apricotwell_standins/src/engine.rs
@@ -65,6 +65,8 @@
     wrong_attempts: Option<u32>,
     /// Completions to break off.
     cut: Option<Cut>,
+    /// Number of upcoming completions whose body goes on without an end.
+    endless: Option<u32>,
     /// Requests per second that the engine accepts from all instances together, named in its
     /// responses; 0 for no limit.
     request_limit: Option<f64>,
@@ -78,6 +80,7 @@
     hanging_requests: u32,
     wrong_attempts: u32,
     cut: Option<Cut>,
+    endless: u32,
     request_limit: Option<f64>,
 }
 
@@ -269,6 +272,7 @@
         .unwrap_or(faults.hanging_requests);
     faults.wrong_attempts = requested.wrong_attempts.unwrap_or(faults.wrong_attempts);
     faults.cut = requested.cut.or(faults.cut);
+    faults.endless = requested.endless.unwrap_or(faults.endless);
     let limit = requested.request_limit.or(faults.request_limit);
     faults.request_limit = limit.filter(|limit| *limit > 0.0);
     HttpResponse::Ok().finish()
@@ -343,6 +347,9 @@
         send_completion(guard, &completion, &attempt)
     };
     let response = name_limit(engine.faults().request_limit, response);
+    if consume_fault(&mut engine.faults().endless) {
+        return cut::without_end(response);
+    }
     cut::apply(&mut engine.faults().cut, response)
 }
 
