Bound the memory of all plain responses together

24 plain responses without an end at a time took 472 MB, each up to its limit of 16 MiB and what the sockets hold; an instance has 160 to 512 MB. Bytes of plain responses that are being received now share a budget of 64 MiB, as those of request bodies do. endless::many_responses_without_an_end_do_not_fill_the_memory failed before and passes.

--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -21,6 +21,9 @@
 /// Limit on the bytes of request bodies in memory, well below an instance's memory.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
+/// Limit on the bytes of plain responses that are being received, well below an instance's memory.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
 /// Addresses on which an instance listens.
 #[derive(Clone, Debug)]
 pub struct ListenAddresses {
@@ -92,6 +95,8 @@
     pub connection_budget: Budget,
     /// Budget of request body bytes.
     pub body_budget: Budget,
+    /// Budget of response bytes.
+    pub response_budget: Budget,
     /// Number of requests being served.
     pub active_requests: Cell<usize>,
     /// Time of the request to stop; `None` before it.
@@ -132,6 +137,7 @@
             feed_queries,
             connection_budget: Budget::new(MAX_CONNECTIONS),
             body_budget: Budget::new(MAX_BODY_BYTES),
+            response_budget: Budget::new(MAX_RESPONSE_BYTES),
             active_requests: Cell::new(0),
             stop_requested: Cell::new(None),
         })
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -272,9 +272,11 @@
         failure: None,
     };
     let began = handler.gateway.now();
+    let mut reservation = handler.gateway.response_budget.try_reserve(0);
+    let may_hold = |bytes| reservation.as_mut().is_some_and(|it| it.grow(bytes));
     let collected = tokio::time::timeout(
         handler.remaining(),
-        server_response.collect(MAX_RESPONSE_BYTES),
+        server_response.collect_while(MAX_RESPONSE_BYTES, may_hold),
     );
     let reason = match collected.await {
         Ok(Ok((head, body))) => {
--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -310,7 +310,23 @@
     ///
     /// Returns a description of the failure if the connection ends within the body, if the body
     /// is larger than `limit` bytes, or if it is known to be cut.
-    pub async fn collect(mut self, limit: usize) -> Result<(response::Parts, Bytes), String> {
+    pub async fn collect(self, limit: usize) -> Result<(response::Parts, Bytes), String> {
+        self.collect_while(limit, |_| true).await
+    }
+
+    /// Reads the whole body as long as `may_hold` agrees to hold the bytes of each chunk.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::collect`], and if `may_hold` does not agree.
+    pub async fn collect_while<F>(
+        mut self,
+        limit: usize,
+        mut may_hold: F,
+    ) -> Result<(response::Parts, Bytes), String>
+    where
+        F: FnMut(usize) -> bool,
+    {
         let mut body = Vec::new();
         let mut scanner = self.scanner();
         while let Some(chunk) = self.next().await {
@@ -319,6 +335,9 @@
             if body.len() + chunk.len() > limit {
                 return Err(format!("the body is larger than {limit} bytes"));
             }
+            if !may_hold(chunk.len()) {
+                return Err("the bodies in memory are over the limit".to_owned());
+            }
             body.extend_from_slice(&chunk);
         }
         scanner
