--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -12,7 +12,7 @@
 
 use apricotwell_messages::{FleetSpending, FleetState};
 use apricotwell_permits::prelude::LimitedServers;
-use apricotwell_quarantine::prelude::{Crash, Quarantine};
+use apricotwell_quarantine::prelude::SharedQuarantine;
 use apricotwell_types::{InstanceId, Map, Refusal, RefusalKind, ServerId, Tokens, ZoneId};
 
 use crate::backends::BackendTable;
@@ -107,8 +107,8 @@
     pub feeds: FeedViews,
     /// Backend servers.
     pub backends: BackendTable,
-    /// Parts of requests that crash servers.
-    pub quarantine: Quarantine,
+    /// Crashes of servers, and the parts of requests that cause them.
+    pub crashes: SharedQuarantine,
     /// Limits that servers named, and permits to send within them.
     pub limited: LimitedServers,
     /// Other instances.
@@ -121,8 +121,6 @@
     pub planner: PlacementPlanner,
     /// Prompt segments that servers have likely cached.
     pub prompts: PromptCacheTable,
-    // Crashes that this instance saw recently.
-    own_crashes: Vec<Crash>,
     quotas: QuotaTable,
     retries: Map<ServiceId, RetryBudget>,
     draining: bool,
@@ -137,9 +135,8 @@
             freshness: Freshness::new(config.revocation_bound),
             feeds: FeedViews::default(),
             backends: BackendTable::default(),
-            quarantine: Quarantine::default(),
+            crashes: SharedQuarantine::default(),
             limited: LimitedServers::new(config.incarnation),
-            own_crashes: Vec::new(),
             peers: PeerTable::default(),
             demand: DemandTable::default(),
             lease: Lease::new(config.lease),
@@ -331,7 +328,7 @@
     pub fn fleet_state(&mut self, now: Instant) -> FleetState {
         FleetState {
             organisations: self.quotas.snapshot(now).organisations,
-            blocked: self.blocked_parts(now),
+            blocked: self.crashes.blocked_parts(now),
         }
     }
 
@@ -339,7 +336,7 @@
     pub fn restore_fleet_state(&mut self, now: Instant, state: FleetState) {
         let organisations = state.organisations;
         self.quotas.restore(now, &FleetSpending { organisations });
-        self.adopt_blocked_parts(now, &state.blocked);
+        self.crashes.adopt(now, &state.blocked);
     }
 
     /// Returns whether some organisation is close to its limit.
@@ -368,7 +365,7 @@
         }
         self.backends.expire(now);
         self.expire_limits(now);
-        self.quarantine.expire(now);
+        self.crashes.quarantine.expire(now);
     }
 
     /// Plans the model placement of every service; returns the orders to send and the servers to
--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -73,7 +73,7 @@
         }
         self.lease.observe_fence(heartbeat.fence);
         if let Some(crashes) = &heartbeat.crashes {
-            self.apply_crash_knowledge(now, crashes);
+            self.crashes.apply(now, crashes);
         }
         for limit in &heartbeat.limits {
             self.limited.limits.apply_limit(now, limit);
--- a/crates/apricotwell_dispatch/tests/fleet/simulation.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -296,7 +296,7 @@
         let now = self.now;
         let pause = URGENT_INTERVAL_PER_INSTANCE * self.members.len() as u32;
         let member = &mut self.members[index];
-        member.dispatcher.record_crash(Crash {
+        member.dispatcher.crashes.record_own(Crash {
             server: server.into(),
             at: now,
             requests: vec![parts.to_vec()],
@@ -306,7 +306,7 @@
 
     /// Completes an answer of an instance that began just before.
     pub(crate) fn answer(&mut self, index: usize, parts: &[PartId]) {
-        let quarantine = &mut self.members[index].dispatcher.quarantine;
+        let quarantine = &mut self.members[index].dispatcher.crashes.quarantine;
         quarantine.record_sound(self.now, parts);
     }
 
--- a/crates/apricotwell_gateway/src/crash_checks.rs
+++ b/crates/apricotwell_gateway/src/crash_checks.rs
@@ -84,7 +84,7 @@
     }
     let requests = requests.unwrap_or_default();
     log_crash(&server, &requests);
-    gateway.dispatcher.borrow_mut().record_crash(Crash {
+    gateway.dispatcher.borrow_mut().crashes.record_own(Crash {
         server: server.id,
         at: server.at,
         requests,
@@ -98,7 +98,12 @@
 where
     P: Platform,
 {
-    let changes = gateway.dispatcher.borrow_mut().quarantine.take_changes();
+    let changes = gateway
+        .dispatcher
+        .borrow_mut()
+        .crashes
+        .quarantine
+        .take_changes();
     for (part, is_blocked) in changes {
         let name = if is_blocked {
             "part_quarantined"
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -505,7 +505,7 @@
     /// Records that a server which began its response at `began` did not crash.
     pub fn record_sound(&self, began: Instant) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        let quarantine = &mut dispatcher.quarantine;
+        let quarantine = &mut dispatcher.crashes.quarantine;
         if quarantine.has_crashes() {
             quarantine.record_sound(began, self.parts());
         } else {
@@ -537,14 +537,19 @@
         let organisation = self.admission.organisation.as_ref();
         let name = organisation.map_or("", |organisation| &*organisation.name);
         let sender = format!("{name} {}{}", self.request.host, self.request.path);
-        let digest = BodyDigest::of_body(&sender, &self.body.bytes);
-        let (id, _) = digest.0.split_at(size_of::<PartId>());
-        id.iter().fold(0, |id, byte| id << 8 | PartId::from(*byte))
+        BodyDigest::of_body(&sender, &self.body.bytes).short()
     }
 
     // Returns the refusal of a request with a quarantined part.
     fn quarantine_refusal(&self, now: Instant) -> Option<Refusal> {
-        if !self.gateway.dispatcher.borrow().quarantine.has_blocked() {
+        if !self
+            .gateway
+            .dispatcher
+            .borrow()
+            .crashes
+            .quarantine
+            .has_blocked()
+        {
             return None;
         }
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
--- /dev/null
+++ b/crates/apricotwell_quarantine/src/exchange.rs
@@ -0,0 +1,114 @@
+//! What instances tell each other of crashes.
+
+use std::time::{Duration, Instant};
+
+use apricotwell_messages::{
+    BlockedPartReport, CrashKnowledge, CrashReport, RequestParts, SoundPartReport,
+};
+
+use crate::{BlockedPart, Crash, Quarantine};
+
+/// Crashes, sound and quarantined parts in one message, each.
+const MAX_REPORTED: usize = 32;
+
+/// A quarantine that is kept in step with those of other instances.
+#[derive(Debug, Default)]
+pub struct SharedQuarantine {
+    /// Crashes that are known, and the parts that are quarantined because of them.
+    pub quarantine: Quarantine,
+    // Crashes that this instance saw itself and still reports.
+    own: Vec<Crash>,
+}
+
+impl SharedQuarantine {
+    /// Records the end of a server that was beginning to answer requests of this instance.
+    pub fn record_own(&mut self, crash: Crash) {
+        self.own.push(crash.clone());
+        self.quarantine.record_crash(crash);
+    }
+
+    /// Returns what this instance knows and the others may not, `None` if that is nothing.
+    ///
+    /// Crashes and sound parts are reported for `time`, quarantined parts always.
+    pub fn knowledge(&mut self, now: Instant, time: Duration) -> Option<CrashKnowledge> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < time;
+        self.own.retain(|crash| is_recent(crash.at));
+        let cleared = self.quarantine.cleared().into_iter();
+        let sound = cleared.filter(|sound| is_recent(sound.at));
+        let own = self.own.iter().rev().take(MAX_REPORTED);
+        let knowledge = CrashKnowledge {
+            crashes: own.map(|crash| encode_crash(now, crash)).collect(),
+            sound: sound
+                .take(MAX_REPORTED)
+                .map(|sound| SoundPartReport {
+                    part: sound.part,
+                    age_ms: age_ms(now, sound.at),
+                })
+                .collect(),
+            blocked: self.blocked_parts(now),
+        };
+        (knowledge != CrashKnowledge::default()).then_some(knowledge)
+    }
+
+    /// Applies what another instance knows.
+    pub fn apply(&mut self, now: Instant, knowledge: &CrashKnowledge) {
+        for report in &knowledge.crashes {
+            if let Some(at) = time_of(now, report.age_ms) {
+                let requests = report.requests.iter().map(|parts| parts.ids.clone());
+                self.quarantine.record_crash(Crash {
+                    server: report.server.as_str().into(),
+                    at,
+                    requests: requests.collect(),
+                });
+            }
+        }
+        self.adopt(now, &knowledge.blocked);
+        for report in &knowledge.sound {
+            if let Some(at) = time_of(now, report.age_ms) {
+                self.quarantine.record_sound(at, &[report.part]);
+            }
+        }
+    }
+
+    /// Returns the quarantined parts, to be saved or sent.
+    pub fn blocked_parts(&self, now: Instant) -> Vec<BlockedPartReport> {
+        let blocked = self.quarantine.blocked().take(MAX_REPORTED);
+        let reports = blocked.map(|blocked| BlockedPartReport {
+            part: blocked.part,
+            age_ms: age_ms(now, blocked.crashed_at),
+            trials: blocked.trials,
+        });
+        reports.collect()
+    }
+
+    /// Applies quarantined parts that were saved or sent.
+    pub fn adopt(&mut self, now: Instant, blocked: &[BlockedPartReport]) {
+        for report in blocked {
+            if let Some(crashed_at) = time_of(now, report.age_ms) {
+                self.quarantine.adopt(BlockedPart {
+                    part: report.part,
+                    crashed_at,
+                    trials: report.trials,
+                });
+            }
+        }
+    }
+}
+
+fn encode_crash(now: Instant, crash: &Crash) -> CrashReport {
+    let requests = crash.requests.iter().cloned();
+    CrashReport {
+        server: crash.server.to_string(),
+        age_ms: age_ms(now, crash.at),
+        requests: requests.map(|ids| RequestParts { ids }).collect(),
+    }
+}
+
+fn age_ms(now: Instant, at: Instant) -> u32 {
+    let age = now.saturating_duration_since(at).as_millis();
+    u32::try_from(age).unwrap_or(u32::MAX)
+}
+
+fn time_of(now: Instant, age_ms: u32) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(u64::from(age_ms)))
+}
--- a/crates/apricotwell_quarantine/src/lib.rs
+++ b/crates/apricotwell_quarantine/src/lib.rs
@@ -36,11 +36,13 @@
 //! assert_eq!(quarantine.blocked_part(&[1, 2, 201]), None);
 //! ```
 
+mod exchange;
 mod quarantine;
 
+pub use exchange::SharedQuarantine;
 pub use quarantine::{BlockedPart, Crash, PartId, Quarantine, SoundPart};
 
 /// Types that nearly every user of the crate needs.
 pub mod prelude {
-    pub use crate::{BlockedPart, Crash, PartId, Quarantine, SoundPart};
+    pub use crate::{BlockedPart, Crash, PartId, Quarantine, SharedQuarantine, SoundPart};
 }
--- a/crates/apricotwell_types/src/digest.rs
+++ b/crates/apricotwell_types/src/digest.rs
@@ -67,6 +67,14 @@
         Self(bytes)
     }
 
+    /// Returns the first 64 bits, for tables in which a rare collision does little harm.
+    pub fn short(self) -> u64 {
+        let (first, _) = self.0.split_at(size_of::<u64>());
+        first
+            .iter()
+            .fold(0, |bits, byte| bits << 8 | u64::from(*byte))
+    }
+
     /// Returns the digest as 32 hexadecimal digits.
     pub fn to_hex(self) -> String {
         hex::encode(self.0)
