--- a/crates/apricotwell_entry/src/api/clients.rs
+++ b/crates/apricotwell_entry/src/api/clients.rs
@@ -111,6 +111,7 @@
         deadline: options.deadline,
         prompt_tokens: completion.prompt_tokens,
         max_output: completion.max_output,
+        parts: completion.shared_parts,
         prefix: Some(prefix),
         idempotency_key: options.idempotency_key,
     };
@@ -163,6 +164,7 @@
         deadline: options.deadline,
         prompt_tokens: route.cost,
         max_output: 0,
+        parts: Vec::new(),
         prefix: None,
         idempotency_key: options.idempotency_key,
     };
--- a/crates/apricotwell_entry/src/parse.rs
+++ b/crates/apricotwell_entry/src/parse.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use apricotwell_types::{Refusal, RefusalKind, Tokens};
+use apricotwell_types::{BodyDigest, Refusal, RefusalKind, Tokens};
 
 /// Bytes of a prompt's JSON text that are counted as one token.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -24,6 +24,8 @@
     pub(crate) stream: bool,
     /// First bytes of the prompt.
     pub(crate) prompt_prefix: Vec<u8>,
+    // Ids of all messages but the last one, which belongs to this request alone.
+    pub(crate) shared_parts: Vec<u64>,
     /// Body for the engine: the client's, with an output limit added if it has none.
     pub(crate) body: Bytes,
 }
@@ -93,6 +95,7 @@
         max_output: limit * choices,
         stream: request.stream.unwrap_or(false),
         prompt_prefix: prefix.to_vec(),
+        shared_parts: request.messages.map(shared_parts).unwrap_or_default(),
         body: if requested_limit.is_some() {
             body.clone()
         } else {
@@ -101,6 +104,16 @@
     })
 }
 
+// Returns the ids of all messages but the last one; none if the messages are no list.
+fn shared_parts(messages: &RawValue) -> Vec<u64> {
+    let messages: Vec<&RawValue> = serde_json::from_str(messages.get()).unwrap_or_default();
+    let shared = messages.split_last().map_or(&[][..], |(_, shared)| shared);
+    let ids = shared
+        .iter()
+        .map(|message| BodyDigest::of_body("", message.get().as_bytes()).short());
+    ids.collect()
+}
+
 /// Estimates the tokens of a prompt from its length in bytes.
 pub(crate) fn estimate_tokens(bytes: usize) -> Tokens {
     (bytes as u64).div_ceil(BYTES_PER_TOKEN)
--- a/crates/apricotwell_fakes/src/simulation.rs
+++ b/crates/apricotwell_fakes/src/simulation.rs
@@ -103,6 +103,8 @@
     /// Request body. `crash` in it makes the engine crash during the run, and `lost answer` makes
     /// the connection break before the answer.
     pub body: String,
+    /// Ids of the parts of the prompt that other calls share.
+    pub parts: Vec<u64>,
 }
 
 impl Call {
@@ -117,6 +119,7 @@
             used: 40,
             key: None,
             body: "hello".to_owned(),
+            parts: Vec::new(),
         }
     }
 
@@ -354,6 +357,11 @@
         &self.engines[name].state
     }
 
+    /// Returns whether an engine runs.
+    pub fn is_engine_alive(&self, name: &str) -> bool {
+        self.engines.get(name).is_some_and(|engine| engine.alive)
+    }
+
     /// Returns whether every shard is held by exactly one running instance that may act on it.
     pub fn is_settled(&self) -> bool {
         let all = 0..self.options.shards;
--- a/crates/apricotwell_fakes/src/simulation/operations.rs
+++ b/crates/apricotwell_fakes/src/simulation/operations.rs
@@ -149,6 +149,7 @@
             deadline: self.now + call.timeout,
             prompt_tokens: 0,
             max_output: call.reserved,
+            parts: call.parts.clone(),
             prefix: None,
         })
     }
--- a/crates/apricotwell_node/src/submission.rs
+++ b/crates/apricotwell_node/src/submission.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use apricotwell_quarantine::prelude::PartId;
 use apricotwell_routing::PrefixKey;
 use apricotwell_state::ResolvedModel;
 use apricotwell_types::{BodyDigest, KeyDigest, ModelId, OrgId, Tokens, WorkClass};
@@ -39,6 +40,8 @@
     pub max_output: Tokens,
     /// Digest of the organisation and the body.
     pub body_digest: BodyDigest,
+    /// Ids of the parts of the prompt that other requests may share, the most general one first.
+    pub parts: Vec<PartId>,
     /// Hash of the beginning of the prompt, for cache affinity.
     pub prefix: Option<PrefixKey>,
     /// Digest of the organisation and the idempotency key.
