Quarantine messages that crash engines, on the OpenAI interface

Nodes now record the parts of the requests that an engine was running when it ended, tell all members, and refuse parts that three separate crashes convict; an instance that starts is told.

--- a/crates/apricotwell_entry/src/parse_tests.rs
+++ b/crates/apricotwell_entry/src/parse_tests.rs
@@ -66,6 +66,24 @@
     assert_eq!(parsed.max_output, 21);
 }
 
+#[test]
+fn equal_messages_have_equal_parts_and_the_last_one_has_none() {
+    let parts = |body: &str| {
+        let parsed = parse_completion(&Bytes::from(body.to_owned()), LIMITS);
+        parsed.unwrap().shared_parts
+    };
+    let one =
+        parts(r#"{"model":"m","messages":[{"content":"a"},{"content":"b"},{"content":"c"}]}"#);
+    let other =
+        parts(r#"{"model":"m","messages":[{"content":"x"},{"content":"b"},{"content":"d"}]}"#);
+    assert_eq!((one.len(), other.len()), (2, 2));
+    assert_ne!(one[0], other[0]);
+    assert_eq!(one[1], other[1]);
+    assert_eq!(parts(r#"{"model":"m","messages":[{"content":"a"}]}"#), []);
+    assert_eq!(parts(r#"{"model":"m","messages":"a"}"#), []);
+    assert_eq!(parts(r#"{"model":"m","prompt":"a"}"#), []);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(1),
--- a/crates/apricotwell_messages/src/envelope.rs
+++ b/crates/apricotwell_messages/src/envelope.rs
@@ -3,6 +3,7 @@
 use prost::{Message as _, Oneof};
 
 use crate::claims::{ClaimFinish, ClaimFinishAck, ClaimReply, ClaimRequest};
+use crate::crashes::CrashKnowledge;
 use crate::member_update::MemberUpdate;
 use crate::permits::{PermitRequest, PermitResponse};
 use crate::tokens::{BucketState, TokenGrant, TokenRequest};
@@ -25,7 +26,7 @@
     /// Message; `None` for a kind that this version does not know.
     #[prost(
         oneof = "Message",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
     )]
     pub body: Option<Message>,
 }
@@ -141,6 +142,9 @@
     /// Grants or refuses a permit.
     #[prost(message, tag = "27")]
     PermitResponse(PermitResponse),
+    /// Tells what the sender knows of crashes.
+    #[prost(message, tag = "28")]
+    Crashes(CrashKnowledge),
 }
 
 /// Probes the receiver, which replies with an [`Ack`].
--- a/crates/apricotwell_node/src/node.rs
+++ b/crates/apricotwell_node/src/node.rs
@@ -1,6 +1,7 @@
 //! The node routes events between its components and queues actions.
 
 mod coordination;
+mod crashes;
 mod failures;
 mod idempotency;
 mod limits;
@@ -16,6 +17,7 @@
 use apricotwell_messages::{Envelope, Message};
 use apricotwell_permits::prelude::LimitedServers;
 use apricotwell_placement::{DemandTable, PlacementPlanner};
+use apricotwell_quarantine::prelude::SharedQuarantine;
 use apricotwell_records::{AppendError, Body, LogBatch, ReadError, Record};
 use apricotwell_retry::RetryBudget;
 use apricotwell_routing::Router;
@@ -65,6 +67,10 @@
     claim_coordinator: ClaimCoordinator,
     servers: ServerRegistry,
     limited: LimitedServers,
+    crashes: SharedQuarantine,
+    next_crash_report: Instant,
+    // Position of the member that was last told of crashes.
+    crash_report_turn: usize,
     orders: OrderManager,
     demand: DemandTable,
     planner: PlacementPlanner,
@@ -105,6 +111,9 @@
             claim_client: ClaimClient::default(),
             claim_coordinator: ClaimCoordinator::default(),
             limited: LimitedServers::new(settings.incarnation),
+            crashes: SharedQuarantine::default(),
+            next_crash_report: now,
+            crash_report_turn: 0,
             servers: ServerRegistry::new(settings.report_period, settings.server_timeout),
             orders: OrderManager::new(settings.load_timeout),
             demand: DemandTable::new(settings.demand_period * DEMAND_PERIODS),
@@ -313,6 +322,7 @@
         self.send_demand(now);
         self.dispatch_queued(now);
         self.request_permits(now);
+        self.exchange_crashes(now);
         self.flush(now);
     }
 
@@ -477,6 +487,10 @@
                 now,
                 Event::new(EventKind::MemberChanged).with_detail(detail),
             );
+            if state == MemberState::Alive {
+                // It may have just started.
+                self.send_crashes(now, &id);
+            }
             self.member_states.insert(id, state);
         }
     }
--- a/crates/apricotwell_node/src/node/coordination.rs
+++ b/crates/apricotwell_node/src/node/coordination.rs
@@ -31,13 +31,16 @@
             self.router.record_report(server, load);
         }
         let crashed = self.servers.on_report(now, server, report);
-        for digest in crashed {
-            let digest = digest.0.to_vec();
+        for suspect in &crashed {
+            let digest = suspect.body.0.to_vec();
             let suspect = apricotwell_records::CrashSuspect { digest };
             self.writer.push(Body::CrashSuspect(suspect));
             let event = Event::new(EventKind::ServerCrashed).with_server(server.to_string());
             self.emit(now, event);
         }
+        if !crashed.is_empty() {
+            self.record_crash(now, server, crashed);
+        }
         self.resume_checked(now, server);
         self.next_plan = now;
         self.dispatch_queued(now);
--- a/crates/apricotwell_node/src/node/failures.rs
+++ b/crates/apricotwell_node/src/node/failures.rs
@@ -9,6 +9,7 @@
 use super::Node;
 use super::serving::BUSY_RETRY_DELAY;
 use crate::requests::{Request, Stage};
+use crate::server_registry::Suspect;
 use crate::{Action, AttemptOutcome, Target};
 
 /// Time within which a poll must show whether a server crashed.
@@ -25,7 +26,10 @@
         let Some(request) = self.requests.get(id) else {
             return;
         };
-        let body = request.submission.body_digest;
+        let suspect = Suspect {
+            body: request.submission.body_digest,
+            parts: request.submission.parts.clone(),
+        };
         let class = request.submission.class;
         let attempts = request.attempts;
         let key = (
@@ -37,7 +41,7 @@
         if broken && is_engine {
             let incarnation = self.state.ledger().server(server);
             let incarnation = incarnation.map(|record| record.incarnation);
-            self.servers.suspect_crash(server, body, incarnation);
+            self.servers.suspect_crash(server, suspect, incarnation);
             self.next_plan = now;
         }
         let may_retry = class.is_repeatable()
--- a/crates/apricotwell_node/src/node/peers.rs
+++ b/crates/apricotwell_node/src/node/peers.rs
@@ -80,6 +80,7 @@
             Some(Message::PermitRequest(request)) => {
                 self.on_permit_request(now, &from, &request);
             }
+            Some(Message::Crashes(knowledge)) => self.on_crashes(now, &knowledge),
             Some(Message::PermitResponse(response)) => self.on_permit_response(now, &response),
             Some(Message::Ping(_) | Message::Ack(_) | Message::PingFor(_)) | None => {}
         }
--- a/crates/apricotwell_node/src/node/serving.rs
+++ b/crates/apricotwell_node/src/node/serving.rs
@@ -64,6 +64,9 @@
     pub fn submit(&mut self, now: Instant, submission: Submission) -> Result<RequestId, Refusal> {
         self.check_keys(now)?;
         self.check_submission(now, &submission)?;
+        if let Some(refusal) = self.check_parts(now, &submission.parts) {
+            return Err(refusal);
+        }
         let org = submission.org.clone();
         let cost = submission.cost();
         let (class, deadline) = (submission.class, submission.deadline);
@@ -395,10 +398,15 @@
         let Some(request) = self.requests.get(id) else {
             return;
         };
-        if let Some(refusal) = self.recheck(&request.submission) {
+        let parts = request.submission.parts.clone();
+        let refusal = self.recheck(&request.submission);
+        if let Some(refusal) = refusal.or_else(|| self.start_parts(now, &parts)) {
             self.refuse(now, id, refusal);
             return;
         }
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
         let (prefix, claim) = (
             request.submission.prefix,
             request.submission.idempotency_key,
@@ -461,6 +469,7 @@
             return;
         };
         request.attempts += 1;
+        request.dispatched = Some(now);
         request.stage = Stage::Running {
             server: server.clone(),
         };
@@ -542,7 +551,11 @@
             return;
         };
         let used = used.unwrap_or(u64::MAX);
-        if request.claimed {
+        let (claimed, is_success) = (request.claimed, answer.status < 500);
+        if is_success {
+            self.record_sound(now, id);
+        }
+        if claimed {
             let outcome = ClaimOutcome::Answered(recorded_answer(answer));
             self.report_outcome(now, id, &outcome);
         }
--- a/crates/apricotwell_node/src/requests.rs
+++ b/crates/apricotwell_node/src/requests.rs
@@ -96,6 +96,8 @@
     pub(crate) stage: Stage,
     pub(crate) reservation: Option<Reservation>,
     pub(crate) attempts: u32,
+    // When the last attempt was dispatched.
+    pub(crate) dispatched: Option<Instant>,
     pub(crate) attempt: String,
     // Whether `attempt` holds the claim on the idempotency key.
     pub(crate) claimed: bool,
@@ -116,6 +118,7 @@
             stage: Stage::AwaitingTokens,
             reservation: None,
             attempts: 0,
+            dispatched: None,
             attempt: String::new(),
             claimed: false,
         };
--- a/crates/apricotwell_node/src/server_registry.rs
+++ b/crates/apricotwell_node/src/server_registry.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_placement::ServerView;
+use apricotwell_quarantine::prelude::PartId;
 use apricotwell_records::{Body, ServerGone, ServerUp};
 use apricotwell_state::{PoolKind, State};
 use apricotwell_types::{BodyDigest, Incarnation, ModelId, ReplicaId, ServerId, ZoneId};
@@ -60,8 +61,17 @@
     silent_since: Option<Instant>,
     polled: Option<Instant>,
     avoid_until: Option<Instant>,
-    // Bodies that were running when a connection broke, with the incarnation recorded then.
-    suspects: Vec<(BodyDigest, Option<Incarnation>)>,
+    // Requests that were running when a connection broke, with the incarnation recorded then.
+    suspects: Vec<(Suspect, Option<Incarnation>)>,
+}
+
+/// Request that may have crashed its server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Suspect {
+    /// Digest of its body.
+    pub(crate) body: BodyDigest,
+    /// Ids of the parts of its prompt that other requests may share.
+    pub(crate) parts: Vec<PartId>,
 }
 
 /// Backend servers as seen by this instance.
@@ -168,14 +178,14 @@
 
     /// Handles a report, or `None` when the server could not be reached.
     ///
-    /// Returns the bodies that were running when the server crashed, if it did. A server counts as
+    /// Returns the requests that were running when the server crashed, if it did. A server counts as
     /// crashed if it can't be reached or has another incarnation than before.
     pub(crate) fn on_report(
         &mut self,
         now: Instant,
         server: &ServerId,
         report: Option<ServerReport>,
-    ) -> Vec<BodyDigest> {
+    ) -> Vec<Suspect> {
         let info = self
             .servers
             .entry(server.clone())
@@ -185,7 +195,7 @@
             .suspects
             .drain(..)
             .filter(|(_, before)| found.is_none() || (before.is_some() && *before != found))
-            .map(|(digest, _)| digest)
+            .map(|(suspect, _)| suspect)
             .collect();
         match report {
             Some(report) => {
@@ -210,20 +220,20 @@
         info.avoid_until = Some(now + AVOID_TIME);
     }
 
-    /// Records a body that was running when the connection to a server broke.
+    /// Records a request that was running when the connection to a server broke.
     ///
     /// The next poll shows whether the server crashed.
     pub(crate) fn suspect_crash(
         &mut self,
         server: &ServerId,
-        digest: BodyDigest,
+        suspect: Suspect,
         incarnation: Option<Incarnation>,
     ) {
         let info = self
             .servers
             .entry(server.clone())
             .or_insert_with(ServerInfo::new);
-        info.suspects.push((digest, incarnation));
+        info.suspects.push((suspect, incarnation));
         info.polled = None;
     }
 
--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -148,15 +148,20 @@
         }
     }
 
-    /// Returns whether a request with a quarantined part may run as a trial, and if so counts it.
+    /// Returns whether a request with a quarantined part may run as a trial.
+    pub fn is_trial_due(&self, now: Instant, part: PartId) -> bool {
+        let blocked = self.blocked.get(&part);
+        blocked.is_some_and(|blocked| now >= blocked.trial_at())
+    }
+
+    /// Counts a trial of a quarantined part, if one is due; returns whether it is.
     ///
     /// To be called by one instance of the fleet only.
     pub fn take_trial(&mut self, now: Instant, part: PartId) -> bool {
-        let Some(blocked) = self.blocked.get_mut(&part) else {
-            return false;
-        };
-        let is_due = now >= blocked.trial_at();
-        blocked.trials += u32::from(is_due);
+        let is_due = self.is_trial_due(now, part);
+        if let Some(blocked) = self.blocked.get_mut(&part) {
+            blocked.trials += u32::from(is_due);
+        }
         is_due
     }
 
--- a/crates/apricotwell_timeline/src/event.rs
+++ b/crates/apricotwell_timeline/src/event.rs
@@ -58,6 +58,8 @@
     ServerEnded,
     /// A backend server crashed while it ran a request.
     ServerCrashed,
+    /// A part of prompts that crashed backend servers was quarantined or released.
+    PartQuarantined,
     /// A backend server named a limit on the requests of all instances together, or lifted it.
     ServerLimited,
     /// A backend server ran a request.
