Don't quarantine parts that all requests share for crashes of others

Now: the prompt belongs to the whole; ends are told apart by the start of the process; requests sent after an end are left out; a part that was sound within a minute before needs five crashes; instances that know crashes under a part decide by them; a trial comes after 20 s instead of 120, so that no wrong verdict lasts longer.

--- a/crates/apricotwell_dispatch/tests/fleet/simulation.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -298,6 +298,7 @@
         let member = &mut self.members[index];
         member.dispatcher.crashes.record_own(Crash {
             server: server.into(),
+            started_ms: 1,
             at: now,
             requests: vec![parts.to_vec()],
         });
--- a/crates/apricotwell_gateway/src/crash_checks.rs
+++ b/crates/apricotwell_gateway/src/crash_checks.rs
@@ -26,10 +26,18 @@
 /// Requests of one server that are logged.
 const MAX_LOGGED: usize = 16;
 
-/// Servers that are being checked, with the parts of the requests that they were beginning to answer.
+/// Servers that are being checked.
 #[derive(Debug, Default)]
 pub struct CrashChecks {
-    servers: RefCell<Map<ServerId, Vec<Vec<PartId>>>>,
+    servers: RefCell<Map<ServerId, PendingCheck>>,
+}
+
+#[derive(Debug)]
+struct PendingCheck {
+    // When the server first broke off a response.
+    at: Instant,
+    // Parts of the requests that it was beginning to answer then.
+    requests: Vec<Vec<PartId>>,
 }
 
 /// Server at the time when it broke off a response.
@@ -41,17 +49,10 @@
 }
 
 /// Checks a server that broke off a response to a request that it was beginning to answer.
-pub fn begin<P>(gateway: &Rc<Gateway<P>>, server: &ServerId, parts: Vec<PartId>)
+pub fn begin<P>(gateway: &Rc<Gateway<P>>, server: &ServerId, sent_at: Instant, parts: Vec<PartId>)
 where
     P: Platform,
 {
-    let mut servers = gateway.crash_checks.servers.borrow_mut();
-    if let Some(requests) = servers.get_mut(server) {
-        if requests.len() < MAX_REQUESTS {
-            requests.push(parts);
-        }
-        return;
-    }
     let dispatcher = gateway.dispatcher.borrow();
     let Some(backend) = dispatcher.backends.get(server) else {
         return;
@@ -62,12 +63,28 @@
         started_ms: backend.entry.started_ms,
         at: gateway.now(),
     };
-    servers.insert(server.clone(), vec![parts]);
+    let quarantine = &dispatcher.crashes.quarantine;
+    if quarantine.is_aftermath(server, checked.started_ms, sent_at) {
+        return;
+    }
+    let mut servers = gateway.crash_checks.servers.borrow_mut();
+    if let Some(check) = servers.get_mut(server) {
+        // A request that was sent after the first break can't have caused it.
+        if sent_at < check.at && check.requests.len() < MAX_REQUESTS {
+            check.requests.push(parts);
+        }
+        return;
+    }
+    let check = PendingCheck {
+        at: checked.at,
+        requests: vec![parts],
+    };
+    servers.insert(server.clone(), check);
     let gateway = Rc::clone(gateway);
-    actix::spawn(async move { check(&gateway, checked).await });
+    actix::spawn(async move { check_server(&gateway, checked).await });
 }
 
-async fn check<P>(gateway: &Rc<Gateway<P>>, server: CheckedServer)
+async fn check_server<P>(gateway: &Rc<Gateway<P>>, server: CheckedServer)
 where
     P: Platform,
 {
@@ -77,15 +94,16 @@
         tokio::time::sleep(LIST_INTERVAL).await;
         has_ended = has_left_list(gateway, &server);
     }
-    let requests = gateway.crash_checks.servers.borrow_mut().remove(&server.id);
+    let check = gateway.crash_checks.servers.borrow_mut().remove(&server.id);
     gateway.metrics.count_crash_check(has_ended);
     if !has_ended {
         return;
     }
-    let requests = requests.unwrap_or_default();
+    let requests = check.map(|check| check.requests).unwrap_or_default();
     log_crash(&server, &requests);
     gateway.dispatcher.borrow_mut().crashes.record_own(Crash {
         server: server.id,
+        started_ms: server.started_ms,
         at: server.at,
         requests,
     });
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -58,6 +58,8 @@
     rejections: usize,
     /// Time at which a server was selected for the last attempt.
     server_found: Option<Instant>,
+    // When the last attempt was sent.
+    sent_at: Instant,
     // Parts of the request that may crash servers.
     parts: OnceCell<Vec<PartId>>,
     /// Progress of the responses.
@@ -101,6 +103,7 @@
             runs: 0,
             rejections: 0,
             server_found: None,
+            sent_at: gateway.now(),
             parts: OnceCell::new(),
             trace: ResponseTrace::default(),
             _active: ActiveGuard::new(gateway),
@@ -339,11 +342,11 @@
         } else {
             Reuse::Within(MAX_FRESH_IDLE)
         };
-        let sent_at = self.gateway.now();
+        self.sent_at = self.gateway.now();
         self.trace.server_limit = self.limit_of(server);
         let response = self.gateway.pool.send(address, server_request, reuse);
         let result = tokio::time::timeout(self.head_timeout(), response).await;
-        self.classify_response(result, flight, sent_at)
+        self.classify_response(result, flight)
     }
 
     // Records that the server receives the prompt; returns the prompt tokens not yet in its cache.
@@ -362,7 +365,6 @@
         &mut self,
         result: Result<Result<StreamingResponse, SendError>, tokio::time::error::Elapsed>,
         flight: FlightGuard<P>,
-        sent_at: Instant,
     ) -> AttemptOutcome<P> {
         let response = match result {
             Ok(Ok(response)) => response,
@@ -390,7 +392,7 @@
         // Only an answer of the server itself, and not a late one to an earlier attempt, says that a
         // limit no longer holds.
         if head.rate_limit.is_some() || (head.matches_attempt && head.is_sealed) {
-            self.record_limit(&flight.server, sent_at, head.rate_limit);
+            self.record_limit(&flight.server, head.rate_limit);
         }
         if head.not_run {
             self.record_rejection(&flight.server);
@@ -413,8 +415,9 @@
     }
 
     // Records the limit that a response of a server names, or that it names none.
-    fn record_limit(&self, server: &ServerId, sent_at: Instant, rate: Option<RequestRate>) {
+    fn record_limit(&self, server: &ServerId, rate: Option<RequestRate>) {
         let now = self.gateway.now();
+        let sent_at = self.sent_at;
         let response = LimitResponse { sent_at, rate };
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         dispatcher
@@ -498,7 +501,7 @@
             began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
         if is_beginning {
             let parts = self.parts().to_vec();
-            crash_checks::begin(&self.gateway, server, parts);
+            crash_checks::begin(&self.gateway, server, self.sent_at, parts);
         }
     }
 
@@ -536,7 +539,11 @@
     fn whole_request(&self) -> PartId {
         let organisation = self.admission.organisation.as_ref();
         let name = organisation.map_or("", |organisation| &*organisation.name);
-        let sender = format!("{name} {}{}", self.request.host, self.request.path);
+        let prompt: Vec<u64> = self.request.prompt.iter().map(|it| it.id).collect();
+        let sender = format!(
+            "{name} {}{} {prompt:x?}",
+            self.request.host, self.request.path
+        );
         BodyDigest::of_body(&sender, &self.body.bytes).short()
     }
 
--- a/crates/apricotwell_messages/src/crashes.rs
+++ b/crates/apricotwell_messages/src/crashes.rs
@@ -20,6 +20,9 @@
     /// Milliseconds since its end.
     #[prost(uint32, tag = "2")]
     pub age_ms: u32,
+    /// Start of its process, in milliseconds since the epoch.
+    #[prost(uint64, tag = "4")]
+    pub started_ms: u64,
     /// Requests of the sender that it was beginning to answer.
     #[prost(message, repeated, tag = "3")]
     pub requests: Vec<RequestParts>,
--- a/crates/apricotwell_node/src/node/crashes.rs
+++ b/crates/apricotwell_node/src/node/crashes.rs
@@ -19,8 +19,10 @@
     /// Records the end of a server that was running requests of this instance.
     pub(super) fn record_crash(&mut self, now: Instant, server: &ServerId, suspects: Vec<Suspect>) {
         let requests = suspects.into_iter().map(|suspect| suspect.parts);
+        let record = self.state.ledger().server(server);
         self.crashes.record_own(Crash {
             server: server.clone(),
+            started_ms: record.map_or(0, |record| record.incarnation),
             at: now,
             requests: requests.collect(),
         });
--- a/crates/apricotwell_quarantine/src/exchange.rs
+++ b/crates/apricotwell_quarantine/src/exchange.rs
@@ -29,12 +29,11 @@
 
     /// Returns what this instance knows and the others may not, `None` if that is nothing.
     ///
-    /// Crashes and sound parts are reported for `time`, quarantined parts always.
+    /// Crashes are reported for `time`, quarantined and sound parts as long as they are remembered.
     pub fn knowledge(&mut self, now: Instant, time: Duration) -> Option<CrashKnowledge> {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < time;
         self.own.retain(|crash| is_recent(crash.at));
-        let cleared = self.quarantine.cleared().into_iter();
-        let sound = cleared.filter(|sound| is_recent(sound.at));
+        let sound = self.quarantine.sound_suspects().into_iter();
         let own = self.own.iter().rev().take(MAX_REPORTED);
         let knowledge = CrashKnowledge {
             crashes: own.map(|crash| encode_crash(now, crash)).collect(),
@@ -57,6 +56,7 @@
                 let requests = report.requests.iter().map(|parts| parts.ids.clone());
                 self.quarantine.record_crash(Crash {
                     server: report.server.as_str().into(),
+                    started_ms: report.started_ms,
                     at,
                     requests: requests.collect(),
                 });
@@ -99,6 +99,7 @@
     let requests = crash.requests.iter().cloned();
     CrashReport {
         server: crash.server.to_string(),
+        started_ms: crash.started_ms,
         age_ms: age_ms(now, crash.at),
         requests: requests.map(|ids| RequestParts { ids }).collect(),
     }
--- a/crates/apricotwell_quarantine/src/lib.rs
+++ b/crates/apricotwell_quarantine/src/lib.rs
@@ -26,6 +26,7 @@
 //! for second in 0..3 {
 //!     let crash = Crash {
 //!         server: format!("server-{second}").into(),
+//!         started_ms: 1,
 //!         at: start + Duration::from_secs(second),
 //!         requests: vec![vec![1, 7, 100 + second]],
 //!     };
--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -8,12 +8,15 @@
 /// Id of a part of a request; equal parts have the same id.
 pub type PartId = u64;
 
-/// Separate crashes after which a part is quarantined.
+/// Separate crashes after which a part is quarantined that is not known to have been sound.
 const MAX_CRASHES: usize = 3;
+/// The same for a part that was sound before: one that many requests share must not be quarantined
+/// because no server was left to answer them between a few crashes.
+const MAX_CRASHES_OF_SOUND: usize = 5;
 /// Time within which crashes count as one, since they may have one other cause.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(300);
-/// Time within which reports of the end of one server are about the same end.
-const SAME_CRASH_TIME: Duration = Duration::from_secs(3);
+/// Time after the end of a process in which requests may still be sent to it in vain.
+const AFTERMATH_TIME: Duration = Duration::from_secs(30);
 /// Time for which crashes are remembered.
 const CRASH_LIFETIME: Duration = Duration::from_secs(600);
 /// Largest number of crashes that are remembered.
@@ -21,15 +24,17 @@
 /// Largest number of requests that are remembered of one crash.
 const MAX_REQUESTS: usize = 64;
 /// Time for which a sound part is remembered if no crash is recorded under it.
-const SOUND_LIFETIME: Duration = Duration::from_secs(10);
+const SOUND_LIFETIME: Duration = Duration::from_secs(60);
 /// Time from the last crash under a quarantined part to its first trial; doubles with each trial.
-const FIRST_TRIAL: Duration = Duration::from_secs(120);
+const FIRST_TRIAL: Duration = Duration::from_secs(20);
 
 /// End of a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
     /// Server.
     pub server: ServerId,
+    /// Start of its process, as the instance knew it; tells ends of one server apart.
+    pub started_ms: u64,
     /// When it ended.
     pub at: Instant,
     /// Parts of each request that it was beginning to answer, the most general part first.
@@ -110,9 +115,10 @@
                 blocked.crashed_at = blocked.crashed_at.max(crash.at);
             }
         }
-        let known = self.crashes.iter_mut().find(|known| {
-            known.server == crash.server && distance(known.at, crash.at) < SAME_CRASH_TIME
-        });
+        let known = self
+            .crashes
+            .iter_mut()
+            .find(|known| known.server == crash.server && known.started_ms == crash.started_ms);
         match known {
             Some(known) => add_requests(known, crash.requests),
             None => self.insert_crash(crash),
@@ -120,6 +126,16 @@
         self.convict();
     }
 
+    /// Returns whether a request was sent to a process after its end, so that it can't have caused it.
+    pub fn is_aftermath(&self, server: &str, started_ms: u64, sent_at: Instant) -> bool {
+        self.crashes.iter().any(|crash| {
+            *crash.server == *server
+                && crash.started_ms == started_ms
+                && crash.at < sent_at
+                && sent_at < crash.at + AFTERMATH_TIME
+        })
+    }
+
     /// Records that a server which began an answer with these parts at `at` did not crash.
     pub fn record_sound(&mut self, at: Instant, parts: &[PartId]) {
         for part in parts {
@@ -133,13 +149,17 @@
         }
     }
 
-    /// Quarantines a part that another instance did, unless it was sound since.
+    /// Quarantines a part that another instance did, unless this one knows better: the part was sound
+    /// since, or crashes under it are known here and do not convict it.
     pub fn adopt(&mut self, part: BlockedPart) {
         let sound = self.sound.get(&part.part);
         if sound.is_some_and(|sound| *sound > part.crashed_at) {
             return;
         }
         let is_new = !self.blocked.contains_key(&part.part);
+        if is_new && self.crashes.iter().any(|crash| contains(crash, part.part)) {
+            return;
+        }
         let known = self.blocked.entry(part.part).or_insert(part);
         known.crashed_at = known.crashed_at.max(part.crashed_at);
         known.trials = known.trials.max(part.trials);
@@ -165,26 +185,22 @@
         is_due
     }
 
-    /// Returns the parts under which a server ended and that were sound after that.
-    pub fn cleared(&self) -> Vec<SoundPart> {
-        let mut cleared: Vec<SoundPart> = self
+    /// Returns the parts under which servers ended and that were sound, before or after.
+    pub fn sound_suspects(&self) -> Vec<SoundPart> {
+        let suspects = self
             .crashes
             .iter()
-            .flat_map(|crash| {
-                crash
-                    .requests
-                    .iter()
-                    .flatten()
-                    .map(|part| (crash.at, *part))
-            })
-            .filter_map(|(crashed, part)| {
-                let at = *self.sound.get(&part)?;
-                (at > crashed).then_some(SoundPart { part, at })
+            .flat_map(|crash| crash.requests.iter().flatten());
+        let mut sound: Vec<SoundPart> = suspects
+            .filter_map(|part| {
+                let at = *self.sound.get(part)?;
+                Some(SoundPart { part: *part, at })
             })
             .collect();
-        cleared.sort_by_key(|sound| (sound.part, sound.at));
-        cleared.dedup();
-        cleared
+        // The latest ones matter most.
+        sound.sort_by_key(|sound| Reverse((sound.at, sound.part)));
+        sound.dedup();
+        sound
     }
 
     /// Returns the parts that were quarantined (`true`) or released since the last call.
@@ -226,10 +242,15 @@
         }
         let is_explained = |part: &PartId| {
             let tally = tallies.get(part);
-            !guilty.contains(part) && tally.is_some_and(|tally| tally.crashes >= MAX_CRASHES)
+            !guilty.contains(part) && tally.is_some_and(|tally| self.is_enough(*part, tally))
         };
-        let convicted = std::mem::take(&mut self.convicted);
-        for part in convicted.into_iter().filter(is_explained) {
+        let released: Vec<PartId> = self
+            .convicted
+            .iter()
+            .copied()
+            .filter(is_explained)
+            .collect();
+        for part in released {
             if self.blocked.remove(&part).is_some() {
                 self.changes.push((part, false));
             }
@@ -256,7 +277,7 @@
     fn guilty_parts(&self, tallies: &Map<PartId, Tally>) -> Vec<PartId> {
         let mut suspects: Vec<(PartId, &Tally)> = tallies
             .iter()
-            .filter(|(_, tally)| tally.crashes >= MAX_CRASHES)
+            .filter(|(part, tally)| self.is_enough(**part, tally))
             .map(|(part, tally)| (*part, tally))
             .collect();
         suspects.sort_by_key(|(part, tally)| Reverse((tally.crashes, tally.position, *part)));
@@ -272,6 +293,16 @@
         guilty
     }
 
+    // Returns whether a part has enough crashes to be convicted.
+    fn is_enough(&self, part: PartId, tally: &Tally) -> bool {
+        let needed = if self.sound.contains_key(&part) {
+            MAX_CRASHES_OF_SOUND
+        } else {
+            MAX_CRASHES
+        };
+        tally.crashes >= needed
+    }
+
     // Returns whether a crash counts against a part: it happened under it, and not before an answer
     // that showed the part to be sound.
     fn counts(&self, crash: &Crash, part: PartId) -> bool {
@@ -329,8 +360,3 @@
         }
     }
 }
-
-fn distance(one: Instant, other: Instant) -> Duration {
-    one.saturating_duration_since(other)
-        .max(other.saturating_duration_since(one))
-}
