Bound what heartbeats tell of crashes

A heartbeat could carry 32 crashes of 64 requests each, which does not fit into a datagram, and 32 quarantined and 32 sound parts, which at 410 instances is 90 KB a second at each of them, 15 times their budget.

The handler's dealings with limits and crashes move to modules of their own.

--- a/crates/apricotwell_dispatch/src/dispatcher/crashes.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/crashes.rs
@@ -11,6 +11,11 @@
 
 /// Heartbeat intervals for which a crash is reported.
 const REPORTED_INTERVALS: u32 = 3;
+/// Sound and quarantined parts, each, that one instance hears from all others together in one
+/// heartbeat interval. An instance that starts needs each part from one of them only.
+const PARTS_PER_ROUND: usize = 256;
+/// The same in one heartbeat, at most.
+const MAX_PARTS: usize = 32;
 /// Retry delay sent to clients whose request has a quarantined part.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
@@ -32,8 +37,10 @@
 
     /// Returns what this instance knows of crashes, for its heartbeats.
     pub(super) fn crash_knowledge(&mut self, now: Instant) -> Option<CrashKnowledge> {
-        let interval = heartbeat_interval(self.peers.possible_count() as u32);
-        self.crashes.knowledge(now, interval * REPORTED_INTERVALS)
+        let instances = self.peers.possible_count();
+        let time = heartbeat_interval(instances as u32) * REPORTED_INTERVALS;
+        let count = (PARTS_PER_ROUND / instances).clamp(1, MAX_PARTS);
+        self.crashes.knowledge(now, time, count)
     }
 
     // Returns whether this instance is the one that tries a quarantined part again.
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -1,22 +1,23 @@
 //! Handling of one admitted request: server selection, attempts and retries.
 
+mod crashes;
+mod limits;
+
 use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_http::pool::{Reuse, SendError, StreamingResponse};
-use apricotwell_permits::prelude::{LimitResponse, RequestRate};
 use apricotwell_quarantine::prelude::PartId;
-use apricotwell_types::{BodyDigest, Refusal, RefusalKind, RunOutcome, ServerId};
+use apricotwell_types::{Refusal, RefusalKind, RunOutcome, ServerId};
 use http::request;
 
+pub use self::crashes::BEGINNING_TIME;
 use crate::adapter::{Attempt, ClientProtocol, Platform};
-use crate::crash_checks;
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard, PermitGuard, WaitGuard};
-use crate::permits::log_limit_changes;
 use crate::requests::BufferedBody;
 use crate::trace::{ReceivedBody, ResponseTrace};
 
@@ -30,8 +31,6 @@
 /// Fraction of the grace period during which requests may still wait for a server after a request
 /// to stop.
 const WAIT_GRACE_FRACTION: f64 = 0.55;
-/// Time after the first bytes of a response from which on its server has begun to answer safely.
-pub const BEGINNING_TIME: Duration = Duration::from_secs(1);
 /// Number of rejections by servers after which a request is refused.
 const MAX_REJECTIONS: usize = 8;
 
@@ -245,14 +244,6 @@
         Refusal::not_run(kind, text).with_retry_after(Duration::from_millis(300))
     }
 
-    // Returns the refusal of a quarantined request, which may have run before.
-    fn quarantined(&self, refusal: Refusal) -> Refusal {
-        if self.runs > 0 {
-            return self.refusal(refusal.kind, &refusal.message);
-        }
-        refusal
-    }
-
     // Selects a server, waiting for one if necessary.
     async fn find_server(&mut self) -> Result<(ServerId, std::net::SocketAddr), Refusal> {
         let mut waiting = None;
@@ -304,13 +295,6 @@
         }
     }
 
-    fn probe_limits(&self, now: Instant) {
-        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        if dispatcher.probe_limits(now, &self.admission) {
-            self.gateway.permits_due.notify_one();
-        }
-    }
-
     /// Sends one attempt and waits for the head of the response.
     pub async fn send(
         &mut self,
@@ -406,28 +390,6 @@
         AttemptOutcome::Response(Box::new(response), flight)
     }
 
-    // Returns the limit that the server is known to have when a request is sent to it.
-    fn limit_of(&self, server: &ServerId) -> Option<RequestRate> {
-        let dispatcher = self.gateway.dispatcher.borrow();
-        let rate = dispatcher.limited.limits.rate(server)?;
-        self.gateway.metrics.count_limited_request();
-        Some(rate)
-    }
-
-    // Records the limit that a response of a server names, or that it names none.
-    fn record_limit(&self, server: &ServerId, rate: Option<RequestRate>) {
-        let now = self.gateway.now();
-        let sent_at = self.sent_at;
-        let response = LimitResponse { sent_at, rate };
-        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        dispatcher
-            .limited
-            .limits
-            .record_response(now, server, response);
-        drop(dispatcher);
-        log_limit_changes(&self.gateway);
-    }
-
     // Records that the server rejected a request for the requested model.
     fn record_rejection(&self, server: &ServerId) {
         let Some(model) = &self.admission.requested_model else {
@@ -493,76 +455,6 @@
             .saturating_duration_since(now)
     }
 
-    /// Checks whether a server that broke off its response, whose first bytes came at `began`, has
-    /// ended as it began to answer.
-    pub fn check_crash(&self, server: &ServerId, began: Option<Instant>) {
-        let now = self.gateway.now();
-        let is_beginning =
-            began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
-        if is_beginning {
-            let parts = self.parts().to_vec();
-            crash_checks::begin(&self.gateway, server, self.sent_at, parts);
-        }
-    }
-
-    /// Records that a server which began its response at `began` did not crash.
-    pub fn record_sound(&self, began: Instant) {
-        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        let quarantine = &mut dispatcher.crashes.quarantine;
-        if quarantine.has_crashes() {
-            quarantine.record_sound(began, self.parts());
-        } else {
-            let shared: Vec<PartId> = self.shared_parts().collect();
-            quarantine.record_sound(began, &shared);
-        }
-        drop(dispatcher);
-        crash_checks::log_quarantine(&self.gateway);
-    }
-
-    // Returns the parts of the prompt that other requests share, the most general one first.
-    fn shared_parts(&self) -> impl Iterator<Item = PartId> {
-        let shared = self.request.prompt.split_last();
-        let shared = shared.map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|segment| segment.id)
-    }
-
-    // Returns the parts of the request that may crash servers: the shared ones, and the request as a
-    // whole.
-    fn parts(&self) -> &[PartId] {
-        self.parts.get_or_init(|| {
-            let whole = self.whole_request();
-            self.shared_parts().chain([whole]).collect()
-        })
-    }
-
-    // Returns the id of the whole request: equal requests of one organisation have the same.
-    fn whole_request(&self) -> PartId {
-        let organisation = self.admission.organisation.as_ref();
-        let name = organisation.map_or("", |organisation| &*organisation.name);
-        let prompt: Vec<u64> = self.request.prompt.iter().map(|it| it.id).collect();
-        let sender = format!(
-            "{name} {}{} {prompt:x?}",
-            self.request.host, self.request.path
-        );
-        BodyDigest::of_body(&sender, &self.body.bytes).short()
-    }
-
-    // Returns the refusal of a request with a quarantined part.
-    fn quarantine_refusal(&self, now: Instant) -> Option<Refusal> {
-        if !self
-            .gateway
-            .dispatcher
-            .borrow()
-            .crashes
-            .quarantine
-            .has_blocked()
-        {
-            return None;
-        }
-        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        dispatcher.check_quarantine(now, self.parts())
-    }
-
     /// Records how the body of a response ended.
     pub fn end_response(&mut self, received: ReceivedBody) {
         let is_whole = received.failure.is_none();
--- a/crates/apricotwell_node/src/node/crashes.rs
+++ b/crates/apricotwell_node/src/node/crashes.rs
@@ -12,6 +12,8 @@
 
 /// Time for which crashes and sound parts are reported.
 const REPORT_TIME: Duration = Duration::from_secs(10);
+/// Sound and quarantined parts, each, in one message.
+const MAX_PARTS: usize = 32;
 /// Interval at which the members are told again, in turn, what they may have missed.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -91,7 +93,7 @@
 
     /// Tells a member what this instance knows of crashes, if it knows of any.
     pub(super) fn send_crashes(&mut self, now: Instant, member: &InstanceId) {
-        if let Some(knowledge) = self.crashes.knowledge(now, REPORT_TIME) {
+        if let Some(knowledge) = self.crashes.knowledge(now, REPORT_TIME, MAX_PARTS) {
             self.send(now, member, Message::Crashes(knowledge));
         }
     }
--- a/crates/apricotwell_quarantine/src/exchange.rs
+++ b/crates/apricotwell_quarantine/src/exchange.rs
@@ -8,8 +8,10 @@
 
 use crate::{BlockedPart, Crash, Quarantine};
 
-/// Crashes, sound and quarantined parts in one message, each.
-const MAX_REPORTED: usize = 32;
+/// Requests of all crashes in one message, so that it fits into a datagram.
+const MAX_REQUESTS: usize = 128;
+/// Quarantined parts that are saved.
+const MAX_SAVED: usize = 64;
 
 /// A quarantine that is kept in step with those of other instances.
 #[derive(Debug, Default)]
@@ -18,6 +20,8 @@
     pub quarantine: Quarantine,
     // Crashes that this instance saw itself and still reports.
     own: Vec<Crash>,
+    // Counts the messages, so that each one continues where the last one ended.
+    turn: usize,
 }
 
 impl SharedQuarantine {
@@ -29,26 +33,41 @@
 
     /// Returns what this instance knows and the others may not, `None` if that is nothing.
     ///
-    /// Crashes are reported for `time`, quarantined and sound parts as long as they are remembered.
-    pub fn knowledge(&mut self, now: Instant, time: Duration) -> Option<CrashKnowledge> {
+    /// Crashes are reported for `time`. Quarantined and sound parts are reported as long as they are
+    /// remembered, `count` of each in turn.
+    pub fn knowledge(
+        &mut self,
+        now: Instant,
+        time: Duration,
+        count: usize,
+    ) -> Option<CrashKnowledge> {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < time;
         self.own.retain(|crash| is_recent(crash.at));
-        let sound = self.quarantine.sound_suspects().into_iter();
-        let own = self.own.iter().rev().take(MAX_REPORTED);
+        self.turn = self.turn.wrapping_add(1);
+        let sound = self.quarantine.sound_suspects();
+        let sound = in_turn(sound, self.turn, count).map(|sound| SoundPartReport {
+            part: sound.part,
+            age_ms: age_ms(now, sound.at),
+        });
         let knowledge = CrashKnowledge {
-            crashes: own.map(|crash| encode_crash(now, crash)).collect(),
-            sound: sound
-                .take(MAX_REPORTED)
-                .map(|sound| SoundPartReport {
-                    part: sound.part,
-                    age_ms: age_ms(now, sound.at),
-                })
-                .collect(),
-            blocked: self.blocked_parts(now),
+            crashes: self.recent_crashes(now),
+            sound: sound.collect(),
+            blocked: in_turn(self.blocked_parts(now), self.turn, count).collect(),
         };
         (knowledge != CrashKnowledge::default()).then_some(knowledge)
     }
 
+    // Returns the latest crashes that this instance saw, as many as fit into a message.
+    fn recent_crashes(&self, now: Instant) -> Vec<CrashReport> {
+        let mut left = MAX_REQUESTS;
+        let newest = self.own.iter().rev();
+        let fitting = newest.map_while(|crash| {
+            left = left.checked_sub(crash.requests.len())?;
+            Some(encode_crash(now, crash))
+        });
+        fitting.collect()
+    }
+
     /// Applies what another instance knows.
     pub fn apply(&mut self, now: Instant, knowledge: &CrashKnowledge) {
         for report in &knowledge.crashes {
@@ -72,7 +91,7 @@
 
     /// Returns the quarantined parts, to be saved or sent.
     pub fn blocked_parts(&self, now: Instant) -> Vec<BlockedPartReport> {
-        let blocked = self.quarantine.blocked().take(MAX_REPORTED);
+        let blocked = self.quarantine.blocked().take(MAX_SAVED);
         let reports = blocked.map(|blocked| BlockedPartReport {
             part: blocked.part,
             age_ms: age_ms(now, blocked.crashed_at),
@@ -95,6 +114,13 @@
     }
 }
 
+// Returns `count` entries, beginning where the turn before ended.
+fn in_turn<T>(mut entries: Vec<T>, turn: usize, count: usize) -> impl Iterator<Item = T> {
+    let start = turn.wrapping_mul(count).checked_rem(entries.len());
+    entries.rotate_left(start.unwrap_or(0));
+    entries.into_iter().take(count)
+}
+
 fn encode_crash(now: Instant, crash: &Crash) -> CrashReport {
     let requests = crash.requests.iter().cloned();
     CrashReport {
--- a/crates/apricotwell_quarantine/tests/quarantine.rs
+++ b/crates/apricotwell_quarantine/tests/quarantine.rs
@@ -327,3 +327,36 @@
     days.quarantine.adopt(part);
     assert_eq!(days.blocked(), []);
 }
+
+#[test]
+fn knowledge_fits_into_a_datagram_and_tells_all_parts_in_turn() {
+    let start = Instant::now();
+    let mut shared = SharedQuarantine::default();
+    for number in 0..40 {
+        let part = 1000 + number;
+        for crash in 0..3 {
+            shared.record_own(Crash {
+                server: format!("server-{number}-{crash}").into(),
+                started_ms: 1,
+                at: start + SECOND * crash as u32,
+                requests: (0..16)
+                    .map(|own| vec![part, (crash + 1) << 40 | number << 8 | own])
+                    .collect(),
+            });
+        }
+    }
+    let now = start + SECOND * 3;
+    let mut told = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        let knowledge = shared.knowledge(now, SECOND * 60, 1).unwrap();
+        let requests: usize = knowledge
+            .crashes
+            .iter()
+            .map(|crash| crash.requests.len())
+            .sum();
+        assert!(requests <= 128, "{requests} requests");
+        assert_eq!(knowledge.blocked.len(), 1);
+        told.extend(knowledge.blocked.iter().map(|blocked| blocked.part));
+    }
+    assert_eq!(told.len(), 40);
+}
