Blame a request for a crash only if its server is gone at once

A server that accepted a connection after it broke off a response was watched in the server list for six more seconds. If it ended in that time for another reason, the requests that had been broken off before were blamed, and the one that was under way was not, since the check was still open. Found by reading.

--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -107,11 +107,6 @@
         !self.entry.draining && self.expires_at.is_none_or(|expiry| now < expiry)
     }
 
-    /// Returns whether the server is still in the list.
-    pub fn is_listed(&self) -> bool {
-        self.expires_at.is_none()
-    }
-
     /// Returns the number of requests in flight from all instances.
     pub fn in_flight(&self) -> u32 {
         self.own_requests + self.peer_requests.values().sum::<u32>()
--- a/crates/apricotwell_gateway/src/crash_checks.rs
+++ b/crates/apricotwell_gateway/src/crash_checks.rs
@@ -1,7 +1,7 @@
 //! Checks whether a server that broke off responses has ended.
 //!
 //! A response may be broken off by a server that lives on. A server has ended if it accepts no
-//! connections, or if the server list shows soon after that it was removed or started again.
+//! connection shortly after.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -17,10 +17,6 @@
 
 /// Time in which the other responses of a server that has ended break off as well.
 const GATHER_TIME: Duration = Duration::from_millis(60);
-/// Interval at which the server list is looked at.
-const LIST_INTERVAL: Duration = Duration::from_millis(250);
-/// Time after which a server that is still listed has not ended.
-const LIST_TIME: Duration = Duration::from_secs(6);
 /// Requests of one server that are checked together.
 const MAX_REQUESTS: usize = 64;
 /// Requests of one server that are logged.
@@ -89,11 +85,7 @@
     P: Platform,
 {
     tokio::time::sleep(GATHER_TIME).await;
-    let mut has_ended = !gateway.pool.is_accepting(server.address).await;
-    while !has_ended && !is_over(gateway, &server) {
-        tokio::time::sleep(LIST_INTERVAL).await;
-        has_ended = has_left_list(gateway, &server);
-    }
+    let has_ended = !gateway.pool.is_accepting(server.address).await;
     let check = gateway.crash_checks.servers.borrow_mut().remove(&server.id);
     gateway.metrics.count_crash_check(has_ended);
     if !has_ended {
@@ -134,23 +126,6 @@
     }
 }
 
-fn is_over<P>(gateway: &Gateway<P>, server: &CheckedServer) -> bool
-where
-    P: Platform,
-{
-    gateway.now().saturating_duration_since(server.at) >= LIST_TIME
-}
-
-fn has_left_list<P>(gateway: &Gateway<P>, server: &CheckedServer) -> bool
-where
-    P: Platform,
-{
-    let dispatcher = gateway.dispatcher.borrow();
-    let backend = dispatcher.backends.get(&server.id);
-    backend
-        .is_none_or(|backend| backend.entry.started_ms != server.started_ms || !backend.is_listed())
-}
-
 fn log_crash(server: &CheckedServer, requests: &[Vec<PartId>]) {
     let hex = |parts: &Vec<PartId>| {
         let ids: Vec<String> = parts.iter().map(|id| format!("{id:x}")).collect();
--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -72,17 +72,10 @@
 
     /// Returns the refusal of a request with a quarantined part.
     pub(super) fn quarantine_refusal(&self, now: Instant) -> Option<Refusal> {
-        if !self
-            .gateway
-            .dispatcher
-            .borrow()
-            .crashes
-            .quarantine
-            .has_blocked()
-        {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        if !dispatcher.crashes.quarantine.has_blocked() {
             return None;
         }
-        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         dispatcher.check_quarantine(now, self.parts())
     }
 
