--- a/crates/apricotwell_dispatch/tests/dispatcher.rs
+++ b/crates/apricotwell_dispatch/tests/dispatcher.rs
@@ -1,40 +1,15 @@
 //! Admission and routing of single requests: accepted, sent, queued or refused.
 
+#[path = "support/config.rs"]
+mod config;
+
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::backends::BackendEntry;
 use apricotwell_dispatch::prelude::*;
 use apricotwell_permits::prelude::*;
 use apricotwell_types::{KeyDigest, RefusalKind};
-
-const REVOCATION: Duration = Duration::from_secs(5);
-
-fn config() -> InstanceConfig {
-    InstanceConfig {
-        id: "10.0.0.1:7600".into(),
-        incarnation: 1,
-        zone: "a".into(),
-        address: "10.0.0.1:80".to_owned(),
-        first_start: true,
-        revocation_bound: REVOCATION,
-        quota: QuotaBounds {
-            window: Duration::from_secs(8),
-            excess: 0.1,
-            slack: 11_000.0,
-        },
-        retries: RetryBounds {
-            ratio: 0.2,
-            window: Duration::from_secs(10),
-            slack: 58.0,
-        },
-        lease: LeaseConfig {
-            term: Duration::from_secs(2),
-            handover_pause: Duration::from_secs(3),
-            max_renewal_gap: Duration::from_millis(700),
-            fenced: true,
-        },
-    }
-}
+use config::{REVOCATION, config};
 
 fn model(name: &str) -> ModelSpec {
     ModelSpec {
@@ -128,7 +103,8 @@
 }
 
 fn dispatcher(now: Instant) -> Dispatcher {
-    let mut dispatcher = Dispatcher::new(config());
+    let mut dispatcher =
+        Dispatcher::new(config("10.0.0.1:7600".into(), 1, "10.0.0.1:80".to_owned()));
     dispatcher.apply_catalog(catalog());
     dispatcher.freshness.record_read(now);
     for id in ["one", "two", "three"] {
@@ -302,7 +278,7 @@
     let mut other = Dispatcher::new(InstanceConfig {
         id: "10.0.0.2:7600".into(),
         address: "10.0.0.2:80".to_owned(),
-        ..config()
+        ..config("10.0.0.1:7600".into(), 1, "10.0.0.1:80".to_owned())
     });
     other.apply_catalog(catalog());
     other.freshness.record_read(now);
@@ -327,7 +303,7 @@
         let mut other = if ready {
             dispatcher(now)
         } else {
-            Dispatcher::new(config())
+            Dispatcher::new(config("10.0.0.1:7600".into(), 1, "10.0.0.1:80".to_owned()))
         };
         other.config.id = id.into();
         other.config.zone = zone.into();
--- a/crates/apricotwell_dispatch/tests/fleet.rs
+++ b/crates/apricotwell_dispatch/tests/fleet.rs
@@ -1,6 +1,8 @@
 //! Whole fleets in virtual time: what servers count over all instances, and what one instance learns
 //! for the others.
 
+#[path = "support/config.rs"]
+mod config;
 #[path = "fleet/crashes.rs"]
 mod crashes;
 #[path = "fleet/limits.rs"]
--- a/crates/apricotwell_dispatch/tests/fleet/simulation.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -15,6 +15,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::config::config;
+
 /// Step of the virtual time.
 const STEP: Duration = Duration::from_millis(50);
 /// Time for which the fleet runs before servers name their limits.
@@ -92,31 +94,9 @@
     format!("10.0.{}.{}:7100", index / 200, index % 200).into()
 }
 
-fn config(index: usize, incarnation: u64) -> InstanceConfig {
-    InstanceConfig {
-        id: id(index),
-        incarnation,
-        zone: "a".into(),
-        address: format!("10.0.{}.{}:80", index / 200, index % 200),
-        first_start: true,
-        revocation_bound: Duration::from_secs(5),
-        quota: QuotaBounds {
-            window: Duration::from_secs(8),
-            excess: 0.1,
-            slack: 11_000.0,
-        },
-        retries: RetryBounds {
-            ratio: 0.2,
-            window: Duration::from_secs(10),
-            slack: 58.0,
-        },
-        lease: LeaseConfig {
-            term: Duration::from_secs(2),
-            handover_pause: Duration::from_secs(3),
-            max_renewal_gap: Duration::from_millis(700),
-            fenced: true,
-        },
-    }
+fn member_config(index: usize, incarnation: u64) -> InstanceConfig {
+    let address = format!("10.0.{}.{}:80", index / 200, index % 200);
+    config(id(index), incarnation, address)
 }
 
 fn entry(id: &ServerId) -> BackendEntry {
@@ -206,7 +186,7 @@
     // Starts an instance that can list the first `listed` others.
     fn start_member(&mut self, index: usize, listed: usize) -> Member {
         let incarnation = self.now.saturating_duration_since(self.start).as_millis() as u64 + 1;
-        let mut dispatcher = Dispatcher::new(config(index, incarnation));
+        let mut dispatcher = Dispatcher::new(member_config(index, incarnation));
         for (server, _) in &self.servers {
             dispatcher.backends.apply_entry(self.now, entry(server));
         }
--- a/crates/apricotwell_node/tests/crashes.rs
+++ b/crates/apricotwell_node/tests/crashes.rs
@@ -1,11 +1,14 @@
 //! Parts of prompts that crash engines, in virtual time.
 
+#[path = "support/single_engine.rs"]
+mod single_engine;
+
 use std::time::Duration;
 
-use apricotwell_fakes::{Call, CallOutcome, Simulation, SimulationOptions};
+use apricotwell_fakes::{Call, CallOutcome, Simulation};
 use apricotwell_types::RefusalKind;
+use single_engine::{ENGINE, settled_fleet};
 
-const ENGINE: &str = "engine-1";
 /// Engines that may end under one part, those included that ended before the others were known.
 const MAX_ENDED: usize = 5;
 const GENERAL: u64 = 1;
@@ -16,19 +19,6 @@
     Duration::from_secs(count)
 }
 
-fn simulation(seed: u64, instances: usize) -> Simulation {
-    let mut sim = Simulation::new(SimulationOptions {
-        seed,
-        instances,
-        engines: 1,
-        ..SimulationOptions::default()
-    });
-    sim.configure();
-    sim.run_for(seconds(8));
-    assert!(sim.is_settled());
-    sim
-}
-
 // Sends a request that no other equals; with the bad part it crashes the engine. Returns its outcome.
 fn send(sim: &mut Simulation, name: &str, part: u64, number: usize) -> CallOutcome {
     let body = if part == BAD { "crash" } else { "hello" };
@@ -66,7 +56,7 @@
 #[test]
 fn prompts_with_a_part_that_crashes_engines_are_stopped_and_the_others_answered() {
     for (seed, instances) in [(1, 3), (2, 9)] {
-        let mut sim = simulation(seed, instances);
+        let mut sim = settled_fleet(seed, instances);
         let ended = play(&mut sim, 12);
         assert!(ended <= MAX_ENDED, "{instances} instances: {ended} ended");
         for name in sim.instances() {
@@ -82,7 +72,7 @@
 
 #[test]
 fn instance_that_restarts_learns_the_parts_that_crash_engines() {
-    let mut sim = simulation(3, 3);
+    let mut sim = settled_fleet(3, 3);
     play(&mut sim, 8);
     let name = sim.instances()[0].clone();
     sim.kill(&name);
--- a/crates/apricotwell_node/tests/server_limits.rs
+++ b/crates/apricotwell_node/tests/server_limits.rs
@@ -1,8 +1,12 @@
 //! Limits that servers name for all instances together, in virtual time.
 
+#[path = "support/single_engine.rs"]
+mod single_engine;
+
 use std::time::Duration;
 
-use apricotwell_fakes::{Call, CallOutcome, Simulation, SimulationOptions};
+use apricotwell_fakes::{Call, CallOutcome, Simulation};
+use single_engine::{ENGINE, settled_fleet};
 
 /// Time over which requests are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -12,15 +16,7 @@
 }
 
 fn loaded_simulation(seed: u64, instances: usize) -> Simulation {
-    let mut sim = Simulation::new(SimulationOptions {
-        seed,
-        instances,
-        engines: 1,
-        ..SimulationOptions::default()
-    });
-    sim.configure();
-    sim.run_for(seconds(8));
-    assert!(sim.is_settled());
+    let mut sim = settled_fleet(seed, instances);
     let first = sim.instances()[0].clone();
     sim.call(&first, Call::chat("org-a", "model-a"));
     sim.run_for(seconds(2));
@@ -60,7 +56,7 @@
 fn engine_that_names_a_limit_gets_no_more_from_all_instances_together() {
     for (seed, instances, limit) in [(1, 9, 1.0), (2, 9, 6.0), (3, 3, 2.0)] {
         let mut sim = loaded_simulation(seed, instances);
-        sim.set_engine_limit("engine-1", Some(limit));
+        sim.set_engine_limit(ENGINE, Some(limit));
         let named = sim.elapsed();
         let calls = send_calls(&mut sim, seconds(20));
         let most = most_arrivals(&sim, named + seconds(4));
@@ -89,9 +85,9 @@
 #[test]
 fn engine_that_no_longer_names_a_limit_is_used_as_before() {
     let mut sim = loaded_simulation(4, 5);
-    sim.set_engine_limit("engine-1", Some(1.0));
+    sim.set_engine_limit(ENGINE, Some(1.0));
     send_calls(&mut sim, seconds(6));
-    sim.set_engine_limit("engine-1", None);
+    sim.set_engine_limit(ENGINE, None);
     send_calls(&mut sim, seconds(10));
     let calls = send_calls(&mut sim, seconds(3));
     sim.run_for(seconds(2));
--- a/crates/apricotwell_quarantine/tests/quarantine.rs
+++ b/crates/apricotwell_quarantine/tests/quarantine.rs
@@ -12,13 +12,13 @@
 const BAD: PartId = 66;
 const OTHER_BAD: PartId = 67;
 
-struct Days {
+struct Fixture {
     start: Instant,
     quarantine: Quarantine,
     servers: u64,
 }
 
-impl Days {
+impl Fixture {
     fn new() -> Self {
         Self {
             start: Instant::now(),
@@ -56,184 +56,187 @@
 
 #[test]
 fn part_is_quarantined_after_three_separate_crashes() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for (number, ms) in [0, 1000, 2000].into_iter().enumerate() {
-        assert_eq!(days.blocked(), []);
-        days.crash(
+        assert_eq!(fixture.blocked(), []);
+        fixture.crash(
             ms,
             &[
                 &[GENERAL, BAD, 100 + number as u64],
                 &[GENERAL, SOUND, 200 + number as u64],
             ],
         );
-        days.sound(ms + 100, &[GENERAL, SOUND, 300]);
+        fixture.sound(ms + 100, &[GENERAL, SOUND, 300]);
     }
-    assert_eq!(days.blocked(), [BAD]);
-    assert_eq!(days.quarantine.blocked_part(&[GENERAL, SOUND, 5]), None);
-    assert_eq!(days.quarantine.blocked_part(&[GENERAL, BAD, 5]), Some(BAD));
+    assert_eq!(fixture.blocked(), [BAD]);
+    assert_eq!(fixture.quarantine.blocked_part(&[GENERAL, SOUND, 5]), None);
+    assert_eq!(
+        fixture.quarantine.blocked_part(&[GENERAL, BAD, 5]),
+        Some(BAD)
+    );
 }
 
 #[test]
 fn several_parts_that_crash_servers_are_told_apart() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for number in 0..3 {
         let ms = number * 2000;
-        days.crash(
+        fixture.crash(
             ms,
             &[
                 &[GENERAL, BAD, 100 + number],
                 &[GENERAL, SOUND, 200 + number],
             ],
         );
-        days.crash(ms + 700, &[&[GENERAL, OTHER_BAD, 300 + number]]);
-        days.sound(ms + 900, &[GENERAL, SOUND, 400 + number]);
+        fixture.crash(ms + 700, &[&[GENERAL, OTHER_BAD, 300 + number]]);
+        fixture.sound(ms + 900, &[GENERAL, SOUND, 400 + number]);
     }
-    assert_eq!(days.blocked(), [BAD, OTHER_BAD]);
+    assert_eq!(fixture.blocked(), [BAD, OTHER_BAD]);
 }
 
 #[test]
 fn servers_that_end_together_convict_no_part() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for number in 0..40 {
-        days.crash(number * 5, &[&[GENERAL, SOUND, 100 + number]]);
+        fixture.crash(number * 5, &[&[GENERAL, SOUND, 100 + number]]);
     }
-    days.sound(300, &[GENERAL, SOUND, 1]);
+    fixture.sound(300, &[GENERAL, SOUND, 1]);
     // The same happens again.
     for number in 0..40 {
-        days.crash(5000 + number * 5, &[&[GENERAL, SOUND, 100 + number]]);
+        fixture.crash(5000 + number * 5, &[&[GENERAL, SOUND, 100 + number]]);
     }
-    assert_eq!(days.blocked(), []);
+    assert_eq!(fixture.blocked(), []);
 }
 
 #[test]
 fn sound_answers_between_crashes_protect_a_part() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for number in 0..20 {
-        days.crash(number * 1000, &[&[GENERAL, SOUND, 100 + number]]);
-        days.sound(number * 1000 + 500, &[GENERAL, SOUND, 500 + number]);
+        fixture.crash(number * 1000, &[&[GENERAL, SOUND, 100 + number]]);
+        fixture.sound(number * 1000 + 500, &[GENERAL, SOUND, 500 + number]);
     }
-    assert_eq!(days.blocked(), []);
+    assert_eq!(fixture.blocked(), []);
 }
 
 #[test]
 fn general_part_is_quarantined_if_it_is_what_requests_share() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for number in 0..3 {
-        days.crash(number * 1000, &[&[BAD, 20 + number, 100 + number]]);
+        fixture.crash(number * 1000, &[&[BAD, 20 + number, 100 + number]]);
     }
-    assert_eq!(days.blocked(), [BAD]);
+    assert_eq!(fixture.blocked(), [BAD]);
 }
 
 #[test]
 fn general_part_is_quarantined_by_the_next_crash_if_a_specific_one_hid_it() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for number in 0..3 {
-        days.crash(number * 1000, &[&[BAD, SOUND, 100 + number]]);
+        fixture.crash(number * 1000, &[&[BAD, SOUND, 100 + number]]);
     }
-    assert_eq!(days.blocked(), [SOUND]);
-    days.crash(3000, &[&[BAD, 9, 200]]);
-    assert_eq!(days.blocked(), [BAD]);
+    assert_eq!(fixture.blocked(), [SOUND]);
+    fixture.crash(3000, &[&[BAD, 9, 200]]);
+    assert_eq!(fixture.blocked(), [BAD]);
 }
 
 #[test]
 fn repeats_of_one_request_convict_the_request_and_not_its_parts() {
     const WHOLE: PartId = 1 << 60;
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for number in 0..3 {
-        days.crash(number * 1000, &[&[GENERAL, SOUND, WHOLE]]);
+        fixture.crash(number * 1000, &[&[GENERAL, SOUND, WHOLE]]);
     }
-    assert_eq!(days.blocked(), [WHOLE]);
+    assert_eq!(fixture.blocked(), [WHOLE]);
 }
 
 #[test]
 fn crash_that_a_quarantined_part_explains_convicts_no_other() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for number in 0..12 {
         // Each of the victims is hit several times.
         let victim = 20 + number % 3;
-        days.crash(
+        fixture.crash(
             number * 1000,
             &[
                 &[GENERAL, BAD, 100 + number],
                 &[GENERAL, victim, 200 + number],
             ],
         );
-        days.sound(number * 1000 + 500, &[GENERAL]);
+        fixture.sound(number * 1000 + 500, &[GENERAL]);
     }
-    assert_eq!(days.blocked(), [BAD]);
+    assert_eq!(fixture.blocked(), [BAD]);
 }
 
 #[test]
 fn part_that_was_sound_before_is_quarantined() {
-    let mut days = Days::new();
-    days.sound(900, &[GENERAL, BAD, 1]);
+    let mut fixture = Fixture::new();
+    fixture.sound(900, &[GENERAL, BAD, 1]);
     for number in 0..5 {
-        assert_eq!(days.blocked(), []);
-        days.crash(1000 + number * 1000, &[&[GENERAL, BAD, 100 + number]]);
+        assert_eq!(fixture.blocked(), []);
+        fixture.crash(1000 + number * 1000, &[&[GENERAL, BAD, 100 + number]]);
         // Answers that began before the part crashed servers go on.
-        days.sound(900, &[GENERAL, BAD, 2]);
-        days.sound(1500 + number * 1000, &[GENERAL]);
+        fixture.sound(900, &[GENERAL, BAD, 2]);
+        fixture.sound(1500 + number * 1000, &[GENERAL]);
     }
-    assert_eq!(days.blocked(), [BAD]);
+    assert_eq!(fixture.blocked(), [BAD]);
 }
 
 #[test]
 fn sound_answer_after_the_last_crash_releases_a_part() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for number in 0..3 {
-        days.crash(number * 1000, &[&[SOUND]]);
+        fixture.crash(number * 1000, &[&[SOUND]]);
     }
-    assert_eq!(days.blocked(), [SOUND]);
-    days.sound(1999, &[SOUND]);
-    assert_eq!(days.blocked(), [SOUND]);
-    days.sound(2001, &[SOUND]);
-    assert_eq!(days.blocked(), []);
-    let changes = days.quarantine.take_changes();
+    assert_eq!(fixture.blocked(), [SOUND]);
+    fixture.sound(1999, &[SOUND]);
+    assert_eq!(fixture.blocked(), [SOUND]);
+    fixture.sound(2001, &[SOUND]);
+    assert_eq!(fixture.blocked(), []);
+    let changes = fixture.quarantine.take_changes();
     assert_eq!(changes, [(SOUND, true), (SOUND, false)]);
 }
 
 #[test]
 fn reports_of_several_instances_about_one_crash_count_once() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for delay in [0, 400, 900] {
         let crash = Crash {
             server: "server".into(),
             started_ms: 1,
-            at: days.at(delay),
+            at: fixture.at(delay),
             requests: vec![vec![GENERAL, BAD, 100 + delay]],
         };
-        days.quarantine.record_crash(crash);
+        fixture.quarantine.record_crash(crash);
     }
-    assert_eq!(days.blocked(), []);
+    assert_eq!(fixture.blocked(), []);
 }
 
 #[test]
 fn part_of_another_instance_is_adopted_unless_it_was_sound_since() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     let part = |part, ms| BlockedPart {
         part,
-        crashed_at: days.start + Duration::from_millis(ms),
+        crashed_at: fixture.start + Duration::from_millis(ms),
         trials: 0,
     };
     let (old, new) = (part(SOUND, 1000), part(BAD, 3000));
-    days.sound(2000, &[SOUND, BAD]);
-    days.quarantine.adopt(old);
-    days.quarantine.adopt(new);
-    assert_eq!(days.blocked(), [BAD]);
+    fixture.sound(2000, &[SOUND, BAD]);
+    fixture.quarantine.adopt(old);
+    fixture.quarantine.adopt(new);
+    assert_eq!(fixture.blocked(), [BAD]);
 }
 
 #[test]
 fn trials_of_a_quarantined_part_become_rarer() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for number in 0..3 {
-        days.crash(number * 1000, &[&[BAD]]);
+        fixture.crash(number * 1000, &[&[BAD]]);
     }
     let mut trials = Vec::new();
     for second in 0..3600 {
-        let now = days.start + SECOND * second;
-        if days.quarantine.take_trial(now, BAD) {
+        let now = fixture.start + SECOND * second;
+        if fixture.quarantine.take_trial(now, BAD) {
             trials.push(second);
-            days.crash(u64::from(second) * 1000 + 50, &[&[BAD]]);
+            fixture.crash(u64::from(second) * 1000 + 50, &[&[BAD]]);
         }
     }
     assert_eq!(trials.len(), 7, "{trials:?}");
@@ -247,85 +250,87 @@
     fn sound_part_stays_free_beside_one_that_crashes_servers(
         victims in proptest::collection::vec((0u64..12, any::<bool>()), 30),
     ) {
-        let mut days = Days::new();
+        let mut fixture = Fixture::new();
         for (number, (victim, is_answered)) in victims.into_iter().enumerate() {
             let (number, ms) = (number as u64, number as u64 * 800);
             let victim = 20 + victim;
             // Until the part is known, each crash hits a request with another one.
-            if days.blocked().is_empty() {
-                days.crash(ms, &[&[GENERAL, BAD, 100 + number], &[GENERAL, victim, 200 + number]]);
+            if fixture.blocked().is_empty() {
+                fixture.crash(ms, &[&[GENERAL, BAD, 100 + number], &[GENERAL, victim, 200 + number]]);
             }
             if is_answered {
-                days.sound(ms + 400, &[GENERAL, victim, 300 + number]);
+                fixture.sound(ms + 400, &[GENERAL, victim, 300 + number]);
             }
-            days.sound(ms + 500, &[GENERAL]);
+            fixture.sound(ms + 500, &[GENERAL]);
         }
-        let blocked = days.blocked();
+        let blocked = fixture.blocked();
         prop_assert!(blocked.len() <= 1, "{blocked:?}");
     }
 }
 
 #[test]
 fn ends_of_one_server_that_was_started_again_count_each() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     for start in 0..3 {
         let crash = Crash {
             server: "server".into(),
             started_ms: start,
-            at: days.at(start * 1000),
+            at: fixture.at(start * 1000),
             requests: vec![
                 vec![GENERAL, BAD, 100 + start],
                 vec![GENERAL, SOUND, 200 + start],
             ],
         };
-        days.quarantine.record_crash(crash);
-        days.sound(start * 1000 + 500, &[GENERAL, SOUND]);
+        fixture.quarantine.record_crash(crash);
+        fixture.sound(start * 1000 + 500, &[GENERAL, SOUND]);
     }
-    assert_eq!(days.blocked(), [BAD]);
+    assert_eq!(fixture.blocked(), [BAD]);
 }
 
 #[test]
 fn requests_that_were_sent_after_the_end_did_not_cause_it() {
-    let mut days = Days::new();
+    let mut fixture = Fixture::new();
     let crash = Crash {
         server: "server".into(),
         started_ms: 5,
-        at: days.at(1000),
+        at: fixture.at(1000),
         requests: vec![vec![BAD]],
     };
-    days.quarantine.record_crash(crash);
+    fixture.quarantine.record_crash(crash);
     for (started_ms, sent, expected) in [(5, 900, false), (5, 1100, true), (6, 1100, false)] {
-        let sent_at = days.at(sent);
-        let is_aftermath = days.quarantine.is_aftermath("server", started_ms, sent_at);
+        let sent_at = fixture.at(sent);
+        let is_aftermath = fixture
+            .quarantine
+            .is_aftermath("server", started_ms, sent_at);
         assert_eq!(is_aftermath, expected, "{started_ms} {sent}");
     }
 }
 
 #[test]
 fn part_that_all_requests_share_is_not_quarantined_while_no_server_is_left() {
-    let mut days = Days::new();
-    days.sound(0, &[GENERAL, SOUND, 1]);
+    let mut fixture = Fixture::new();
+    fixture.sound(0, &[GENERAL, SOUND, 1]);
     // An ordinary crash, and then all servers, again and again, before any answer is complete.
-    days.crash(100, &[&[GENERAL, SOUND, 2]]);
+    fixture.crash(100, &[&[GENERAL, SOUND, 2]]);
     for (number, ms) in [500, 2000, 3500].into_iter().enumerate() {
         let own = 100 * (number as u64 + 1);
-        days.crash(ms, &[&[GENERAL, BAD, own], &[GENERAL, SOUND, own + 1]]);
-        days.crash(ms + 20, &[&[GENERAL, 9 + number as u64, own + 2]]);
+        fixture.crash(ms, &[&[GENERAL, BAD, own], &[GENERAL, SOUND, own + 1]]);
+        fixture.crash(ms + 20, &[&[GENERAL, 9 + number as u64, own + 2]]);
     }
-    assert_eq!(days.blocked(), [BAD]);
+    assert_eq!(fixture.blocked(), [BAD]);
 }
 
 #[test]
 fn instance_that_knows_crashes_under_a_part_decides_by_them() {
-    let mut days = Days::new();
-    days.crash(0, &[&[GENERAL, SOUND, 1]]);
+    let mut fixture = Fixture::new();
+    fixture.crash(0, &[&[GENERAL, SOUND, 1]]);
     let part = BlockedPart {
         part: GENERAL,
-        crashed_at: days.at(100),
+        crashed_at: fixture.at(100),
         trials: 0,
     };
-    days.quarantine.adopt(part);
-    assert_eq!(days.blocked(), []);
+    fixture.quarantine.adopt(part);
+    assert_eq!(fixture.blocked(), []);
 }
 
 #[test]
