Log what tells the hypotheses on repeated crashes apart

The logs of the incident name parts and verdicts, but not how many ends were known under a part and how many of them counted as separate, when the requests had been sent that a server ended under, nor which sends were trials. Adds ends and counted of part_quarantined and part_released, sent_ms of server_crashed, and part_tried with its count in apricotwell_quarantine_total; on the OpenAI interface the same counts in the event of the time line. Crashes carry the time at which each request was sent. No decision changes.

--- a/crates/apricotwell_dispatch/tests/fleet/simulation.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -9,7 +9,7 @@
 use apricotwell_dispatch::prelude::*;
 use apricotwell_messages::{Heartbeat, PermitRequest, PermitResponse};
 use apricotwell_permits::prelude::LimitResponse;
-use apricotwell_quarantine::prelude::{Crash, PartId};
+use apricotwell_quarantine::prelude::{Crash, CrashedRequest, PartId};
 use apricotwell_types::{InstanceId, ServerId};
 use prost::Message;
 use rand::rngs::StdRng;
@@ -280,7 +280,10 @@
             server: server.into(),
             started_ms: 1,
             at: now,
-            requests: vec![parts.to_vec()],
+            requests: vec![CrashedRequest {
+                parts: parts.to_vec(),
+                sent_at: now,
+            }],
         });
         member.heartbeat_due = member.heartbeat_due.min(now + pause);
     }
--- a/crates/apricotwell_gateway/src/crash_checks.rs
+++ b/crates/apricotwell_gateway/src/crash_checks.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use apricotwell_quarantine::prelude::{Crash, PartId};
+use apricotwell_quarantine::prelude::{Crash, CrashedRequest, PartId};
 use apricotwell_types::{Map, ServerId};
 
 use crate::adapter::Platform;
@@ -32,8 +32,8 @@
 struct PendingCheck {
     // When the server first broke off a response.
     at: Instant,
-    // Parts of the requests that it was beginning to answer then.
-    requests: Vec<Vec<PartId>>,
+    // Requests that it was beginning to answer then.
+    requests: Vec<CrashedRequest>,
 }
 
 /// Server at the time when it broke off a response.
@@ -67,13 +67,13 @@
     if let Some(check) = servers.get_mut(server) {
         // A request that was sent after the first break can't have caused it.
         if sent_at < check.at && check.requests.len() < MAX_REQUESTS {
-            check.requests.push(parts);
+            check.requests.push(CrashedRequest { parts, sent_at });
         }
         return;
     }
     let check = PendingCheck {
         at: checked.at,
-        requests: vec![parts],
+        requests: vec![CrashedRequest { parts, sent_at }],
     };
     servers.insert(server.clone(), check);
     let gateway = Rc::clone(gateway);
@@ -114,27 +114,48 @@
         .crashes
         .quarantine
         .take_changes();
-    for (part, is_blocked) in changes {
-        let name = if is_blocked {
+    for change in changes {
+        let name = if change.is_blocked {
             "part_quarantined"
         } else {
             "part_released"
         };
         gateway.metrics.count_quarantine(name);
-        Event::new(name).with("part", format!("{part:x}")).log();
+        Event::new(name)
+            .with("part", format!("{:x}", change.part))
+            .with("ends", change.ends)
+            .with("counted", change.counted)
+            .log();
         gateway.servers_changed.notify_waiters();
     }
 }
 
-fn log_crash(server: &CheckedServer, requests: &[Vec<PartId>]) {
-    let hex = |parts: &Vec<PartId>| {
-        let ids: Vec<String> = parts.iter().map(|id| format!("{id:x}")).collect();
+/// Logs and counts a request with a quarantined part that is let through as a trial.
+pub fn log_trial<P>(gateway: &Gateway<P>, attempt: &str, part: PartId)
+where
+    P: Platform,
+{
+    gateway.metrics.count_quarantine("part_tried");
+    Event::new("part_tried")
+        .with("part", format!("{part:x}"))
+        .with("request", attempt)
+        .log();
+}
+
+fn log_crash(server: &CheckedServer, requests: &[CrashedRequest]) {
+    let logged = || requests.iter().take(MAX_LOGGED);
+    let hex = |request: &CrashedRequest| {
+        let ids: Vec<String> = request.parts.iter().map(|id| format!("{id:x}")).collect();
         ids.join(",")
     };
-    let logged: Vec<String> = requests.iter().take(MAX_LOGGED).map(hex).collect();
+    let sent_ms = |request: &CrashedRequest| {
+        let time = server.at.saturating_duration_since(request.sent_at);
+        time.as_millis() as u64
+    };
     Event::new("server_crashed")
         .with("server", &*server.id)
         .with("requests", requests.len())
-        .with("parts", logged)
+        .with("parts", logged().map(hex).collect::<Vec<String>>())
+        .with("sent_ms", logged().map(sent_ms).collect::<Vec<u64>>())
         .log();
 }
--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -73,10 +73,13 @@
     /// Returns the refusal of a request with a quarantined part.
     pub(super) fn quarantine_refusal(&self, now: Instant) -> Option<Refusal> {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        if !dispatcher.crashes.quarantine.has_blocked() {
-            return None;
+        let quarantine = &dispatcher.crashes.quarantine;
+        let part = quarantine.blocked_part(self.parts())?;
+        let refusal = dispatcher.check_quarantine(now, self.parts());
+        if refusal.is_none() {
+            crash_checks::log_trial(&self.gateway, &self.request.attempt, part);
         }
-        dispatcher.check_quarantine(now, self.parts())
+        refusal
     }
 
     /// Returns the refusal of a quarantined request, which may have run before.
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -83,7 +83,7 @@
         let quarantine = Family::default();
         registry.register(
             "quarantine",
-            "Parts of requests that were quarantined or released",
+            "Parts of requests that were quarantined, released or tried again",
             quarantine.clone(),
         );
         let first_byte = Histogram::new(LATENCY_BOUNDS);
--- a/crates/apricotwell_messages/src/crashes.rs
+++ b/crates/apricotwell_messages/src/crashes.rs
@@ -9,6 +9,9 @@
     /// Ids of the parts.
     #[prost(fixed64, repeated, tag = "1")]
     pub ids: Vec<u64>,
+    /// Milliseconds from its sending to the end of the server.
+    #[prost(uint32, tag = "2")]
+    pub sent_ms: u32,
 }
 
 /// End of a server.
--- a/crates/apricotwell_node/src/node/crashes.rs
+++ b/crates/apricotwell_node/src/node/crashes.rs
@@ -20,7 +20,10 @@
 impl Node {
     /// Records the end of a server that was running requests of this instance.
     pub(super) fn record_crash(&mut self, now: Instant, server: &ServerId, suspects: Vec<Suspect>) {
-        let requests = suspects.into_iter().map(|suspect| suspect.parts);
+        let requests = suspects.into_iter().map(|suspect| CrashedRequest {
+            parts: suspect.parts,
+            sent_at: suspect.sent_at,
+        });
         let record = self.state.ledger().server(server);
         self.crashes.record_own(Crash {
             server: server.clone(),
@@ -114,14 +117,21 @@
     }
 
     fn report_quarantine(&mut self, now: Instant) {
-        for (part, is_blocked) in self.crashes.quarantine.take_changes() {
-            let state = if is_blocked {
+        for change in self.crashes.quarantine.take_changes() {
+            let state = if change.is_blocked {
                 "quarantined"
             } else {
                 "released"
             };
+            let QuarantineChange {
+                part,
+                ends,
+                counted,
+                ..
+            } = change;
+            let detail = format!("{part:x} {state}, {ends} ends, {counted} counted");
             let event = Event::new(EventKind::PartQuarantined);
-            self.emit(now, event.with_detail(format!("{part:x} {state}")));
+            self.emit(now, event.with_detail(detail));
         }
     }
 }
--- a/crates/apricotwell_node/src/node/failures.rs
+++ b/crates/apricotwell_node/src/node/failures.rs
@@ -29,6 +29,7 @@
         let suspect = Suspect {
             body: request.submission.body_digest,
             parts: request.submission.parts.clone(),
+            sent_at: request.dispatched.unwrap_or(now),
         };
         let class = request.submission.class;
         let attempts = request.attempts;
--- a/crates/apricotwell_node/src/server_registry.rs
+++ b/crates/apricotwell_node/src/server_registry.rs
@@ -72,6 +72,8 @@
     pub(crate) body: BodyDigest,
     /// Ids of the parts of its prompt that other requests may share.
     pub(crate) parts: Vec<PartId>,
+    /// When it was sent to the server.
+    pub(crate) sent_at: Instant,
 }
 
 /// Backend servers as seen by this instance.
--- a/crates/apricotwell_quarantine/src/exchange.rs
+++ b/crates/apricotwell_quarantine/src/exchange.rs
@@ -6,7 +6,7 @@
     BlockedPartReport, CrashKnowledge, CrashReport, RequestParts, SoundPartReport,
 };
 
-use crate::{BlockedPart, Crash, Quarantine};
+use crate::{BlockedPart, Crash, CrashedRequest, Quarantine};
 
 /// Requests of all crashes in one message, so that it fits into a datagram.
 const MAX_REQUESTS: usize = 128;
@@ -72,7 +72,10 @@
     pub fn apply(&mut self, now: Instant, knowledge: &CrashKnowledge) {
         for report in &knowledge.crashes {
             if let Some(at) = time_of(now, report.age_ms) {
-                let requests = report.requests.iter().map(|parts| parts.ids.clone());
+                let requests = report.requests.iter().map(|request| CrashedRequest {
+                    parts: request.ids.clone(),
+                    sent_at: time_of(at, request.sent_ms).unwrap_or(at),
+                });
                 self.quarantine.record_crash(Crash {
                     server: report.server.as_str().into(),
                     started_ms: report.started_ms,
@@ -122,12 +125,15 @@
 }
 
 fn encode_crash(now: Instant, crash: &Crash) -> CrashReport {
-    let requests = crash.requests.iter().cloned();
+    let requests = crash.requests.iter().map(|request| RequestParts {
+        ids: request.parts.clone(),
+        sent_ms: age_ms(crash.at, request.sent_at),
+    });
     CrashReport {
         server: crash.server.to_string(),
         started_ms: crash.started_ms,
         age_ms: age_ms(now, crash.at),
-        requests: requests.map(|ids| RequestParts { ids }).collect(),
+        requests: requests.collect(),
     }
 }
 
--- a/crates/apricotwell_quarantine/src/lib.rs
+++ b/crates/apricotwell_quarantine/src/lib.rs
@@ -24,11 +24,16 @@
 //! let mut quarantine = Quarantine::default();
 //! let start = Instant::now();
 //! for second in 0..3 {
+//!     let at = start + Duration::from_secs(second);
+//!     let request = CrashedRequest {
+//!         parts: vec![1, 7, 100 + second],
+//!         sent_at: at,
+//!     };
 //!     let crash = Crash {
 //!         server: format!("server-{second}").into(),
 //!         started_ms: 1,
-//!         at: start + Duration::from_secs(second),
-//!         requests: vec![vec![1, 7, 100 + second]],
+//!         at,
+//!         requests: vec![request],
 //!     };
 //!     quarantine.record_crash(crash);
 //!     quarantine.record_sound(start + Duration::from_secs(second), &[1, 2, 50]);
@@ -41,9 +46,14 @@
 mod quarantine;
 
 pub use exchange::SharedQuarantine;
-pub use quarantine::{BlockedPart, Crash, PartId, Quarantine, SoundPart};
+pub use quarantine::{
+    BlockedPart, Crash, CrashedRequest, PartId, Quarantine, QuarantineChange, SoundPart,
+};
 
 /// Types that nearly every user of the crate needs.
 pub mod prelude {
-    pub use crate::{BlockedPart, Crash, PartId, Quarantine, SharedQuarantine, SoundPart};
+    pub use crate::{
+        BlockedPart, Crash, CrashedRequest, PartId, Quarantine, QuarantineChange, SharedQuarantine,
+        SoundPart,
+    };
 }
--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -37,8 +37,17 @@
     pub started_ms: u64,
     /// When it ended.
     pub at: Instant,
-    /// Parts of each request that it was beginning to answer, the most general part first.
-    pub requests: Vec<Vec<PartId>>,
+    /// Requests that it was beginning to answer.
+    pub requests: Vec<CrashedRequest>,
+}
+
+/// Request that a server was beginning to answer when it ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashedRequest {
+    /// Its parts, the most general one first; the last one is the request as a whole.
+    pub parts: Vec<PartId>,
+    /// When it was sent to the server.
+    pub sent_at: Instant,
 }
 
 /// Quarantined part.
@@ -67,6 +76,19 @@
     pub at: Instant,
 }
 
+/// Part that was quarantined or released.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuarantineChange {
+    /// Part.
+    pub part: PartId,
+    /// Whether it was quarantined.
+    pub is_blocked: bool,
+    /// Known ends of servers under it since it was last sound, each process by itself.
+    pub ends: usize,
+    /// How many of them count as separate crashes.
+    pub counted: usize,
+}
+
 /// Crashes that are known, and the parts that are quarantined because of them.
 ///
 /// # Invariants
@@ -80,7 +102,7 @@
     // Parts that the known crashes convict.
     convicted: Vec<PartId>,
     // Parts that were quarantined or released since the last call of `take_changes`.
-    changes: Vec<(PartId, bool)>,
+    changes: Vec<QuarantineChange>,
 }
 
 impl Quarantine {
@@ -110,7 +132,7 @@
 
     /// Records the end of a server, or more requests that it was beginning to answer.
     pub fn record_crash(&mut self, crash: Crash) {
-        for part in crash.requests.iter().flatten() {
+        for part in crash_parts(&crash) {
             if let Some(blocked) = self.blocked.get_mut(part) {
                 blocked.crashed_at = blocked.crashed_at.max(crash.at);
             }
@@ -144,7 +166,7 @@
             let is_refuted = |blocked: &BlockedPart| at > blocked.crashed_at;
             if self.blocked.get(part).is_some_and(is_refuted) {
                 self.blocked.remove(part);
-                self.changes.push((*part, false));
+                self.report_change(*part, false);
             }
         }
     }
@@ -164,7 +186,7 @@
         known.crashed_at = known.crashed_at.max(part.crashed_at);
         known.trials = known.trials.max(part.trials);
         if is_new {
-            self.changes.push((part.part, true));
+            self.report_change(part.part, true);
         }
     }
 
@@ -187,10 +209,7 @@
 
     /// Returns the parts under which servers ended and that were sound, before or after.
     pub fn sound_suspects(&self) -> Vec<SoundPart> {
-        let suspects = self
-            .crashes
-            .iter()
-            .flat_map(|crash| crash.requests.iter().flatten());
+        let suspects = self.crashes.iter().flat_map(crash_parts);
         let mut sound: Vec<SoundPart> = suspects
             .filter_map(|part| {
                 let at = *self.sound.get(part)?;
@@ -203,8 +222,8 @@
         sound
     }
 
-    /// Returns the parts that were quarantined (`true`) or released since the last call.
-    pub fn take_changes(&mut self) -> Vec<(PartId, bool)> {
+    /// Returns the parts that were quarantined or released since the last call.
+    pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
         std::mem::take(&mut self.changes)
     }
 
@@ -213,10 +232,7 @@
         let age = |at: Instant| now.saturating_duration_since(at);
         self.crashes.retain(|crash| age(crash.at) < CRASH_LIFETIME);
         let crashes = &self.crashes;
-        let is_suspect = |part: &PartId| {
-            let mut requests = crashes.iter().flat_map(|crash| &crash.requests);
-            requests.any(|parts| parts.contains(part))
-        };
+        let is_suspect = |part: &PartId| crashes.iter().any(|crash| contains(crash, *part));
         self.sound
             .retain(|part, at| age(*at) < SOUND_LIFETIME || is_suspect(part));
     }
@@ -252,7 +268,7 @@
             .collect();
         for part in released {
             if self.blocked.remove(&part).is_some() {
-                self.changes.push((part, false));
+                self.report_change(part, false);
             }
         }
         self.convicted = guilty;
@@ -269,7 +285,17 @@
             trials: 0,
         };
         self.blocked.insert(part, blocked);
-        self.changes.push((part, true));
+        self.report_change(part, true);
+    }
+
+    fn report_change(&mut self, part: PartId, is_blocked: bool) {
+        let ends = self.crashes.iter().filter(|crash| self.counts(crash, part));
+        self.changes.push(QuarantineChange {
+            part,
+            is_blocked,
+            ends: ends.count(),
+            counted: self.tally().get(&part).map_or(0, |tally| tally.crashes),
+        });
     }
 
     // Returns the fewest parts that explain all crashes that need an explanation: first the one with
@@ -316,7 +342,7 @@
             let ranked = crash
                 .requests
                 .iter()
-                .flat_map(|parts| parts.iter().enumerate());
+                .flat_map(|request| request.parts.iter().enumerate());
             for (position, part) in ranked {
                 let sound = self.sound.get(part);
                 if sound.is_none_or(|sound| crash.at >= *sound) {
@@ -349,14 +375,19 @@
     }
 }
 
+fn crash_parts(crash: &Crash) -> impl Iterator<Item = &PartId> {
+    crash.requests.iter().flat_map(|request| &request.parts)
+}
+
 fn contains(crash: &Crash, part: PartId) -> bool {
-    crash.requests.iter().any(|parts| parts.contains(&part))
+    crash_parts(crash).any(|it| *it == part)
 }
 
-fn add_requests(crash: &mut Crash, requests: Vec<Vec<PartId>>) {
-    for parts in requests {
-        if crash.requests.len() < MAX_REQUESTS && !crash.requests.contains(&parts) {
-            crash.requests.push(parts);
+fn add_requests(crash: &mut Crash, requests: Vec<CrashedRequest>) {
+    for request in requests {
+        let is_known = crash.requests.iter().any(|it| it.parts == request.parts);
+        if crash.requests.len() < MAX_REQUESTS && !is_known {
+            crash.requests.push(request);
         }
     }
 }
--- a/crates/apricotwell_quarantine/tests/quarantine.rs
+++ b/crates/apricotwell_quarantine/tests/quarantine.rs
@@ -12,6 +12,14 @@
 const BAD: PartId = 66;
 const OTHER_BAD: PartId = 67;
 
+// Request that ended its server as soon as it was sent.
+fn sent(at: Instant, parts: &[PartId]) -> CrashedRequest {
+    CrashedRequest {
+        parts: parts.to_vec(),
+        sent_at: at,
+    }
+}
+
 struct Fixture {
     start: Instant,
     quarantine: Quarantine,
@@ -38,7 +46,10 @@
             server: format!("server-{}", self.servers).into(),
             started_ms: 1,
             at: self.at(ms),
-            requests: requests.iter().map(|parts| parts.to_vec()).collect(),
+            requests: requests
+                .iter()
+                .map(|parts| sent(self.at(ms), parts))
+                .collect(),
         };
         self.quarantine.record_crash(crash);
     }
@@ -192,7 +203,10 @@
     fixture.sound(2001, &[SOUND]);
     assert_eq!(fixture.blocked(), []);
     let changes = fixture.quarantine.take_changes();
-    assert_eq!(changes, [(SOUND, true), (SOUND, false)]);
+    let changes = changes
+        .iter()
+        .map(|change| (change.part, change.is_blocked));
+    assert_eq!(changes.collect::<Vec<_>>(), [(SOUND, true), (SOUND, false)]);
 }
 
 #[test]
@@ -203,7 +217,7 @@
             server: "server".into(),
             started_ms: 1,
             at: fixture.at(delay),
-            requests: vec![vec![GENERAL, BAD, 100 + delay]],
+            requests: vec![sent(fixture.at(delay), &[GENERAL, BAD, 100 + delay])],
         };
         fixture.quarantine.record_crash(crash);
     }
@@ -277,8 +291,8 @@
             started_ms: start,
             at: fixture.at(start * 1000),
             requests: vec![
-                vec![GENERAL, BAD, 100 + start],
-                vec![GENERAL, SOUND, 200 + start],
+                sent(fixture.at(start * 1000), &[GENERAL, BAD, 100 + start]),
+                sent(fixture.at(start * 1000), &[GENERAL, SOUND, 200 + start]),
             ],
         };
         fixture.quarantine.record_crash(crash);
@@ -294,7 +308,7 @@
         server: "server".into(),
         started_ms: 5,
         at: fixture.at(1000),
-        requests: vec![vec![BAD]],
+        requests: vec![sent(fixture.at(900), &[BAD])],
     };
     fixture.quarantine.record_crash(crash);
     for (started_ms, sent, expected) in [(5, 900, false), (5, 1100, true), (6, 1100, false)] {
@@ -345,7 +359,7 @@
                 started_ms: 1,
                 at: start + SECOND * crash as u32,
                 requests: (0..16)
-                    .map(|own| vec![part, (crash + 1) << 40 | number << 8 | own])
+                    .map(|own| sent(start, &[part, (crash + 1) << 40 | number << 8 | own]))
                     .collect(),
             });
         }
