Count servers that one request ends one after the other

What callers saw: one repeated request ended eight order servers and more, and all orders were refused for seconds each time. Cause: ends within 0.3 s counted as one crash, to spare parts that many requests share when a zone fails; but a server that ends under a request which was sent after another one had ended under it has no common cause with that one.

- A crash counts by itself if one of its requests was sent again after an end that counts already.
- A part that was sound before needs three ends instead of five if requests that share the next more general part were answered meanwhile.
- A request that has lost two servers at their beginning, or whose parts one more end may quarantine, waits for the check of the lost server (60 ms, 300 ms at most) before its next attempt.
All others go on at once, as before.
- An instance that missed a crash takes over a verdict that rests on more crashes than it knows; before, it refused to.
- Among parts with the same crashes, the one whose requests end servers soonest after they were sent is blamed.
- On the OpenAI interface the body is the last part of its requests, so that repeats of one body are told from other requests.

--- a/crates/apricotwell_gateway/src/crash_checks.rs
+++ b/crates/apricotwell_gateway/src/crash_checks.rs
@@ -10,6 +10,7 @@
 
 use apricotwell_quarantine::prelude::{Crash, CrashedRequest, PartId};
 use apricotwell_types::{Map, ServerId};
+use tokio::sync::Notify;
 
 use crate::adapter::Platform;
 use crate::events::Event;
@@ -17,6 +18,8 @@
 
 /// Time in which the other responses of a server that has ended break off as well.
 const GATHER_TIME: Duration = Duration::from_millis(60);
+/// Longest time for which a request waits for the check of a server that it was lost with.
+const MAX_WAIT: Duration = Duration::from_millis(300);
 /// Requests of one server that are checked together.
 const MAX_REQUESTS: usize = 64;
 /// Requests of one server that are logged.
@@ -26,6 +29,8 @@
 #[derive(Debug, Default)]
 pub struct CrashChecks {
     servers: RefCell<Map<ServerId, PendingCheck>>,
+    // Notified at the end of each check.
+    ended: Notify,
 }
 
 #[derive(Debug)]
@@ -80,6 +85,26 @@
     actix::spawn(async move { check_server(&gateway, checked).await });
 }
 
+/// Waits for the end of the check of a server, if there is one, for a limited time.
+pub async fn wait_for<P>(gateway: &Gateway<P>, server: &ServerId)
+where
+    P: Platform,
+{
+    let checks = &gateway.crash_checks;
+    let ended = async {
+        loop {
+            let ended = checks.ended.notified();
+            if !checks.servers.borrow().contains_key(server) {
+                return;
+            }
+            ended.await;
+        }
+    };
+    if tokio::time::timeout(MAX_WAIT, ended).await.is_err() {
+        log::debug!("the check of {server} takes too long to wait for");
+    }
+}
+
 async fn check_server<P>(gateway: &Rc<Gateway<P>>, server: CheckedServer)
 where
     P: Platform,
@@ -88,9 +113,16 @@
     let has_ended = !gateway.pool.is_accepting(server.address).await;
     let check = gateway.crash_checks.servers.borrow_mut().remove(&server.id);
     gateway.metrics.count_crash_check(has_ended);
-    if !has_ended {
-        return;
+    if has_ended {
+        record_crash(gateway, server, check);
     }
+    gateway.crash_checks.ended.notify_waiters();
+}
+
+fn record_crash<P>(gateway: &Rc<Gateway<P>>, server: CheckedServer, check: Option<PendingCheck>)
+where
+    P: Platform,
+{
     let requests = check.map(|check| check.requests).unwrap_or_default();
     log_crash(&server, &requests);
     gateway.dispatcher.borrow_mut().crashes.record_own(Crash {
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -61,6 +61,8 @@
     sent_at: Instant,
     // Parts of the request that may crash servers.
     parts: OnceCell<Vec<PartId>>,
+    // Number of servers that were lost as they began to answer.
+    losses: u32,
     /// Progress of the responses.
     pub trace: ResponseTrace,
     // Counts the request as active until its response has ended.
@@ -104,6 +106,7 @@
             server_found: None,
             sent_at: gateway.now(),
             parts: OnceCell::new(),
+            losses: 0,
             trace: ResponseTrace::default(),
             _active: ActiveGuard::new(gateway),
         }
@@ -150,6 +153,7 @@
                 }
                 AttemptOutcome::Lost(reason) => {
                     self.log_attempt(&server, "lost", &reason);
+                    self.await_verdict(&server).await;
                     self.on_loss(&server, &reason)?;
                 }
             }
--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -18,16 +18,29 @@
 {
     /// Checks whether a server that broke off its response, whose first bytes came at `began`, has
     /// ended as it began to answer.
-    pub fn check_crash(&self, server: &ServerId, began: Option<Instant>) {
+    pub fn check_crash(&mut self, server: &ServerId, began: Option<Instant>) {
         let now = self.gateway.now();
         let is_beginning =
             began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
         if is_beginning {
+            self.losses += 1;
             let parts = self.parts().to_vec();
             crash_checks::begin(&self.gateway, server, self.sent_at, parts);
         }
     }
 
+    /// Waits until it is known whether a lost server has ended, if that may quarantine the request or
+    /// if it is not the first one: another attempt might end another server.
+    pub async fn await_verdict(&self, server: &ServerId) {
+        let is_suspected = {
+            let dispatcher = self.gateway.dispatcher.borrow();
+            dispatcher.crashes.quarantine.is_suspected(self.parts())
+        };
+        if is_suspected || self.losses > 1 {
+            crash_checks::wait_for(&self.gateway, server).await;
+        }
+    }
+
     /// Records that a server which began its response at `began` did not crash.
     pub fn record_sound(&self, began: Instant) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -175,7 +175,9 @@
         flight.record_outcome(true);
         self.incomplete_event.clear();
         self.handler.exclude(&flight.server);
+        let server = flight.server.clone();
         drop(flight);
+        self.handler.await_verdict(&server).await;
         if !self.handler.acquire_retry() {
             return false;
         }
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -304,7 +304,9 @@
     handler.log_attempt(&flight.server, "broken_off", &reason);
     flight.record_outcome(true);
     handler.exclude(&flight.server);
+    let server = flight.server.clone();
     drop(flight);
+    handler.await_verdict(&server).await;
     if handler.acquire_retry() {
         return Err(None);
     }
--- a/crates/apricotwell_messages/src/crashes.rs
+++ b/crates/apricotwell_messages/src/crashes.rs
@@ -54,6 +54,9 @@
     /// Number of trials since it was quarantined.
     #[prost(uint32, tag = "3")]
     pub trials: u32,
+    /// Separate crashes that convicted it.
+    #[prost(uint32, tag = "4")]
+    pub counted: u32,
 }
 
 /// What one instance knows of crashes.
--- a/crates/apricotwell_node/src/node/crashes.rs
+++ b/crates/apricotwell_node/src/node/crashes.rs
@@ -20,9 +20,13 @@
 impl Node {
     /// Records the end of a server that was running requests of this instance.
     pub(super) fn record_crash(&mut self, now: Instant, server: &ServerId, suspects: Vec<Suspect>) {
-        let requests = suspects.into_iter().map(|suspect| CrashedRequest {
-            parts: suspect.parts,
-            sent_at: suspect.sent_at,
+        let requests = suspects.into_iter().map(|suspect| {
+            let whole = suspect.body.short();
+            let parts = suspect.parts.into_iter().chain([whole]);
+            CrashedRequest {
+                parts: parts.collect(),
+                sent_at: suspect.sent_at,
+            }
         });
         let record = self.state.ledger().server(server);
         self.crashes.record_own(Crash {
--- a/crates/apricotwell_quarantine/src/exchange.rs
+++ b/crates/apricotwell_quarantine/src/exchange.rs
@@ -65,7 +65,10 @@
             left = left.checked_sub(crash.requests.len())?;
             Some(encode_crash(now, crash))
         });
-        fitting.collect()
+        let mut reports: Vec<CrashReport> = fitting.collect();
+        // Crashes of one millisecond keep their order.
+        reports.reverse();
+        reports
     }
 
     /// Applies what another instance knows.
@@ -99,6 +102,7 @@
             part: blocked.part,
             age_ms: age_ms(now, blocked.crashed_at),
             trials: blocked.trials,
+            counted: u32::try_from(blocked.counted).unwrap_or(u32::MAX),
         });
         reports.collect()
     }
@@ -111,6 +115,7 @@
                     part: report.part,
                     crashed_at,
                     trials: report.trials,
+                    counted: report.counted as usize,
                 });
             }
         }
--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -10,11 +10,14 @@
 
 /// Separate crashes after which a part is quarantined that is not known to have been sound.
 const MAX_CRASHES: usize = 3;
-/// The same for a part that was sound before: one that many requests share must not be quarantined
-/// because no server was left to answer them between a few crashes.
+/// The same for a part that was sound before, while nothing else was answered either: one that many
+/// requests share must not be quarantined because no server was left between a few crashes.
 const MAX_CRASHES_OF_SOUND: usize = 5;
-/// Time within which crashes count as one, since they may have one other cause.
+/// Time within which crashes count as one, since they may have one other cause. One of a request that
+/// was sent again after another server had ended under it counts by itself.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(300);
+/// Error of times that other instances report: ages in milliseconds, and their way.
+const AGE_ERROR: Duration = Duration::from_millis(5);
 /// Time after the end of a process in which requests may still be sent to it in vain.
 const AFTERMATH_TIME: Duration = Duration::from_secs(30);
 /// Time for which crashes are remembered.
@@ -59,6 +62,8 @@
     pub crashed_at: Instant,
     /// Number of trials since it was quarantined.
     pub trials: u32,
+    /// Separate crashes that convicted it.
+    pub counted: usize,
 }
 
 impl BlockedPart {
@@ -99,8 +104,6 @@
     crashes: Vec<Crash>,
     sound: Map<PartId, Instant>,
     blocked: Map<PartId, BlockedPart>,
-    // Parts that the known crashes convict.
-    convicted: Vec<PartId>,
     // Parts that were quarantined or released since the last call of `take_changes`.
     changes: Vec<QuarantineChange>,
 }
@@ -115,6 +118,16 @@
         parts.find(|part| self.blocked.contains_key(part))
     }
 
+    /// Returns whether one more crash may convict a part of a request.
+    pub fn is_suspected(&self, parts: &[PartId]) -> bool {
+        if self.crashes.is_empty() {
+            return false;
+        }
+        let tallies = self.tally();
+        let mut tallies = parts.iter().filter_map(|part| tallies.get(part));
+        tallies.any(|tally| tally.crashes + 1 >= MAX_CRASHES)
+    }
+
     /// Returns whether any part is quarantined.
     pub fn has_blocked(&self) -> bool {
         !self.blocked.is_empty()
@@ -172,19 +185,20 @@
     }
 
     /// Quarantines a part that another instance did, unless this one knows better: the part was sound
-    /// since, or crashes under it are known here and do not convict it.
+    /// since, or as many crashes under it are known here and do not convict it.
     pub fn adopt(&mut self, part: BlockedPart) {
         let sound = self.sound.get(&part.part);
         if sound.is_some_and(|sound| *sound > part.crashed_at) {
             return;
         }
         let is_new = !self.blocked.contains_key(&part.part);
-        if is_new && self.crashes.iter().any(|crash| contains(crash, part.part)) {
+        if is_new && self.counted(part.part) >= part.counted.max(1) {
             return;
         }
         let known = self.blocked.entry(part.part).or_insert(part);
         known.crashed_at = known.crashed_at.max(part.crashed_at);
         known.trials = known.trials.max(part.trials);
+        known.counted = known.counted.max(part.counted);
         if is_new {
             self.report_change(part.part, true);
         }
@@ -260,18 +274,13 @@
             let tally = tallies.get(part);
             !guilty.contains(part) && tally.is_some_and(|tally| self.is_enough(*part, tally))
         };
-        let released: Vec<PartId> = self
-            .convicted
-            .iter()
-            .copied()
-            .filter(is_explained)
-            .collect();
+        let blocked = self.blocked.keys().copied();
+        let released: Vec<PartId> = blocked.filter(is_explained).collect();
         for part in released {
             if self.blocked.remove(&part).is_some() {
                 self.report_change(part, false);
             }
         }
-        self.convicted = guilty;
     }
 
     fn block(&mut self, part: PartId) {
@@ -283,6 +292,7 @@
             part,
             crashed_at,
             trials: 0,
+            counted: self.counted(part),
         };
         self.blocked.insert(part, blocked);
         self.report_change(part, true);
@@ -294,19 +304,27 @@
             part,
             is_blocked,
             ends: ends.count(),
-            counted: self.tally().get(&part).map_or(0, |tally| tally.crashes),
+            counted: self.counted(part),
         });
     }
 
+    // Returns the number of separate crashes under a part since it was last sound.
+    fn counted(&self, part: PartId) -> usize {
+        self.tally().get(&part).map_or(0, |tally| tally.crashes)
+    }
+
     // Returns the fewest parts that explain all crashes that need an explanation: first the one with
-    // the most crashes, of several the most specific, and so on for the crashes that are left.
+    // the most crashes, of several the most specific, of these the one whose requests end servers
+    // soonest after they were sent, and so on for the crashes that are left.
     fn guilty_parts(&self, tallies: &Map<PartId, Tally>) -> Vec<PartId> {
         let mut suspects: Vec<(PartId, &Tally)> = tallies
             .iter()
             .filter(|(part, tally)| self.is_enough(**part, tally))
             .map(|(part, tally)| (*part, tally))
             .collect();
-        suspects.sort_by_key(|(part, tally)| Reverse((tally.crashes, tally.position, *part)));
+        suspects.sort_by_key(|(part, tally)| {
+            Reverse((tally.crashes, tally.position, Reverse(tally.delay), *part))
+        });
         let mut guilty: Vec<PartId> = Vec::new();
         for (part, _) in suspects {
             let is_needed = self.crashes.iter().any(|crash| {
@@ -321,7 +339,7 @@
 
     // Returns whether a part has enough crashes to be convicted.
     fn is_enough(&self, part: PartId, tally: &Tally) -> bool {
-        let needed = if self.sound.contains_key(&part) {
+        let needed = if self.sound.contains_key(&part) && !self.are_others_answered(tally) {
             MAX_CRASHES_OF_SOUND
         } else {
             MAX_CRASHES
@@ -329,6 +347,13 @@
         tally.crashes >= needed
     }
 
+    // Returns whether requests that share the next more general part were answered while servers
+    // ended under this one.
+    fn are_others_answered(&self, tally: &Tally) -> bool {
+        let sound = tally.parent.and_then(|parent| self.sound.get(&parent));
+        sound.is_some_and(|sound| tally.previous.is_some_and(|previous| *sound >= previous))
+    }
+
     // Returns whether a crash counts against a part: it happened under it, and not before an answer
     // that showed the part to be sound.
     fn counts(&self, crash: &Crash, part: PartId) -> bool {
@@ -338,17 +363,22 @@
 
     fn tally(&self) -> Map<PartId, Tally> {
         let mut tallies: Map<PartId, Tally> = Map::default();
+        let mut ends: Map<PartId, Vec<Instant>> = Map::default();
         for crash in &self.crashes {
-            let ranked = crash
-                .requests
-                .iter()
-                .flat_map(|request| request.parts.iter().enumerate());
-            for (position, part) in ranked {
-                let sound = self.sound.get(part);
-                if sound.is_none_or(|sound| crash.at >= *sound) {
-                    tallies.entry(*part).or_default().count(crash.at, position);
+            for request in &crash.requests {
+                let earlier = request.parts.last().and_then(|whole| ends.get(whole));
+                let earlier = earlier.map_or(&[][..], Vec::as_slice);
+                for (position, part) in request.parts.iter().enumerate() {
+                    let sound = self.sound.get(part);
+                    if sound.is_none_or(|sound| crash.at >= *sound) {
+                        let tally = tallies.entry(*part).or_default();
+                        tally.count(crash, request, position, earlier);
+                    }
                 }
             }
+            for whole in crash.requests.iter().filter_map(|it| it.parts.last()) {
+                ends.entry(*whole).or_default().push(crash.at);
+            }
         }
         tallies
     }
@@ -357,20 +387,44 @@
 // Crashes under one part since it was last sound.
 #[derive(Debug, Default)]
 struct Tally {
-    // Number of separate crashes, and the time of the last one that was counted.
+    // Number of separate crashes, and the times of the last two that were counted.
     crashes: usize,
     last: Option<Instant>,
+    previous: Option<Instant>,
+    // Process whose end was counted last.
+    process: Option<(ServerId, u64)>,
     // Largest position in a request; a larger one is more specific.
     position: usize,
+    // The next more general part of such a request.
+    parent: Option<PartId>,
+    // Longest time from sending a request to the end of its server.
+    delay: Duration,
 }
 
 impl Tally {
-    // Counts a crash; crashes come in the order of their times.
-    fn count(&mut self, at: Instant, position: usize) {
+    // Counts a crash under `request`; crashes come in the order of their times. `earlier` are the
+    // times of the crashes before it under the same request.
+    fn count(
+        &mut self,
+        crash: &Crash,
+        request: &CrashedRequest,
+        position: usize,
+        earlier: &[Instant],
+    ) {
         self.position = self.position.max(position);
-        if self.last.is_none_or(|last| at >= last + COMMON_CAUSE_TIME) {
+        self.parent = position.checked_sub(1).map(|parent| request.parts[parent]);
+        let delay = crash.at.saturating_duration_since(request.sent_at);
+        self.delay = self.delay.max(delay);
+        let is_separate = self.last.is_none_or(|last| {
+            let is_repeat = |at: &Instant| *at >= last && *at <= request.sent_at + AGE_ERROR;
+            crash.at >= last + COMMON_CAUSE_TIME || earlier.iter().any(is_repeat)
+        });
+        let process = (crash.server.clone(), crash.started_ms);
+        if is_separate && self.process.as_ref() != Some(&process) {
             self.crashes += 1;
-            self.last = Some(at);
+            self.process = Some(process);
+            self.previous = self.last;
+            self.last = Some(crash.at);
         }
     }
 }
--- a/crates/apricotwell_quarantine/tests/quarantine.rs
+++ b/crates/apricotwell_quarantine/tests/quarantine.rs
@@ -178,17 +178,21 @@
 }
 
 #[test]
-fn part_that_was_sound_before_is_quarantined() {
-    let mut fixture = Fixture::new();
-    fixture.sound(900, &[GENERAL, BAD, 1]);
-    for number in 0..5 {
-        assert_eq!(fixture.blocked(), []);
-        fixture.crash(1000 + number * 1000, &[&[GENERAL, BAD, 100 + number]]);
-        // Answers that began before the part crashed servers go on.
-        fixture.sound(900, &[GENERAL, BAD, 2]);
-        fixture.sound(1500 + number * 1000, &[GENERAL]);
+fn part_that_was_sound_before_is_quarantined_after_three_crashes_if_others_are_answered() {
+    for (others_answered, crashes) in [(true, 3), (false, 5)] {
+        let mut fixture = Fixture::new();
+        fixture.sound(900, &[GENERAL, BAD, 1]);
+        for number in 0..crashes {
+            assert_eq!(fixture.blocked(), []);
+            fixture.crash(1000 + number * 1000, &[&[GENERAL, BAD, 100 + number]]);
+            // Answers that began before the part crashed servers go on.
+            fixture.sound(900, &[GENERAL, BAD, 2]);
+            if others_answered {
+                fixture.sound(1500 + number * 1000, &[GENERAL]);
+            }
+        }
+        assert_eq!(fixture.blocked(), [BAD]);
     }
-    assert_eq!(fixture.blocked(), [BAD]);
 }
 
 #[test]
@@ -231,6 +235,7 @@
         part,
         crashed_at: fixture.start + Duration::from_millis(ms),
         trials: 0,
+        counted: 3,
     };
     let (old, new) = (part(SOUND, 1000), part(BAD, 3000));
     fixture.sound(2000, &[SOUND, BAD]);
@@ -335,18 +340,37 @@
 }
 
 #[test]
-fn instance_that_knows_crashes_under_a_part_decides_by_them() {
+fn instance_that_knows_all_crashes_under_a_part_decides_by_them() {
     let mut fixture = Fixture::new();
-    fixture.crash(0, &[&[GENERAL, SOUND, 1]]);
+    fixture.sound(0, &[GENERAL]);
+    for number in 0..4 {
+        fixture.crash(number * 1000, &[&[GENERAL, 10 + number, 100 + number]]);
+    }
     let part = BlockedPart {
         part: GENERAL,
-        crashed_at: fixture.at(100),
+        crashed_at: fixture.at(3000),
         trials: 0,
+        counted: 4,
     };
     fixture.quarantine.adopt(part);
     assert_eq!(fixture.blocked(), []);
 }
 
+#[test]
+fn instance_that_missed_a_crash_takes_over_the_verdict_of_one_that_did_not() {
+    let mut fixture = Fixture::new();
+    fixture.crash(0, &[&[GENERAL, BAD, 1]]);
+    fixture.crash(1000, &[&[GENERAL, BAD, 2]]);
+    let part = BlockedPart {
+        part: BAD,
+        crashed_at: fixture.at(2000),
+        trials: 0,
+        counted: 3,
+    };
+    fixture.quarantine.adopt(part);
+    assert_eq!(fixture.blocked(), [BAD]);
+}
+
 #[test]
 fn knowledge_fits_into_a_datagram_and_tells_all_parts_in_turn() {
     let start = Instant::now();
