Count the pause of a trial from the last trial

After a quiet time all trials of a quarantined part were due at once, since each pause counted from the last crash: several requests were let through in a row. The test now also asks it of a quiet time of four hours and of the minute after the trial, which failed on the code before; it passes.

--- a/crates/apricotwell_messages/src/crashes.rs
+++ b/crates/apricotwell_messages/src/crashes.rs
@@ -57,6 +57,9 @@
     /// Separate crashes that convicted it.
     #[prost(uint32, tag = "4")]
     pub counted: u32,
+    /// Milliseconds since its last trial, if there was one.
+    #[prost(uint32, optional, tag = "5")]
+    pub tried_ms: Option<u32>,
 }
 
 /// What one instance knows of crashes.
--- a/crates/apricotwell_quarantine/src/exchange.rs
+++ b/crates/apricotwell_quarantine/src/exchange.rs
@@ -103,6 +103,7 @@
             age_ms: age_ms(now, blocked.crashed_at),
             trials: blocked.trials,
             counted: u32::try_from(blocked.counted).unwrap_or(u32::MAX),
+            tried_ms: blocked.tried_at.map(|at| age_ms(now, at)),
         });
         reports.collect()
     }
@@ -116,6 +117,7 @@
                     crashed_at,
                     trials: report.trials,
                     counted: report.counted as usize,
+                    tried_at: report.tried_ms.and_then(|age| time_of(now, age)),
                 });
             }
         }
--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -28,7 +28,7 @@
 const MAX_REQUESTS: usize = 64;
 /// Time for which a sound part is remembered if no crash is recorded under it.
 const SOUND_LIFETIME: Duration = Duration::from_secs(60);
-/// Times from the last crash under a quarantined part to its trials. Each may end a server, so there
+/// Times from the last crash or trial of a quarantined part to its trials. Each may end a server, so there
 /// are no more than three, and fewer by the servers that ended late before the verdict.
 const TRIAL_PAUSES: [Duration; 3] = [
     Duration::from_secs(5),
@@ -75,13 +75,19 @@
     pub trials: u32,
     /// Separate crashes that convicted it.
     pub counted: usize,
+    /// When it was last tried.
+    pub tried_at: Option<Instant>,
 }
 
 impl BlockedPart {
     // Returns when the next trial is due, `None` if there is none.
     fn trial_at(&self) -> Option<Instant> {
         let pause = TRIAL_PAUSES.get(usize::try_from(self.trials).ok()?)?;
-        Some(self.crashed_at + *pause)
+        Some(
+            self.crashed_at
+                .max(self.tried_at.unwrap_or(self.crashed_at))
+                + *pause,
+        )
     }
 }
 
@@ -254,6 +260,7 @@
         known.crashed_at = known.crashed_at.max(part.crashed_at);
         known.trials = known.trials.max(part.trials);
         known.counted = known.counted.max(part.counted);
+        known.tried_at = known.tried_at.max(part.tried_at);
         if is_new {
             self.report_change(part.part, true);
         }
@@ -271,8 +278,9 @@
     /// To be called by one instance of the fleet only.
     pub fn take_trial(&mut self, now: Instant, part: PartId) -> bool {
         let is_due = self.is_trial_due(now, part);
-        if let Some(blocked) = self.blocked.get_mut(&part) {
-            blocked.trials += u32::from(is_due);
+        if is_due && let Some(blocked) = self.blocked.get_mut(&part) {
+            blocked.trials += 1;
+            blocked.tried_at = Some(now);
         }
         is_due
     }
@@ -365,6 +373,7 @@
             crashed_at,
             trials: skipped.max(self.late_ends(part)),
             counted: self.counted(part),
+            tried_at: None,
         };
         self.blocked.insert(part, blocked);
         self.report_change(part, true);
--- a/crates/apricotwell_quarantine/tests/quarantine.rs
+++ b/crates/apricotwell_quarantine/tests/quarantine.rs
@@ -236,6 +236,7 @@
         crashed_at: fixture.start + Duration::from_millis(ms),
         trials: 0,
         counted: 3,
+        tried_at: None,
     };
     let (old, new) = (part(SOUND, 1000), part(BAD, 3000));
     fixture.sound(2000, &[SOUND, BAD]);
@@ -349,6 +350,7 @@
         crashed_at: fixture.at(3000),
         trials: 0,
         counted: 4,
+        tried_at: None,
     };
     fixture.quarantine.adopt(part);
     assert_eq!(fixture.blocked(), []);
@@ -364,6 +366,7 @@
         crashed_at: fixture.at(2000),
         trials: 0,
         counted: 3,
+        tried_at: None,
     };
     fixture.quarantine.adopt(part);
     assert_eq!(fixture.blocked(), [BAD]);
@@ -419,11 +422,14 @@
 
 #[test]
 fn trials_after_a_quiet_time_come_one_at_a_time() {
-    let mut fixture = Fixture::new();
-    for number in 0..3 {
-        fixture.crash(number * 1000, &[&[BAD]]);
+    for quiet in [600, 4 * 3600] {
+        let mut fixture = Fixture::new();
+        for number in 0..3 {
+            fixture.crash(number * 1000, &[&[BAD]]);
+        }
+        let now = fixture.start + SECOND * quiet;
+        assert!(fixture.quarantine.take_trial(now, BAD));
+        assert!(!fixture.quarantine.take_trial(now, BAD));
+        assert!(!fixture.quarantine.take_trial(now + SECOND * 60, BAD));
     }
-    let now = fixture.start + SECOND * 600;
-    assert!(fixture.quarantine.take_trial(now, BAD));
-    assert!(!fixture.quarantine.take_trial(now, BAD));
 }
