Leave the slack of the retry budget alone in the first second of an instance

From the first heartbeat, which others answer with theirs, the slack is used after one second; the share of its own requests at once.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -125,6 +125,8 @@
     retries: Map<ServiceId, RetryBudget>,
     draining: bool,
     heartbeats: u64,
+    // When the first heartbeat was sent, from which on others know this instance.
+    started: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -147,6 +149,7 @@
             retries: Map::default(),
             draining: false,
             heartbeats: 0,
+            started: None,
             config,
         }
     }
@@ -352,10 +355,10 @@
     }
 
     fn retry_budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
-        let bounds = self.config.retries;
+        let (bounds, started) = (self.config.retries, self.started);
         self.retries
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(bounds))
+            .or_insert_with(|| RetryBudget::new(bounds).with_start(started))
     }
 
     /// Removes unreachable instances, servers that left the list and outdated inventories.
--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -16,6 +16,7 @@
     /// Returns this instance's next heartbeat, without the demand for models.
     pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
         self.heartbeats += 1;
+        self.started.get_or_insert(now);
         let crashes = self.crash_knowledge(now);
         let servers = self
             .backends
--- a/crates/apricotwell_dispatch/src/retries.rs
+++ b/crates/apricotwell_dispatch/src/retries.rs
@@ -18,6 +18,10 @@
 /// take too large a share of the slack.
 const USED_SHARE: f64 = 0.8;
 
+/// Time after the start in which an instance leaves the slack alone: it may not have heard of others
+/// that started at the same moment, and so take their shares too.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// One instance's share of the retry budget of one service.
 ///
 /// Each instance limits its retries by the ratio to its own requests and by an equal share of the
@@ -25,6 +29,8 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     bounds: RetryBounds,
+    // Start of the instance; until it is known, the first request.
+    started: Option<Instant>,
     requests: VecDeque<Instant>,
     retries: VecDeque<Instant>,
 }
@@ -34,13 +40,20 @@
     pub fn new(bounds: RetryBounds) -> Self {
         Self {
             bounds,
+            started: None,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
         }
     }
 
+    /// Sets when the instance started, `None` if that is not known.
+    pub fn with_start(self, started: Option<Instant>) -> Self {
+        Self { started, ..self }
+    }
+
     /// Counts a request from a client.
     pub fn record_request(&mut self, now: Instant) {
+        self.started.get_or_insert(now);
         self.expire(now);
         self.requests.push_back(now);
     }
@@ -48,7 +61,13 @@
     /// Takes one retry if this instance's share among `instances` allows it; returns whether it does.
     pub fn try_take(&mut self, now: Instant, instances: usize) -> bool {
         self.expire(now);
-        let slack = self.bounds.slack / instances.max(1) as f64;
+        let started = *self.started.get_or_insert(now);
+        let is_settled = now.saturating_duration_since(started) >= SETTLE_TIME;
+        let slack = if is_settled {
+            self.bounds.slack / instances.max(1) as f64
+        } else {
+            0.0
+        };
         let allowed = USED_SHARE * (self.bounds.ratio * self.requests.len() as f64 + slack);
         if self.retries.len() as f64 + 1.0 > allowed {
             return false;
--- a/crates/apricotwell_dispatch/tests/retries.rs
+++ b/crates/apricotwell_dispatch/tests/retries.rs
@@ -35,6 +35,9 @@
 fn retries_leave_the_window() {
     let now = Instant::now();
     let mut budget = RetryBudget::new(BOUNDS);
+    // The instance has served for a while.
+    budget.record_request(now);
+    let now = now + BOUNDS.window;
     while budget.try_take(now, INSTANCES) {}
     assert!(!budget.try_take(now + BOUNDS.window, INSTANCES));
     assert!(budget.try_take(now + BOUNDS.window * 2, INSTANCES));
