--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -53,12 +53,7 @@
     pub fn record_sound(&self, began: Instant) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         let quarantine = &mut dispatcher.crashes.quarantine;
-        if quarantine.has_crashes() {
-            quarantine.record_sound(began, self.parts());
-        } else {
-            let shared: Vec<PartId> = self.shared_parts().collect();
-            quarantine.record_sound(began, &shared);
-        }
+        quarantine.record_sound(began, self.parts());
         drop(dispatcher);
         crash_checks::log_quarantine(&self.gateway);
     }
--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -170,11 +170,6 @@
         }
     }
 
-    /// Returns whether any crash is known, so that sound requests matter as a whole.
-    pub fn has_crashes(&self) -> bool {
-        !self.crashes.is_empty() || !self.blocked.is_empty()
-    }
-
     /// Returns all quarantined parts.
     pub fn blocked(&self) -> impl Iterator<Item = &BlockedPart> {
         self.blocked.values()
@@ -395,8 +390,8 @@
     }
 
     // Returns the fewest parts that explain all crashes that need an explanation: first the one with
-    // the most crashes, of several the most specific, of these the one whose requests end servers
-    // soonest after they were sent, and so on for the crashes that are left.
+    // the most crashes, of several the most specific, of these one that was never sound, and so on for
+    // the crashes that are left.
     fn guilty_parts(&self, tallies: &Map<PartId, Tally>) -> Vec<PartId> {
         let mut suspects: Vec<(PartId, &Tally)> = tallies
             .iter()
@@ -404,7 +399,8 @@
             .map(|(part, tally)| (*part, tally))
             .collect();
         suspects.sort_by_key(|(part, tally)| {
-            Reverse((tally.crashes, tally.position, Reverse(tally.delay), *part))
+            let is_new = !self.sound.contains_key(part);
+            Reverse((tally.crashes, tally.position, is_new, *part))
         });
         let mut guilty: Vec<PartId> = Vec::new();
         for (part, _) in suspects {
@@ -478,8 +474,6 @@
     position: usize,
     // The next more general part of such a request.
     parent: Option<PartId>,
-    // Longest time from sending a request to the end of its server.
-    delay: Duration,
 }
 
 impl Tally {
@@ -494,8 +488,6 @@
     ) {
         self.position = self.position.max(position);
         self.parent = position.checked_sub(1).map(|parent| request.parts[parent]);
-        let delay = crash.at.saturating_duration_since(request.sent_at);
-        self.delay = self.delay.max(delay);
         let is_separate = self.last.is_none_or(|last| {
             let is_repeat =
                 |at: &Instant| *at + AGE_ERROR >= last && *at <= request.sent_at + AGE_ERROR;
