--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -76,6 +76,8 @@
 {
     /// The server responded to this attempt.
     Response(Box<StreamingResponse>, FlightGuard<P>),
+    /// Nothing of the attempt was sent; holds the reason.
+    Unsent(String),
     /// The server did not run the attempt; holds the reason.
     NotRun(String),
     /// The server may have run the attempt, but there is no valid response; holds the reason.
@@ -147,12 +149,16 @@
                     flight.record_outcome(true);
                     self.excluded.push(server);
                 }
+                AttemptOutcome::Unsent(reason) => {
+                    self.log_attempt(&server, "not_run", UNSENT, Some(&reason));
+                    self.on_rejection(&server, true)?;
+                }
                 AttemptOutcome::NotRun(reason) => {
-                    self.log_attempt(&server, "not_run", &reason);
-                    self.on_rejection(&server, &reason)?;
+                    self.log_attempt(&server, "not_run", &reason, None);
+                    self.on_rejection(&server, false)?;
                 }
                 AttemptOutcome::Lost(reason) => {
-                    self.log_attempt(&server, "lost", &reason);
+                    self.log_attempt(&server, "lost", &reason, None);
                     let may_go_on = self.may_go_on(&server).await;
                     self.on_loss(&server, &reason, may_go_on)?;
                 }
@@ -204,17 +210,17 @@
         matches!(choice, RoutingDecision::Send(..))
     }
 
-    fn on_rejection(&mut self, server: &ServerId, reason: &str) -> Result<(), Refusal> {
+    fn on_rejection(&mut self, server: &ServerId, is_unsent: bool) -> Result<(), Refusal> {
         // A server that rejected a request for a model is not excluded, since it may load it
         // shortly.
-        if reason == UNSENT || self.admission.requested_model.is_none() {
+        if is_unsent || self.admission.requested_model.is_none() {
             self.excluded.push(server.clone());
         }
         self.rejections += 1;
         let now = self.gateway.now();
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         let allowed = self.rejections < MAX_REJECTIONS
-            && (reason == UNSENT || dispatcher.take_retry(now, &self.admission));
+            && (is_unsent || dispatcher.take_retry(now, &self.admission));
         drop(dispatcher);
         if allowed {
             return Ok(());
@@ -355,9 +361,9 @@
     ) -> AttemptOutcome<P> {
         let response = match result {
             Ok(Ok(response)) => response,
-            Ok(Err(SendError::Unsent(_))) => {
+            Ok(Err(SendError::Unsent(reason))) => {
                 flight.record_outcome(true);
-                return AttemptOutcome::NotRun(UNSENT.to_owned());
+                return AttemptOutcome::Unsent(reason);
             }
             Ok(Err(SendError::Lost(reason))) => {
                 self.runs += 1;
@@ -467,12 +473,21 @@
     }
 
     /// Logs an attempt that brought no answer.
-    pub fn log_attempt(&self, server: &ServerId, outcome: &str, reason: &str) {
+    pub fn log_attempt(
+        &self,
+        server: &ServerId,
+        outcome: &str,
+        reason: &str,
+        detail: Option<&str>,
+    ) {
+        let time = self.gateway.now().saturating_duration_since(self.sent_at);
         Event::new("attempt_ended")
             .with("request", self.request.attempt.as_str())
             .with("server", &**server)
             .with("outcome", outcome)
             .with("reason", reason)
+            .with("detail", detail)
+            .with_time("attempt_ms", time)
             .with("runs", self.runs)
             .log();
     }
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -301,7 +301,7 @@
     };
     received.failure = Some(reason.clone());
     handler.end_response(received);
-    handler.log_attempt(&flight.server, "broken_off", &reason);
+    handler.log_attempt(&flight.server, "broken_off", &reason, None);
     flight.record_outcome(true);
     handler.exclude(&flight.server);
     let server = flight.server.clone();
