--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -17,18 +17,18 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
+/// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`). It also ends
+/// keepalive: an idle connection is closed at the first check after it and an unanswered probe, whatever
+/// number of probes is set.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Idle time before the first keepalive probe.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
-/// Interval between keepalive probes.
+/// Interval between keepalive probes; a dead idle connection is closed after the first one.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unacknowledged keepalive probes after which a connection is closed.
-const KEEPALIVE_RETRIES: u32 = 2;
 /// Idle time after which a connection is closed, unless its server announces a shorter one.
 const MAX_IDLE: Duration = Duration::from_secs(8);
 /// Margin before a server's idle timeout in which a connection is no longer used, so that a request
@@ -84,6 +84,8 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<Map<SocketAddr, Vec<IdleConnection>>>,
+    // Address that connections come from; the system's choice if `None`.
+    source: Option<IpAddr>,
 }
 
 impl ConnectionPool {
@@ -92,6 +94,14 @@
         Rc::default()
     }
 
+    /// Creates an empty pool whose connections come from `source`, if it is given.
+    pub fn from_source(source: Option<IpAddr>) -> Rc<Self> {
+        Rc::new(Self {
+            source,
+            ..Self::default()
+        })
+    }
+
     /// Sends a request and returns once the head of the response is received.
     ///
     /// # Errors
@@ -116,7 +126,7 @@
                 },
             }
         }
-        let mut sender = connect(address).await?;
+        let mut sender = self.connect(address).await?;
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.streaming_response(address, sender, response, reuse)),
             Err(mut error) => {
@@ -150,7 +160,7 @@
 
     /// Returns whether a server accepts connections; the new connection is kept for later requests.
     pub async fn is_accepting(self: &Rc<Self>, address: SocketAddr) -> bool {
-        let Ok(sender) = connect(address).await else {
+        let Ok(sender) = self.connect(address).await else {
             return false;
         };
         tokio::time::sleep(ACCEPT_TIME).await;
@@ -210,6 +220,25 @@
         }
     }
 
+    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, open_stream(self.source, address))
+            .await
+            .map_err(|_| SendError::Unsent("connection timed out".to_owned()))?
+            .map_err(unsent)?;
+        configure_socket(&stream).map_err(unsent)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(unsent)?;
+        actix::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {address} ended: {error}");
+            }
+        });
+        Ok(sender)
+    }
+
     fn streaming_response(
         self: &Rc<Self>,
         address: SocketAddr,
@@ -359,23 +388,17 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_| SendError::Unsent("connection timed out".to_owned()))?
-        .map_err(unsent)?;
-    configure_socket(&stream).map_err(unsent)?;
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(unsent)?;
-    actix::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection to {address} ended: {error}");
-        }
-    });
-    Ok(sender)
+async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if source.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
 }
 
 fn unsent<E>(error: E) -> SendError
@@ -396,8 +419,7 @@
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
+        .with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
