Pass requests on to instances that reach the servers

What callers saw: instances that were partitioned from all backend servers refused nearly all requests (3 of 98 and 3 of 21 served at the first attempt), though six of nine and three of nine instances reached everything. Cause: an instance believes its own connections only, and nothing passes a request on.

- A service counts as unreachable once three of its servers in a row, or all of them, accepted no connection; the first failure makes the instance ask two others (300 ms).
Only an accepted connection ends that; one server is asked every 0.3 s.
- Heartbeats name unreachable services, at once.
Requests for them are passed on over the instances' own port, with the client's own headers, to an instance that names none: of this zone while half of it may reach the service, else of the fleet.
It admits them anew; tokens are refunded here once it responds.
It passes nothing on; after three such instances, or if none is left, the request is refused at once, not run.
- Open connections to servers that were used within 1.5 s are used on.
- Look-ups leave such instances out, unless all are like that.
- A connection attempt ends before its request's deadline, so a request that was not sent is known not to have run.
- Crashes that a cut instance reports of living servers are withdrawn by each instance that they answer.

Tests: 45 of 45 fail before, 0 after, each run once (reset, hanging, new connections only); refused within 0.5 s if both are cut; own connections again after the heal.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Admission and routing of requests, over the combined state of one instance.
 
 mod crashes;
+mod detours;
 mod messaging;
 mod permits;
 mod selection;
@@ -26,6 +27,7 @@
 use crate::placement::{Order, PlacementPlanner};
 use crate::prompt_cache::PromptCacheTable;
 use crate::quota::{QuotaBounds, QuotaTable};
+use crate::reach::ReachTable;
 use crate::request::RequestHead;
 use crate::retries::{RetryBounds, RetryBudget};
 
@@ -109,6 +111,8 @@
     pub backends: BackendTable,
     /// Crashes of servers, and the parts of requests that cause them.
     pub crashes: SharedQuarantine,
+    /// Servers that accept no connections from this instance.
+    pub reach: ReachTable,
     /// Limits that servers named, and permits to send within them.
     pub limited: LimitedServers,
     /// Other instances.
@@ -138,6 +142,7 @@
             feeds: FeedViews::default(),
             backends: BackendTable::default(),
             crashes: SharedQuarantine::default(),
+            reach: ReachTable::default(),
             limited: LimitedServers::new(config.incarnation),
             peers: PeerTable::default(),
             demand: DemandTable::default(),
@@ -192,9 +197,22 @@
 
     /// Returns the addresses that clients should connect to, sorted.
     pub fn client_addresses(&self, now: Instant) -> Vec<String> {
-        let mut addresses: Vec<String> =
-            self.peers.ready_addresses(now).map(str::to_owned).collect();
-        if self.is_ready(now) || (addresses.is_empty() && !self.draining) {
+        let (reaching, cut): (Vec<_>, Vec<_>) = self
+            .peers
+            .ready_addresses(now)
+            .partition(|peer| peer.reaches_all);
+        let is_cut = !self.unreachable_services(now).is_empty();
+        let mut addresses: Vec<String> = reaching
+            .iter()
+            .map(|peer| peer.address.to_owned())
+            .collect();
+        // An instance that reaches no server of some service is named only if all are like it.
+        let names_cut = addresses.is_empty();
+        if names_cut {
+            addresses.extend(cut.iter().map(|peer| peer.address.to_owned()));
+        }
+        let is_named = self.is_ready(now) && (!is_cut || names_cut);
+        if is_named || (addresses.is_empty() && !self.draining) {
             addresses.push(self.config.address.clone());
         }
         addresses.sort();
@@ -207,6 +225,22 @@
     ///
     /// Returns the refusal to send to the client; the request has not run.
     pub fn admit(&mut self, now: Instant, request: &RequestHead) -> Result<Admission, Refusal> {
+        let admission = self.admit_forwarded(now, request)?;
+        self.retry_budget(&admission.service).record_request(now);
+        Ok(admission)
+    }
+
+    /// Admits or refuses a request that another instance passes on, as [`Self::admit`] does; that
+    /// instance counts it for the retry budget.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::admit`].
+    pub fn admit_forwarded(
+        &mut self,
+        now: Instant,
+        request: &RequestHead,
+    ) -> Result<Admission, Refusal> {
         let Some(catalog) = self.catalog.clone() else {
             return Err(unavailable(
                 "no configuration received yet; try another instance",
@@ -229,7 +263,6 @@
             self.spend(now, organisation, tokens)?;
         }
         let service = route.service(service_draw(&request.attempt)).clone();
-        self.retry_budget(&service).record_request(now);
         let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
         let admission = Admission {
             priority: organisation
@@ -367,6 +400,7 @@
             self.backends.remove_instance(&instance);
         }
         self.backends.expire(now);
+        self.reach.expire(now);
         self.expire_limits(now);
         self.crashes.quarantine.expire(now);
     }
--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -49,6 +49,11 @@
             zone: self.config.zone.to_string(),
             limits: self.limited.limits.recent(now, self.limit_report_time()),
             crashes,
+            unreachable: self
+                .unreachable_services(now)
+                .iter()
+                .map(|service| service.to_string())
+                .collect(),
         }
     }
 
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod placement;
 pub mod prompt_cache;
 pub mod quota;
+pub mod reach;
 pub mod request;
 pub mod retries;
 
--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -42,6 +42,17 @@
     fence: Fence,
     last_heartbeat: Instant,
     models: Vec<ModelUse>,
+    // Services of which it reaches no server.
+    unreachable: Vec<String>,
+}
+
+/// Address of another instance that clients can connect to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadyAddress<'a> {
+    /// Address.
+    pub address: &'a str,
+    /// Whether the instance reaches servers of all services, as far as it knows.
+    pub reaches_all: bool,
 }
 
 /// The other known instances.
@@ -75,6 +86,7 @@
             fence: heartbeat.fence,
             last_heartbeat: now,
             models: heartbeat.models.clone(),
+            unreachable: heartbeat.unreachable.clone(),
         };
         self.peers.insert(heartbeat.instance.as_str().into(), peer);
         true
@@ -140,11 +152,24 @@
     }
 
     /// Returns the addresses of other instances that clients should connect to.
-    pub fn ready_addresses(&self, now: Instant) -> impl Iterator<Item = &str> {
+    pub fn ready_addresses(&self, now: Instant) -> impl Iterator<Item = ReadyAddress<'_>> {
         self.peers
             .values()
             .filter(move |peer| peer.ready && self.is_alive(now, peer))
-            .map(|peer| peer.address.as_str())
+            .map(|peer| ReadyAddress {
+                address: &peer.address,
+                reaches_all: peer.unreachable.is_empty(),
+            })
+    }
+
+    /// Returns the reachable and ready instances that may reach servers of a service, with their zones.
+    pub fn reaching(&self, now: Instant, service: &str) -> Vec<(&InstanceId, &ZoneId)> {
+        let reaching = self.peers.iter().filter(|(_, peer)| {
+            peer.ready
+                && self.is_alive(now, peer)
+                && peer.unreachable.iter().all(|it| it != service)
+        });
+        reaching.map(|(id, peer)| (id, &peer.zone)).collect()
     }
 
     /// Returns the reachable instances by zone, sorted within each zone.
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -70,6 +70,15 @@
         body: Bytes,
     ) -> Request<http_body_util::Full<Bytes>>;
 
+    /// Encodes the request to pass on to another instance, with the client's own headers; `last_event`
+    /// overrides the client's value.
+    fn encode_forward(
+        head: &request::Parts,
+        remaining: Duration,
+        last_event: Option<u64>,
+        body: Bytes,
+    ) -> Request<http_body_util::Full<Bytes>>;
+
     /// Decodes the head of a server's response to `request`.
     fn decode_response(head: &response::Parts, request: &RequestHead) -> ResponseHead;
 
--- a/crates/apricotwell_gateway/src/crash_checks.rs
+++ b/crates/apricotwell_gateway/src/crash_checks.rs
@@ -15,9 +15,12 @@
 use crate::adapter::Platform;
 use crate::events::Event;
 use crate::gateway::Gateway;
+use crate::reach;
 
 /// Time in which the other responses of a server that has ended break off as well.
 const GATHER_TIME: Duration = Duration::from_millis(60);
+/// Time limit of the connection that shows whether a server has ended.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest time for which a request waits for the check of a server that it was lost with.
 const MAX_WAIT: Duration = Duration::from_millis(300);
 /// Requests of one server that are checked together.
@@ -110,7 +113,12 @@
     P: Platform,
 {
     tokio::time::sleep(GATHER_TIME).await;
-    let has_ended = !gateway.pool.is_accepting(server.address).await;
+    let is_accepting = gateway
+        .pool
+        .is_accepting(server.address, CONNECT_TIMEOUT)
+        .await;
+    reach::record_connection(gateway, &server.id, is_accepting);
+    let has_ended = !is_accepting;
     let check = gateway.crash_checks.servers.borrow_mut().remove(&server.id);
     gateway.metrics.count_crash_check(has_ended);
     if has_ended {
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -21,7 +21,8 @@
 use crate::adapter::{ClientProtocol, Platform};
 use crate::events::{Event, FLUSH_INTERVAL, LineWriter};
 use crate::gateway::Gateway;
-use crate::{feeds, heartbeats, membership, permits, placement, requests, usage};
+use crate::requests::Origin;
+use crate::{feeds, heartbeats, membership, permits, placement, reach, requests, usage};
 
 /// Backlog of connections that wait to be accepted.
 const BACKLOG: u32 = 512;
@@ -56,6 +57,7 @@
     let listeners = gateway.listeners.clone();
     let socket = Rc::new(UdpSocket::bind(&listeners.peers).await?);
     let clients = listen(&listeners.clients)?;
+    let instances = listen(&listeners.peers)?;
     let readiness = listen(&listeners.readiness)?;
     let lookup = listen(&listeners.lookup)?;
     Event::new("started")
@@ -81,7 +83,9 @@
         let metrics = listen(address)?;
         actix::spawn(accept(Rc::clone(&gateway), metrics, serve_auxiliary::<P>));
     }
+    actix::spawn(reach::run(Rc::clone(&gateway)));
     actix::spawn(accept(Rc::clone(&gateway), clients, serve_client::<P>));
+    actix::spawn(accept(Rc::clone(&gateway), instances, serve_instance::<P>));
     actix::spawn(run_maintenance(Rc::clone(&gateway), lines.clone()));
     stop.await?;
     shut_down(&gateway).await;
@@ -128,6 +132,21 @@
 }
 
 async fn serve_client<P>(gateway: Rc<Gateway<P>>, stream: TcpStream)
+where
+    P: Platform,
+{
+    serve_requests(gateway, stream, Origin::Client).await;
+}
+
+// Serves requests that another instance passes on.
+async fn serve_instance<P>(gateway: Rc<Gateway<P>>, stream: TcpStream)
+where
+    P: Platform,
+{
+    serve_requests(gateway, stream, Origin::Instance).await;
+}
+
+async fn serve_requests<P>(gateway: Rc<Gateway<P>>, stream: TcpStream, origin: Origin)
 where
     P: Platform,
 {
@@ -145,7 +164,7 @@
             .unwrap_or_default()
     };
     let shared = Rc::clone(&gateway);
-    let service = service_fn(move |request| requests::serve(Rc::clone(&shared), request));
+    let service = service_fn(move |request| requests::serve(Rc::clone(&shared), request, origin));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -33,7 +33,7 @@
     pub readiness: String,
     /// Lookups of the addresses that clients can connect to.
     pub lookup: String,
-    /// Datagrams of other instances; also the instance's identity in the fleet.
+    /// Datagrams and passed-on requests of other instances; also the instance's identity in the fleet.
     pub peers: String,
     /// Metrics; `None` if they are not served.
     pub metrics: Option<String>,
@@ -79,6 +79,8 @@
     pub heartbeat_due: Notify,
     /// Notified when new demand should be sent to the lease holder at once.
     pub demand_changed: Notify,
+    /// Notified when a server accepted no connection.
+    pub reach_doubted: Notify,
     /// Notified when a request needs a permit for a server with a limit.
     pub permits_due: Notify,
     /// Notified when the models loaded on servers may have changed.
@@ -129,6 +131,7 @@
             servers_changed: Notify::new(),
             heartbeat_due: Notify::new(),
             demand_changed: Notify::new(),
+            reach_doubted: Notify::new(),
             permits_due: Notify::new(),
             inventory_changed: Notify::new(),
             replan: Notify::new(),
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -1,9 +1,10 @@
 //! Handling of one admitted request: server selection, attempts and retries.
 
 mod crashes;
+mod detours;
 mod limits;
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,10 +15,12 @@
 use http::request;
 
 pub use self::crashes::BEGINNING_TIME;
+pub use self::detours::NOT_SERVED;
 use crate::adapter::{Attempt, ClientProtocol, Platform};
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard, PermitGuard, WaitGuard};
+use crate::reach;
 use crate::requests::BufferedBody;
 use crate::trace::{ReceivedBody, ResponseTrace};
 
@@ -31,6 +34,8 @@
 /// Fraction of the grace period during which requests may still wait for a server after a request
 /// to stop.
 const WAIT_GRACE_FRACTION: f64 = 0.55;
+/// Fraction of the timeout for the head of a response that a new connection may take.
+const CONNECT_FRACTION: f64 = 0.9;
 /// Number of rejections by servers after which a request is refused.
 const MAX_REJECTIONS: usize = 8;
 
@@ -63,12 +68,29 @@
     parts: OnceCell<Vec<PartId>>,
     // Number of servers that were lost as they began to answer.
     losses: u32,
+    /// Whether another instance passed the request on to this one.
+    pub is_forwarded: bool,
+    // Number of instances that the request was passed on to.
+    detours: Cell<u32>,
+    /// Whether the response is another instance's refusal.
+    pub is_refused_elsewhere: bool,
     /// Progress of the responses.
     pub trace: ResponseTrace,
     // Counts the request as active until its response has ended.
     _active: ActiveGuard<P>,
 }
 
+/// Where an attempt is sent.
+#[derive(Clone, Debug)]
+pub struct Destination {
+    /// Server, or the instance that the request is passed on to.
+    pub id: ServerId,
+    /// Address.
+    pub address: std::net::SocketAddr,
+    /// Whether it is an instance.
+    pub is_instance: bool,
+}
+
 /// Outcome of one attempt.
 pub enum AttemptOutcome<P>
 where
@@ -84,6 +106,21 @@
     Lost(String),
 }
 
+impl<P> AttemptOutcome<P>
+where
+    P: Platform,
+{
+    /// Returns the name of the outcome in metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Response(..) => "response",
+            Self::Unsent(_) => "unsent",
+            Self::NotRun(_) => "not_run",
+            Self::Lost(_) => "lost",
+        }
+    }
+}
+
 impl<P> RequestHandler<P>
 where
     P: Platform,
@@ -95,6 +132,7 @@
         body: BufferedBody,
         request: RequestHead,
         admission: Admission,
+        is_forwarded: bool,
     ) -> Self {
         Self {
             gateway: Rc::clone(gateway),
@@ -109,6 +147,9 @@
             sent_at: gateway.now(),
             parts: OnceCell::new(),
             losses: 0,
+            is_forwarded,
+            detours: Cell::new(0),
+            is_refused_elsewhere: false,
             trace: ResponseTrace::default(),
             _active: ActiveGuard::new(gateway),
         }
@@ -139,11 +180,16 @@
         last_event: Option<u64>,
     ) -> Result<(Box<StreamingResponse>, FlightGuard<P>), Refusal> {
         loop {
-            let (server, address) = self.find_server().await?;
-            let outcome = self.send(&server, address, last_event).await;
+            let destination = self.find_server().await?;
+            let outcome = if destination.is_instance {
+                self.forward(&destination, last_event).await
+            } else {
+                self.send(&destination, last_event).await
+            };
+            let server = destination.id;
             match outcome {
                 AttemptOutcome::Response(response, flight) => {
-                    if !self.should_retry(&server, &response) {
+                    if destination.is_instance || !self.should_retry(&server, &response) {
                         return Ok((response, flight));
                     }
                     flight.record_outcome(true);
@@ -255,7 +301,7 @@
     }
 
     // Selects a server, waiting for one if necessary.
-    async fn find_server(&mut self) -> Result<(ServerId, std::net::SocketAddr), Refusal> {
+    async fn find_server(&mut self) -> Result<Destination, Refusal> {
         let mut waiting = None;
         let mut permit: Option<PermitGuard<P>> = None;
         loop {
@@ -268,12 +314,19 @@
                 let dispatcher = self.gateway.dispatcher.borrow();
                 dispatcher.select_server(now, &self.admission, &self.request, &self.excluded)
             };
+            if let Some(instance) = self.find_detour(now, &choice)? {
+                return Ok(instance);
+            }
             match choice {
                 RoutingDecision::Send(..) if !self.start_trial(now, trial) => continue,
                 RoutingDecision::Send(server, address) => {
                     self.server_found = Some(now);
                     self.probe_limits(now);
-                    return Ok((server, address));
+                    return Ok(Destination {
+                        id: server,
+                        address,
+                        is_instance: false,
+                    });
                 }
                 RoutingDecision::Refuse(refusal) if self.runs == 0 => return Err(refusal),
                 RoutingDecision::Refuse(refusal) => {
@@ -307,10 +360,10 @@
     /// Sends one attempt and waits for the head of the response.
     pub async fn send(
         &mut self,
-        server: &ServerId,
-        address: std::net::SocketAddr,
+        destination: &Destination,
         last_event: Option<u64>,
     ) -> AttemptOutcome<P> {
+        let server = &destination.id;
         let tokens = self.record_prompt(server);
         let flight = FlightGuard::new(&self.gateway, server.clone(), tokens);
         let attempt = Attempt {
@@ -337,11 +390,21 @@
         };
         self.sent_at = self.gateway.now();
         self.trace.server_limit = self.limit_of(server);
-        let response = self.gateway.pool.send(address, server_request, reuse);
-        let result = tokio::time::timeout(self.head_timeout(), response).await;
+        let head_timeout = self.head_timeout();
+        let pool = &self.gateway.pool;
+        let connect_timeout = self.connect_timeout();
+        let address = destination.address;
+        let response = pool.send_within(address, server_request, reuse, connect_timeout);
+        let result = tokio::time::timeout(head_timeout, response).await;
         self.classify_response(result, flight)
     }
 
+    // Returns the timeout for a new connection. It ends before the others, so that a request that was
+    // not sent is known not to have run.
+    fn connect_timeout(&self) -> Duration {
+        self.head_timeout().mul_f64(CONNECT_FRACTION)
+    }
+
     // Records that the server receives the prompt; returns the prompt tokens not yet in its cache.
     fn record_prompt(&self, server: &ServerId) -> f64 {
         let Some(model) = &self.admission.requested_model else {
@@ -363,6 +426,7 @@
             Ok(Ok(response)) => response,
             Ok(Err(SendError::Unsent(reason))) => {
                 flight.record_outcome(true);
+                reach::record_connection(&self.gateway, &flight.server, false);
                 return AttemptOutcome::Unsent(reason);
             }
             Ok(Err(SendError::Lost(reason))) => {
@@ -377,6 +441,7 @@
                 return AttemptOutcome::Lost("no response in time".to_owned());
             }
         };
+        self.record_response(&flight.server, response.is_first);
         let head = P::ClientProtocol::decode_response(&response.head, &self.request);
         if head.misdirected {
             self.record_rejection(&flight.server);
@@ -399,6 +464,22 @@
         AttemptOutcome::Response(Box::new(response), flight)
     }
 
+    // Records that the server responds, and if `is_first`, that it accepted a new connection.
+    fn record_response(&self, server: &ServerId, is_first: bool) {
+        if is_first {
+            reach::record_connection(&self.gateway, server, true);
+        }
+        self.withdraw_crash(server);
+    }
+
+    /// Refunds the request's tokens, once.
+    pub fn refund(&mut self) {
+        let now = self.gateway.now();
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.refund(now, &self.admission);
+        self.admission.tokens = 0;
+    }
+
     // Records that the server rejected a request for the requested model.
     fn record_rejection(&self, server: &ServerId) {
         let Some(model) = &self.admission.requested_model else {
--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -19,9 +19,13 @@
     /// Checks whether a server that broke off its response, whose first bytes came at `began`, has
     /// ended as it began to answer.
     pub fn check_crash(&mut self, server: &ServerId, began: Option<Instant>) {
+        let is_server = {
+            let dispatcher = self.gateway.dispatcher.borrow();
+            dispatcher.backends.get(server).is_some()
+        };
         let now = self.gateway.now();
-        let is_beginning =
-            began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
+        let is_beginning = is_server
+            && began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
         if is_beginning {
             self.losses += 1;
             let parts = self.parts().to_vec();
@@ -49,6 +53,22 @@
         quarantine.next_attempt(self.parts())
     }
 
+    /// Withdraws the crash of a server that responds, if another instance reported one.
+    pub(super) fn withdraw_crash(&self, server: &ServerId) {
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let Some(started_ms) = dispatcher
+            .backends
+            .get(server)
+            .map(|it| it.entry.started_ms)
+        else {
+            return;
+        };
+        let quarantine = &mut dispatcher.crashes.quarantine;
+        quarantine.withdraw_crash(server, started_ms, self.sent_at);
+        drop(dispatcher);
+        crash_checks::log_quarantine(&self.gateway);
+    }
+
     /// Records that a server which began its response at `began` did not crash.
     pub fn record_sound(&self, began: Instant) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod metrics;
 pub mod permits;
 pub mod placement;
+pub mod reach;
 pub mod relay;
 pub mod requests;
 pub mod trace;
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -38,6 +38,8 @@
     permits: Family<OutcomeLabels, Counter>,
     crash_checks: Family<OutcomeLabels, Counter>,
     quarantine: Family<OutcomeLabels, Counter>,
+    reach: Family<OutcomeLabels, Counter>,
+    detours: Family<OutcomeLabels, Counter>,
     first_byte: Histogram,
     store_calls: Family<OutcomeLabels, Counter>,
     orders: Family<OutcomeLabels, Counter>,
@@ -80,6 +82,18 @@
             "Checks of servers that broke off responses, by what was found",
             crash_checks.clone(),
         );
+        let reach = Family::default();
+        registry.register(
+            "reach",
+            "Services that became unreachable or reachable from this instance",
+            reach.clone(),
+        );
+        let detours = Family::default();
+        registry.register(
+            "detours",
+            "Requests passed on to other instances, by outcome",
+            detours.clone(),
+        );
         let quarantine = Family::default();
         registry.register(
             "quarantine",
@@ -111,6 +125,8 @@
             permits,
             crash_checks,
             quarantine,
+            reach,
+            detours,
             first_byte,
             store_calls,
             orders,
@@ -158,6 +174,16 @@
         count(&self.quarantine, change);
     }
 
+    /// Counts a service that became unreachable, or reachable again.
+    pub fn count_reach(&self, change: &str) {
+        count(&self.reach, change);
+    }
+
+    /// Counts a request that was passed on to another instance, by outcome.
+    pub fn count_detour(&self, outcome: &str) {
+        count(&self.detours, outcome);
+    }
+
     /// Records the time to the first byte of a response.
     pub fn observe_first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -6,7 +6,7 @@
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_http::pool::StreamingResponse;
-use apricotwell_types::{Refusal, RefusalKind};
+use apricotwell_types::{Refusal, RefusalKind, RunOutcome};
 use bytes::Bytes;
 use futures_util::Stream;
 use http::{Request, Response, request};
@@ -18,7 +18,7 @@
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::FlightGuard;
-use crate::handler::RequestHandler;
+use crate::handler::{NOT_SERVED, RequestHandler};
 use crate::relay::{Relay, RelayError};
 use crate::trace::ReceivedBody;
 
@@ -30,6 +30,15 @@
 /// might not finish within the grace period.
 const ADMISSION_AFTER_STOP: Duration = Duration::from_millis(3500);
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A client.
+    Client,
+    /// Another instance, which passes on a client's request.
+    Instance,
+}
+
 /// Response to a client: buffered or streamed.
 enum ClientResponse<P>
 where
@@ -48,6 +57,7 @@
 pub async fn serve<P>(
     gateway: Rc<Gateway<P>>,
     request: Request<Incoming>,
+    origin: Origin,
 ) -> Result<
     Response<Either<Full<Bytes>, StreamBody<impl Stream<Item = Result<Frame<Bytes>, RelayError>>>>>,
     Infallible,
@@ -56,7 +66,7 @@
     P: Platform,
 {
     let was_stopping = gateway.stop_requested.get().is_some();
-    let mut response = match respond(&gateway, request).await {
+    let mut response = match respond(&gateway, request, origin).await {
         ClientResponse::Complete(response) => response.map(|body| Either::Left(Full::new(body))),
         ClientResponse::Stream(response, relay) => {
             response.map(|()| Either::Right(StreamBody::new(relay.into_frames())))
@@ -71,15 +81,33 @@
     Ok(response)
 }
 
-async fn respond<P>(gateway: &Rc<Gateway<P>>, request: Request<Incoming>) -> ClientResponse<P>
+async fn respond<P>(
+    gateway: &Rc<Gateway<P>>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> ClientResponse<P>
 where
     P: Platform,
 {
     let (head, body) = request.into_parts();
-    match admit_request(gateway, head, body).await {
+    match admit_request(gateway, head, body, origin).await {
         Ok(handler) => run_attempts(handler).await,
-        Err(refusal) => ClientResponse::Complete(P::ClientProtocol::encode_refusal(&refusal)),
+        Err(refusal) => ClientResponse::Complete(encode_refusal::<P>(&refusal, origin)),
+    }
+}
+
+// Encodes a refusal; tells another instance if a third one may serve the request.
+fn encode_refusal<P>(refusal: &Refusal, origin: Origin) -> Response<Bytes>
+where
+    P: Platform,
+{
+    let mut response = P::ClientProtocol::encode_refusal(refusal);
+    let is_not_run = refusal.outcome == RunOutcome::NotRun;
+    if origin == Origin::Instance && is_not_run && refusal.kind == RefusalKind::Unavailable {
+        let value = http::HeaderValue::from_static("unavailable");
+        response.headers_mut().insert(NOT_SERVED, value);
     }
+    response
 }
 
 // Decodes and admits a request.
@@ -87,17 +115,25 @@
     gateway: &Rc<Gateway<P>>,
     head: request::Parts,
     body: Incoming,
+    origin: Origin,
 ) -> Result<RequestHandler<P>, Refusal>
 where
     P: Platform,
 {
     let request = P::ClientProtocol::decode_request(&head)?;
-    let admitted = read_and_admit(gateway, &head, body, &request).await;
+    let admitted = read_and_admit(gateway, &head, body, &request, origin).await;
     if let Err(refusal) = &admitted {
         log_refusal(gateway, &request, refusal);
     }
     let (body, admission) = admitted?;
-    Ok(RequestHandler::new(gateway, head, body, request, admission))
+    Ok(RequestHandler::new(
+        gateway,
+        head,
+        body,
+        request,
+        admission,
+        origin == Origin::Instance,
+    ))
 }
 
 async fn read_and_admit<P>(
@@ -105,6 +141,7 @@
     head: &request::Parts,
     body: Incoming,
     request: &RequestHead,
+    origin: Origin,
 ) -> Result<(BufferedBody, Admission), Refusal>
 where
     P: Platform,
@@ -122,7 +159,10 @@
     let body = read_body(head, body, limit, &gateway.body_budget, request.timeout).await?;
     let now = gateway.now();
     let mut dispatcher = gateway.dispatcher.borrow_mut();
-    let admission = dispatcher.admit(now, request)?;
+    let admission = match origin {
+        Origin::Client => dispatcher.admit(now, request)?,
+        Origin::Instance => dispatcher.admit_forwarded(now, request)?,
+    };
     if dispatcher.is_near_limit(now, &admission) {
         gateway.heartbeat_due.notify_one();
     }
@@ -221,7 +261,7 @@
     loop {
         let (server_response, flight) = match handler.first_response(last_event).await {
             Ok(received) => received,
-            Err(refusal) => return refuse(&handler, &refusal),
+            Err(refusal) => return refuse(&mut handler, &refusal),
         };
         let is_stream = handler.admission.route.kind.is_stream();
         // Before HTTP/1.1 the end of a stream can't be marked, so the client gets it whole.
@@ -231,7 +271,7 @@
         }
         match complete_response(&mut handler, server_response, flight).await {
             Ok(response) => return ClientResponse::Complete(response),
-            Err(Some(refusal)) => return refuse(&handler, &refusal),
+            Err(Some(refusal)) => return refuse(&mut handler, &refusal),
             Err(None) => {}
         }
     }
@@ -283,9 +323,17 @@
             handler.end_response(received);
             let failed = head.status.is_server_error();
             flight.record_outcome(failed);
-            handler.record_sound(began);
+            if !handler.is_refused_elsewhere {
+                handler.record_sound(began);
+            }
             handler.record_bytes();
-            let outcome = if failed { "server_failed" } else { "answered" };
+            let outcome = if handler.is_refused_elsewhere {
+                "refused_elsewhere"
+            } else if failed {
+                "server_failed"
+            } else {
+                "answered"
+            };
             handler.log_end(outcome, Some(&flight.server), head.status.as_u16());
             let mut response = Response::new(body);
             *response.status_mut() = head.status;
@@ -319,18 +367,21 @@
 }
 
 // Ends a request with a refusal; refunds its tokens if no server ran it.
-fn refuse<P>(handler: &RequestHandler<P>, refusal: &Refusal) -> ClientResponse<P>
+fn refuse<P>(handler: &mut RequestHandler<P>, refusal: &Refusal) -> ClientResponse<P>
 where
     P: Platform,
 {
     if handler.runs == 0 {
-        let now = handler.gateway.now();
-        let mut dispatcher = handler.gateway.dispatcher.borrow_mut();
-        dispatcher.refund(now, &handler.admission);
+        handler.refund();
     }
     handler.log_end(refusal.kind.code(), None, refusal.kind.status());
     log_refusal(&handler.gateway, &handler.request, refusal);
-    ClientResponse::Complete(P::ClientProtocol::encode_refusal(refusal))
+    let origin = if handler.is_forwarded {
+        Origin::Instance
+    } else {
+        Origin::Client
+    };
+    ClientResponse::Complete(encode_refusal::<P>(refusal, origin))
 }
 
 fn log_refusal<P>(gateway: &Gateway<P>, request: &RequestHead, refusal: &Refusal)
--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -80,6 +80,17 @@
     expires: Instant,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant, reuse: Reuse) -> bool {
+        let is_recent = match reuse {
+            Reuse::Any => true,
+            Reuse::Within(time) => now.saturating_duration_since(self.idle_since) < time,
+            Reuse::Never => false,
+        };
+        is_recent && now < self.expires && self.sender.is_ready()
+    }
+}
+
 /// Pool of idle connections, by address.
 #[derive(Default)]
 pub struct ConnectionPool {
@@ -113,6 +124,22 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         reuse: Reuse,
+    ) -> Result<StreamingResponse, SendError> {
+        self.send_within(address, request, reuse, CONNECT_TIMEOUT)
+            .await
+    }
+
+    /// Sends a request, as [`Self::send`] does, with a time limit for a new connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_within(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        reuse: Reuse,
+        connect_timeout: Duration,
     ) -> Result<StreamingResponse, SendError> {
         let mut request = request;
         while let Some(mut sender) = self.take_idle(address, reuse) {
@@ -126,9 +153,16 @@
                 },
             }
         }
-        let mut sender = self.connect(address).await?;
+        let time_limit = connect_timeout.min(CONNECT_TIMEOUT);
+        let mut sender = self.connect(address, time_limit).await?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.streaming_response(address, sender, response, reuse)),
+            Ok(response) => {
+                let response = self.streaming_response(address, sender, response, reuse);
+                Ok(StreamingResponse {
+                    is_first: true,
+                    ..response
+                })
+            }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let text = error.into_error().to_string();
@@ -158,9 +192,13 @@
         response.collect(limit).await.map_err(SendError::Lost)
     }
 
-    /// Returns whether a server accepts connections; the new connection is kept for later requests.
-    pub async fn is_accepting(self: &Rc<Self>, address: SocketAddr) -> bool {
-        let Ok(sender) = self.connect(address).await else {
+    /// Returns whether a server accepts a connection in time; it is kept for later requests.
+    pub async fn is_accepting(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> bool {
+        let Ok(sender) = self.connect(address, connect_timeout).await else {
             return false;
         };
         tokio::time::sleep(ACCEPT_TIME).await;
@@ -171,6 +209,14 @@
         is_open
     }
 
+    /// Returns whether there is an idle connection to an address that a request may be sent on.
+    pub fn has_idle(&self, address: SocketAddr, reuse: Reuse) -> bool {
+        let now = Instant::now();
+        let connections = self.idle.borrow();
+        let mut idle = connections.get(&address).into_iter().flatten();
+        idle.any(|idle| idle.is_usable(now, reuse))
+    }
+
     /// Closes all idle connections to an address.
     ///
     /// To be called after a timeout on one connection, since its cause may affect the others too.
@@ -195,12 +241,7 @@
         let mut connections = self.idle.borrow_mut();
         let idle_connections = connections.get_mut(&address)?;
         while let Some(idle) = idle_connections.pop() {
-            let recent = match reuse {
-                Reuse::Any => true,
-                Reuse::Within(time) => now.saturating_duration_since(idle.idle_since) < time,
-                Reuse::Never => false,
-            };
-            if recent && now < idle.expires && idle.sender.is_ready() {
+            if idle.is_usable(now, reuse) {
                 return Some(idle.sender);
             }
         }
@@ -220,8 +261,12 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, open_stream(self.source, address))
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        time_limit: Duration,
+    ) -> Result<SendRequest<Full<Bytes>>, SendError> {
+        let stream = tokio::time::timeout(time_limit, open_stream(self.source, address))
             .await
             .map_err(|_| SendError::Unsent("connection timed out".to_owned()))?
             .map_err(unsent)?;
@@ -249,6 +294,7 @@
         let (head, body) = response.into_parts();
         let keep_alive = keep_alive_time(&head.headers).filter(|_| reuse != Reuse::Never);
         StreamingResponse {
+            is_first: false,
             framing: framing(&head.headers, &body),
             head,
             body,
@@ -273,6 +319,8 @@
 pub struct StreamingResponse {
     /// Status and headers.
     pub head: response::Parts,
+    /// Whether it is the first one on its connection, so that the server accepted that just now.
+    pub is_first: bool,
     framing: BodyFraming,
     body: Incoming,
     // Returned to the pool at the end of the body; `None` if the connection must not be reused.
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -141,6 +141,9 @@
     /// Crashes of backend servers; absent if there is nothing to report.
     #[prost(message, optional, tag = "13")]
     pub crashes: Option<CrashKnowledge>,
+    /// Services of which the sender reaches no server.
+    #[prost(string, repeated, tag = "14")]
+    pub unreachable: Vec<String>,
 }
 
 /// Tokens that one organisation spent at all instances in the last window.
--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -18,6 +18,8 @@
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(300);
 /// Error of times that other instances report: ages in milliseconds, and their way.
 const AGE_ERROR: Duration = Duration::from_millis(5);
+/// Shortest time from the end of a process to the first answer of the next one with its id.
+const RESTART_TIME: Duration = Duration::from_secs(1);
 /// Time after the end of a process in which requests may still be sent to it in vain.
 const AFTERMATH_TIME: Duration = Duration::from_secs(30);
 /// Time for which crashes are remembered.
@@ -137,6 +139,8 @@
     blocked: Map<PartId, BlockedPart>,
     // Parts that were quarantined or released since the last call of `take_changes`.
     changes: Vec<QuarantineChange>,
+    // Withdrawn crashes, by process, which other instances may still report.
+    withdrawn: Vec<(ServerId, u64, Instant)>,
 }
 
 impl Quarantine {
@@ -177,6 +181,9 @@
 
     /// Records the end of a server, or more requests that it was beginning to answer.
     pub fn record_crash(&mut self, crash: Crash) {
+        if self.is_withdrawn(&crash) {
+            return;
+        }
         for part in crash_parts(&crash) {
             if let Some(blocked) = self.blocked.get_mut(part) {
                 blocked.crashed_at = blocked.crashed_at.max(crash.at);
@@ -217,6 +224,42 @@
         u32::try_from(late).unwrap_or(u32::MAX)
     }
 
+    /// Withdraws the crash of a process that has answered a request which was sent to it later: an
+    /// instance that was cut off from it took it for ended. Parts that are quarantined only because of
+    /// it are released.
+    pub fn withdraw_crash(&mut self, server: &str, started_ms: u64, sent_at: Instant) {
+        // A request that was sent much later may have been answered by a new process.
+        let is_refuted = |at: Instant| at + AGE_ERROR < sent_at && sent_at < at + RESTART_TIME;
+        let is_same = |crash: &Crash| {
+            *crash.server == *server && crash.started_ms == started_ms && is_refuted(crash.at)
+        };
+        let Some(index) = self.crashes.iter().position(is_same) else {
+            return;
+        };
+        let crash = self.crashes.remove(index);
+        let tallies = self.tally();
+        for part in crash_parts(&crash) {
+            let is_enough = tallies
+                .get(part)
+                .is_some_and(|it| self.is_enough(*part, it));
+            if !is_enough && self.blocked.remove(part).is_some() {
+                self.report_change(*part, false);
+            }
+        }
+        if self.withdrawn.len() >= MAX_REMEMBERED {
+            self.withdrawn.remove(0);
+        }
+        self.withdrawn.push((crash.server, started_ms, sent_at));
+    }
+
+    // Returns whether a process answered a request that was sent after the reported crash.
+    fn is_withdrawn(&self, crash: &Crash) -> bool {
+        let mut withdrawn = self.withdrawn.iter();
+        withdrawn.any(|(server, started_ms, sent_at)| {
+            *server == crash.server && *started_ms == crash.started_ms && crash.at < *sent_at
+        })
+    }
+
     /// Returns whether a request was sent to a process after its end, so that it can't have caused it.
     pub fn is_aftermath(&self, server: &str, started_ms: u64, sent_at: Instant) -> bool {
         self.crashes.iter().any(|crash| {
