--- a/crates/apricotwell_local/src/fleet.rs
+++ b/crates/apricotwell_local/src/fleet.rs
@@ -468,6 +468,7 @@
         let service = ServiceArgs {
             listen: self.service.clone(),
             call_ms: 5,
+            crash_on: None,
         };
         spawn_standin(move || run_service(service));
         let addresses = self.engines.iter().chain([&self.platform, &self.service]);
--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -192,7 +192,7 @@
         let known = self
             .crashes
             .iter_mut()
-            .find(|known| known.server == crash.server && known.started_ms == crash.started_ms);
+            .find(|known| is_same_end(known, &crash));
         match known {
             Some(known) => add_requests(known, crash.requests),
             None => self.insert_crash(crash),
@@ -546,6 +546,14 @@
     }
 }
 
+// Returns whether two instances report one end. They may know the start of the process from different
+// entries of the server list, but a server does not end twice within so short a time.
+fn is_same_end(one: &Crash, other: &Crash) -> bool {
+    let earlier = one.at.min(other.at);
+    let pause = one.at.max(other.at).saturating_duration_since(earlier);
+    one.server == other.server && (one.started_ms == other.started_ms || pause < RESTART_TIME)
+}
+
 fn crash_parts(crash: &Crash) -> impl Iterator<Item = &PartId> {
     crash.requests.iter().flat_map(|request| &request.parts)
 }
--- a/crates/apricotwell_quarantine/tests/quarantine.rs
+++ b/crates/apricotwell_quarantine/tests/quarantine.rs
@@ -305,6 +305,25 @@
     assert_eq!(fixture.blocked(), [BAD]);
 }
 
+#[test]
+fn one_end_that_instances_know_under_different_starts_counts_once() {
+    let mut fixture = Fixture::new();
+    for end in 0..3 {
+        for started_ms in [end, end + 10] {
+            let at = fixture.at(end * 2000 + started_ms);
+            let part = if started_ms == end { BAD } else { SOUND };
+            fixture.quarantine.record_crash(Crash {
+                server: "server".into(),
+                started_ms,
+                at,
+                requests: vec![sent(at, &[GENERAL, part, 100 + started_ms])],
+            });
+        }
+        fixture.sound(end * 2000 + 500, &[GENERAL, SOUND, 1]);
+    }
+    assert_eq!(fixture.blocked(), [BAD]);
+}
+
 #[test]
 fn requests_that_were_sent_after_the_end_did_not_cause_it() {
     let mut fixture = Fixture::new();
--- a/crates/apricotwell_standins/src/service.rs
+++ b/crates/apricotwell_standins/src/service.rs
@@ -25,6 +25,9 @@
     /// duration of a request, in milliseconds
     #[argh(option, default = "5")]
     pub call_ms: u64,
+    /// text in a path or body that crashes the service
+    #[argh(option)]
+    pub crash_on: Option<String>,
 }
 
 /// Counts of the requests that a service ran, for tests.
@@ -52,6 +55,7 @@
 struct Service {
     audit: Arc<Mutex<ServiceAudit>>,
     faults: Arc<Mutex<ServiceFaults>>,
+    crash_on: Option<String>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -66,6 +70,7 @@
 pub async fn run_service(args: ServiceArgs) -> io::Result<()> {
     let service = Service {
         audit: Arc::default(),
+        crash_on: args.crash_on,
         faults: Arc::new(Mutex::new(ServiceFaults {
             lose_replies: Some(0),
             call_ms: Some(args.call_ms),
@@ -103,6 +108,10 @@
 
 async fn run(service: Data<Service>, request: HttpRequest, body: Bytes) -> HttpResponse {
     let text = String::from_utf8_lossy(&body).into_owned();
+    let crashes = |part: &String| text.contains(part.as_str()) || request.path().contains(part);
+    if service.crash_on.as_ref().is_some_and(crashes) {
+        std::process::abort();
+    }
     let runs = {
         let mut audit = lock(&service.audit);
         let secret_headers = [
