--- a/crates/apricotwell_fakes/src/simulation.rs
+++ b/crates/apricotwell_fakes/src/simulation.rs
@@ -219,6 +219,8 @@
     // Events that arrived while the process was paused.
     deferred: Vec<ProcessEvent>,
     log_partitioned: bool,
+    // Whether it reaches no engine.
+    engines_partitioned: bool,
     // Call numbers of the open requests.
     calls: BTreeMap<RequestId, u64>,
 }
--- a/crates/apricotwell_fakes/src/simulation/events.rs
+++ b/crates/apricotwell_fakes/src/simulation/events.rs
@@ -215,7 +215,8 @@
                 self.schedule_after(Duration::ZERO, name, event);
             }
             Action::Poll { server, .. } => {
-                let report = self.report(&server);
+                let is_cut = self.hosts[name].engines_partitioned;
+                let report = self.report(&server).filter(|_| !is_cut);
                 self.schedule_after(delay * 2, name, ProcessEvent::Report(server, report));
             }
             Action::Dispatch(dispatch) => self.dispatch(name, &dispatch),
@@ -289,10 +290,11 @@
         let load_time = self.options.load_time;
         let delay = self.network_delay();
         let decided = self.is_decided(order.replica);
+        let is_cut = self.hosts[name].engines_partitioned;
         let Some(engine) = self
             .engines
             .get_mut(&*server)
-            .filter(|engine| engine.is_reachable())
+            .filter(|engine| engine.is_reachable() && !is_cut)
         else {
             self.reply(name, generation, delay, ticket, OrderOutcome::Failed);
             return;
@@ -373,7 +375,11 @@
             return;
         };
         let call = self.calls[&number].clone();
-        let outcome = self.run_call(number, &call, dispatch);
+        let outcome = if self.hosts[name].engines_partitioned {
+            AttemptOutcome::NotRun { unreachable: true }
+        } else {
+            self.run_call(number, &call, dispatch)
+        };
         let engine = self.engines.get(&*dispatch.server);
         let rate = engine.and_then(|engine| engine.limit);
         if rate.is_some() || dispatch.is_limited {
--- a/crates/apricotwell_fakes/src/simulation/faults.rs
+++ b/crates/apricotwell_fakes/src/simulation/faults.rs
@@ -28,6 +28,7 @@
             paused: false,
             deferred: Vec::new(),
             log_partitioned: false,
+            engines_partitioned: false,
             calls: BTreeMap::new(),
         };
         self.hosts.insert(name.to_owned(), host);
@@ -98,6 +99,13 @@
         }
     }
 
+    /// Partitions an instance from all engines, or ends the partition.
+    pub fn set_engine_partition(&mut self, name: &str, partitioned: bool) {
+        if let Some(host) = self.hosts.get_mut(name) {
+            host.engines_partitioned = partitioned;
+        }
+    }
+
     /// Makes an instance drain and leave the fleet.
     pub fn drain(&mut self, name: &str) {
         let now = self.now;
