Keep reports of quarantined parts from putting off their trials

Ages are reported in whole milliseconds and are under way for a while, so the time of the last crash crept forward with each report that went back and forth, and trials with it. Found by reading. Reports that are later by no more than that error are ignored. The test fails without it: no trial after 63 s of reports each 12 ms.

--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -85,11 +85,10 @@
     // Returns when the next trial is due, `None` if there is none.
     fn trial_at(&self) -> Option<Instant> {
         let pause = TRIAL_PAUSES.get(usize::try_from(self.trials).ok()?)?;
-        Some(
-            self.crashed_at
-                .max(self.tried_at.unwrap_or(self.crashed_at))
-                + *pause,
-        )
+        let last = self
+            .tried_at
+            .map_or(self.crashed_at, |at| at.max(self.crashed_at));
+        Some(last + *pause)
     }
 }
 
@@ -295,10 +294,16 @@
             return;
         }
         let known = self.blocked.entry(part.part).or_insert(part);
-        known.crashed_at = known.crashed_at.max(part.crashed_at);
+        // Reported ages are a little short, so times would creep forward from report to report.
+        if part.crashed_at > known.crashed_at + AGE_ERROR {
+            known.crashed_at = part.crashed_at;
+        }
         known.trials = known.trials.max(part.trials);
         known.counted = known.counted.max(part.counted);
-        known.tried_at = known.tried_at.max(part.tried_at);
+        let is_later = |tried: Instant| known.tried_at.is_none_or(|at| tried > at + AGE_ERROR);
+        if part.tried_at.is_some_and(is_later) {
+            known.tried_at = part.tried_at;
+        }
         if is_new {
             self.report_change(part.part, true);
         }
--- a/crates/apricotwell_quarantine/tests/quarantine.rs
+++ b/crates/apricotwell_quarantine/tests/quarantine.rs
@@ -452,3 +452,32 @@
         assert!(!fixture.quarantine.take_trial(now + SECOND * 60, BAD));
     }
 }
+
+#[test]
+fn reports_that_go_back_and_forth_do_not_put_off_a_trial() {
+    let start = Instant::now();
+    let mut instances = [SharedQuarantine::default(), SharedQuarantine::default()];
+    for number in 0..3 {
+        let at = start + SECOND * number;
+        let requests = vec![sent(at, &[GENERAL, BAD, 100 + u64::from(number)])];
+        instances[0].record_own(Crash {
+            server: format!("server-{number}").into(),
+            started_ms: 1,
+            at,
+            requests,
+        });
+    }
+    // Each report is under way for a while, and states ages in whole milliseconds.
+    let transit = Duration::from_micros(1500);
+    let mut now = start + SECOND * 3;
+    while now < start + SECOND * 62 {
+        for (from, to) in [(0, 1), (1, 0)] {
+            let blocked = instances[from].blocked_parts(now);
+            instances[to].adopt(now + transit, &blocked);
+        }
+        now += Duration::from_millis(12);
+    }
+    for instance in &mut instances {
+        assert!(instance.quarantine.take_trial(start + SECOND * 63, BAD));
+    }
+}
