--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -1,5 +1,6 @@
 //! Handling of one admitted request: server selection, attempts and retries.
 
+mod attempt;
 mod crashes;
 mod detours;
 mod limits;
@@ -14,6 +15,7 @@
 use apricotwell_types::{Refusal, RefusalKind, RunOutcome, ServerId};
 use http::request;
 
+pub use self::attempt::{AttemptOutcome, Destination};
 pub use self::crashes::BEGINNING_TIME;
 pub use self::detours::NOT_SERVED;
 use crate::adapter::{Attempt, ClientProtocol, Platform};
@@ -21,7 +23,7 @@
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard, PermitGuard, WaitGuard};
 use crate::reach;
-use crate::requests::BufferedBody;
+use crate::requests::{BufferedBody, Origin};
 use crate::trace::{ReceivedBody, ResponseTrace};
 
 /// Maximum idle time of a connection that is reused for a request that must not run twice.
@@ -68,8 +70,8 @@
     parts: OnceCell<Vec<PartId>>,
     // Number of servers that were lost as they began to answer.
     losses: u32,
-    /// Whether another instance passed the request on to this one.
-    pub is_forwarded: bool,
+    /// Where the request comes from.
+    pub origin: Origin,
     // Number of instances that the request was passed on to.
     detours: Cell<u32>,
     /// Whether the response is another instance's refusal.
@@ -80,47 +82,6 @@
     _active: ActiveGuard<P>,
 }
 
-/// Where an attempt is sent.
-#[derive(Clone, Debug)]
-pub struct Destination {
-    /// Server, or the instance that the request is passed on to.
-    pub id: ServerId,
-    /// Address.
-    pub address: std::net::SocketAddr,
-    /// Whether it is an instance.
-    pub is_instance: bool,
-}
-
-/// Outcome of one attempt.
-pub enum AttemptOutcome<P>
-where
-    P: Platform,
-{
-    /// The server responded to this attempt.
-    Response(Box<StreamingResponse>, FlightGuard<P>),
-    /// Nothing of the attempt was sent; holds the reason.
-    Unsent(String),
-    /// The server did not run the attempt; holds the reason.
-    NotRun(String),
-    /// The server may have run the attempt, but there is no valid response; holds the reason.
-    Lost(String),
-}
-
-impl<P> AttemptOutcome<P>
-where
-    P: Platform,
-{
-    /// Returns the name of the outcome in metrics.
-    fn name(&self) -> &'static str {
-        match self {
-            Self::Response(..) => "response",
-            Self::Unsent(_) => "unsent",
-            Self::NotRun(_) => "not_run",
-            Self::Lost(_) => "lost",
-        }
-    }
-}
-
 impl<P> RequestHandler<P>
 where
     P: Platform,
@@ -132,7 +93,7 @@
         body: BufferedBody,
         request: RequestHead,
         admission: Admission,
-        is_forwarded: bool,
+        origin: Origin,
     ) -> Self {
         Self {
             gateway: Rc::clone(gateway),
@@ -147,7 +108,7 @@
             sent_at: gateway.now(),
             parts: OnceCell::new(),
             losses: 0,
-            is_forwarded,
+            origin,
             detours: Cell::new(0),
             is_refused_elsewhere: false,
             trace: ResponseTrace::default(),
--- a/crates/apricotwell_gateway/src/handler/detours.rs
+++ b/crates/apricotwell_gateway/src/handler/detours.rs
@@ -15,6 +15,7 @@
 use crate::adapter::{ClientProtocol, Platform, ResponseHead};
 use crate::events::Event;
 use crate::guard::FlightGuard;
+use crate::requests::Origin;
 
 /// Header with which an instance tells another one that it can't serve a request that was passed on.
 pub const NOT_SERVED: HeaderName = HeaderName::from_static("apricotwell-not-served");
@@ -50,7 +51,7 @@
         {
             return Ok(None);
         }
-        let may_pass_on = !self.is_forwarded && self.detours.get() < MAX_DETOURS;
+        let may_pass_on = self.origin == Origin::Client && self.detours.get() < MAX_DETOURS;
         let service = &self.admission.service;
         let attempt = &self.request.attempt;
         let instance = may_pass_on
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -127,12 +127,7 @@
     }
     let (body, admission) = admitted?;
     Ok(RequestHandler::new(
-        gateway,
-        head,
-        body,
-        request,
-        admission,
-        origin == Origin::Instance,
+        gateway, head, body, request, admission, origin,
     ))
 }
 
@@ -376,12 +371,7 @@
     }
     handler.log_end(refusal.kind.code(), None, refusal.kind.status());
     log_refusal(&handler.gateway, &handler.request, refusal);
-    let origin = if handler.is_forwarded {
-        Origin::Instance
-    } else {
-        Origin::Client
-    };
-    ClientResponse::Complete(encode_refusal::<P>(refusal, origin))
+    ClientResponse::Complete(encode_refusal::<P>(refusal, handler.origin))
 }
 
 fn log_refusal<P>(gateway: &Gateway<P>, request: &RequestHead, refusal: &Refusal)
