--- a/crates/apricotwell_dispatch/tests/fleet/simulation.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -295,6 +295,7 @@
             requests: vec![CrashedRequest {
                 parts: parts.to_vec(),
                 sent_at: now,
+                is_retry: false,
             }],
         });
         member.heartbeat_due = member.heartbeat_due.min(now + pause);
--- a/crates/apricotwell_fakes/src/simulation/events.rs
+++ b/crates/apricotwell_fakes/src/simulation/events.rs
@@ -215,7 +215,7 @@
                 self.schedule_after(Duration::ZERO, name, event);
             }
             Action::Poll { server, .. } => {
-                let is_cut = self.hosts[name].engines_partitioned;
+                let is_cut = self.reaches_no_engine(name);
                 let report = self.report(&server).filter(|_| !is_cut);
                 self.schedule_after(delay * 2, name, ProcessEvent::Report(server, report));
             }
@@ -290,7 +290,7 @@
         let load_time = self.options.load_time;
         let delay = self.network_delay();
         let decided = self.is_decided(order.replica);
-        let is_cut = self.hosts[name].engines_partitioned;
+        let is_cut = self.reaches_no_engine(name);
         let Some(engine) = self
             .engines
             .get_mut(&*server)
@@ -343,6 +343,11 @@
         self.schedule(self.now + delay, event);
     }
 
+    fn reaches_no_engine(&self, name: &str) -> bool {
+        let host = self.hosts.get(name);
+        host.is_some_and(|host| host.engines_partitioned)
+    }
+
     fn is_decided(&self, replica: u64) -> bool {
         let batch = self.log.streams.read(CONTROL_STREAM, replica);
         let record = batch
@@ -375,7 +380,7 @@
             return;
         };
         let call = self.calls[&number].clone();
-        let outcome = if self.hosts[name].engines_partitioned {
+        let outcome = if self.reaches_no_engine(name) {
             AttemptOutcome::NotRun { unreachable: true }
         } else {
             self.run_call(number, &call, dispatch)
--- a/crates/apricotwell_gateway/src/crash_checks.rs
+++ b/crates/apricotwell_gateway/src/crash_checks.rs
@@ -53,7 +53,7 @@
 }
 
 /// Checks a server that broke off a response to a request that it was beginning to answer.
-pub fn begin<P>(gateway: &Rc<Gateway<P>>, server: &ServerId, sent_at: Instant, parts: Vec<PartId>)
+pub fn begin<P>(gateway: &Rc<Gateway<P>>, server: &ServerId, request: CrashedRequest)
 where
     P: Platform,
 {
@@ -68,20 +68,20 @@
         at: gateway.now(),
     };
     let quarantine = &dispatcher.crashes.quarantine;
-    if quarantine.is_aftermath(server, checked.started_ms, sent_at) {
+    if quarantine.is_aftermath(server, checked.started_ms, request.sent_at) {
         return;
     }
     let mut servers = gateway.crash_checks.servers.borrow_mut();
     if let Some(check) = servers.get_mut(server) {
         // A request that was sent after the first break can't have caused it.
-        if sent_at < check.at && check.requests.len() < MAX_REQUESTS {
-            check.requests.push(CrashedRequest { parts, sent_at });
+        if request.sent_at < check.at && check.requests.len() < MAX_REQUESTS {
+            check.requests.push(request);
         }
         return;
     }
     let check = PendingCheck {
         at: checked.at,
-        requests: vec![CrashedRequest { parts, sent_at }],
+        requests: vec![request],
     };
     servers.insert(server.clone(), check);
     let gateway = Rc::clone(gateway);
--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use apricotwell_quarantine::prelude::{NextAttempt, PartId};
+use apricotwell_quarantine::prelude::{CrashedRequest, NextAttempt, PartId};
 use apricotwell_types::{BodyDigest, Refusal, ServerId};
 
 use super::RequestHandler;
@@ -27,9 +27,13 @@
         let is_beginning = is_server
             && began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
         if is_beginning {
+            let request = CrashedRequest {
+                parts: self.parts().to_vec(),
+                sent_at: self.sent_at,
+                is_retry: self.losses > 0,
+            };
             self.losses += 1;
-            let parts = self.parts().to_vec();
-            crash_checks::begin(&self.gateway, server, self.sent_at, parts);
+            crash_checks::begin(&self.gateway, server, request);
         }
     }
 
--- a/crates/apricotwell_messages/src/crashes.rs
+++ b/crates/apricotwell_messages/src/crashes.rs
@@ -12,6 +12,9 @@
     /// Milliseconds from its sending to the end of the server.
     #[prost(uint32, tag = "2")]
     pub sent_ms: u32,
+    /// Whether its instance sent it again after another server had ended.
+    #[prost(bool, tag = "3")]
+    pub is_retry: bool,
 }
 
 /// End of a server.
--- a/crates/apricotwell_node/src/node/crashes.rs
+++ b/crates/apricotwell_node/src/node/crashes.rs
@@ -26,6 +26,7 @@
             CrashedRequest {
                 parts: parts.collect(),
                 sent_at: suspect.sent_at,
+                is_retry: suspect.is_retry,
             }
         });
         let record = self.state.ledger().server(server);
--- a/crates/apricotwell_node/src/node/failures.rs
+++ b/crates/apricotwell_node/src/node/failures.rs
@@ -30,6 +30,7 @@
             body: request.submission.body_digest,
             parts: request.submission.parts.clone(),
             sent_at: request.dispatched.unwrap_or(now),
+            is_retry: request.attempts > 1,
         };
         let class = request.submission.class;
         let attempts = request.attempts;
--- a/crates/apricotwell_node/src/server_registry.rs
+++ b/crates/apricotwell_node/src/server_registry.rs
@@ -74,6 +74,8 @@
     pub(crate) parts: Vec<PartId>,
     /// When it was sent to the server.
     pub(crate) sent_at: Instant,
+    /// Whether it had been sent to another one before.
+    pub(crate) is_retry: bool,
 }
 
 /// Backend servers as seen by this instance.
--- a/crates/apricotwell_quarantine/src/exchange.rs
+++ b/crates/apricotwell_quarantine/src/exchange.rs
@@ -78,6 +78,7 @@
                 let requests = report.requests.iter().map(|request| CrashedRequest {
                     parts: request.ids.clone(),
                     sent_at: time_of(at, request.sent_ms).unwrap_or(at),
+                    is_retry: request.is_retry,
                 });
                 self.quarantine.record_crash(Crash {
                     server: report.server.as_str().into(),
@@ -135,6 +136,7 @@
     let requests = crash.requests.iter().map(|request| RequestParts {
         ids: request.parts.clone(),
         sent_ms: age_ms(crash.at, request.sent_at),
+        is_retry: request.is_retry,
     });
     CrashReport {
         server: crash.server.to_string(),
--- a/crates/apricotwell_quarantine/src/lib.rs
+++ b/crates/apricotwell_quarantine/src/lib.rs
@@ -28,6 +28,7 @@
 //!     let request = CrashedRequest {
 //!         parts: vec![1, 7, 100 + second],
 //!         sent_at: at,
+//!         is_retry: false,
 //!     };
 //!     let crash = Crash {
 //!         server: format!("server-{second}").into(),
--- a/crates/apricotwell_quarantine/src/quarantine.rs
+++ b/crates/apricotwell_quarantine/src/quarantine.rs
@@ -64,6 +64,8 @@
     pub parts: Vec<PartId>,
     /// When it was sent to the server.
     pub sent_at: Instant,
+    /// Whether its instance sent it again, since another server had ended as it began to answer it.
+    pub is_retry: bool,
 }
 
 /// Quarantined part.
@@ -495,6 +497,10 @@
                 let earlier = earlier.map_or(&[][..], Vec::as_slice);
                 for (position, part) in request.parts.iter().enumerate() {
                     let sound = self.sound.get(part);
+                    // Clients repeat sound requests at any time, also between the ends of servers that
+                    // fail together.
+                    let is_chained = sound.is_none() || request.is_retry;
+                    let earlier = if is_chained { earlier } else { &[] };
                     if sound.is_none_or(|sound| crash.at >= *sound) {
                         let tally = tallies.entry(*part).or_default();
                         tally.count(crash, request, position, earlier);
--- a/crates/apricotwell_quarantine/tests/exhaustion.rs
+++ b/crates/apricotwell_quarantine/tests/exhaustion.rs
@@ -164,6 +164,7 @@
             requests: vec![CrashedRequest {
                 parts: sent.parts.clone(),
                 sent_at: self.time(sent.at),
+                is_retry: sent.is_retry,
             }],
         };
         self.instances[sent.instance].record_own(crash);
--- a/crates/apricotwell_quarantine/tests/quarantine.rs
+++ b/crates/apricotwell_quarantine/tests/quarantine.rs
@@ -17,6 +17,7 @@
     CrashedRequest {
         parts: parts.to_vec(),
         sent_at: at,
+        is_retry: false,
     }
 }
 
