Don't repeat what another instance has given up; blame no server that closes a connection at once

It goes on only if the instance that it came by has ended. A server that closes a connection within 3 ms has not begun to run the request.

--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -1,5 +1,6 @@
 //! What a request and its responses tell of parts that crash servers.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use apricotwell_quarantine::prelude::{CrashedRequest, NextAttempt, PartId};
@@ -8,7 +9,11 @@
 use super::RequestHandler;
 use crate::adapter::Platform;
 use crate::crash_checks;
+use crate::reach::PROBE_TIMEOUT;
 
+/// Time after which a server that closes the connection may have begun to run the request. One that
+/// closes it sooner did not take the connection, as behind a cut.
+const MIN_RUN_TIME: Duration = Duration::from_millis(3);
 /// Time after the first bytes of a response from which on its server has begun to answer safely.
 pub const BEGINNING_TIME: Duration = Duration::from_secs(1);
 
@@ -24,7 +29,10 @@
             dispatcher.backends.get(server).is_some()
         };
         let now = self.gateway.now();
+        let time = now.saturating_duration_since(self.sent_at);
+        let has_run = time >= MIN_RUN_TIME;
         let is_beginning = is_server
+            && has_run
             && began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
         if is_beginning {
             let request = CrashedRequest {
@@ -42,6 +50,9 @@
     /// Waits until it is known whether the lost server has ended, if that may quarantine the request
     /// or if it is not the first one.
     pub async fn may_go_on(&self, server: &ServerId) -> bool {
+        if let Ok(instance) = server.parse() {
+            return self.has_instance_ended(instance).await;
+        }
         if self.losses == 0 {
             return true;
         }
@@ -51,6 +62,13 @@
         self.next_attempt() != NextAttempt::Never
     }
 
+    // Returns whether an instance that broke off a response has ended. One that lives has used up the
+    // attempts of the request already.
+    async fn has_instance_ended(&self, address: SocketAddr) -> bool {
+        let pool = &self.gateway.pool;
+        !pool.is_accepting(address, PROBE_TIMEOUT).await
+    }
+
     fn next_attempt(&self) -> NextAttempt {
         let dispatcher = self.gateway.dispatcher.borrow();
         let quarantine = &dispatcher.crashes.quarantine;
