--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -9,7 +9,7 @@
 use super::RequestHandler;
 use crate::adapter::Platform;
 use crate::crash_checks;
-use crate::reach::PROBE_TIMEOUT;
+use crate::reach::{self, PROBE_TIMEOUT};
 
 /// Time after which a server that closes the connection may have begun to run the request. One that
 /// closes it sooner did not take the connection, as behind a cut.
@@ -31,6 +31,9 @@
         let now = self.gateway.now();
         let time = now.saturating_duration_since(self.sent_at);
         let has_run = time >= MIN_RUN_TIME;
+        if is_server && !has_run {
+            reach::record_connection(&self.gateway, server, false);
+        }
         let is_beginning = is_server
             && has_run
             && began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
