--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -393,7 +393,7 @@
             Ok(Err(SendError::Lost(reason))) => {
                 self.runs += 1;
                 flight.record_outcome(true);
-                self.check_crash(&flight.server, None);
+                self.check_close(&flight.server);
                 return AttemptOutcome::Lost(reason);
             }
             Err(_) => {
--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -29,13 +29,7 @@
             dispatcher.backends.get(server).is_some()
         };
         let now = self.gateway.now();
-        let time = now.saturating_duration_since(self.sent_at);
-        let has_run = time >= MIN_RUN_TIME;
-        if is_server && !has_run {
-            reach::record_connection(&self.gateway, server, false);
-        }
         let is_beginning = is_server
-            && has_run
             && began.is_none_or(|began| now.saturating_duration_since(began) < BEGINNING_TIME);
         if is_beginning {
             let request = CrashedRequest {
@@ -78,6 +72,16 @@
         quarantine.next_attempt(self.parts())
     }
 
+    /// Checks whether a server that closed its connection without a response has ended.
+    pub(super) fn check_close(&mut self, server: &ServerId) {
+        let time = self.gateway.now().saturating_duration_since(self.sent_at);
+        if time < MIN_RUN_TIME {
+            reach::record_connection(&self.gateway, server, false);
+        } else {
+            self.check_crash(server, None);
+        }
+    }
+
     /// Withdraws the crash of a server that responds, if another instance reported one.
     pub(super) fn withdraw_crash(&self, server: &ServerId) {
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
