Ask an instance whether it responds before a request is passed on to it

Cause: a detour is chosen by heartbeats alone. A suspended instance counts as reachable for four heartbeat intervals (1.6 s of four instances, 9.4 s of 195), and the system accepts connections for it.

--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -44,6 +44,8 @@
     models: Vec<ModelUse>,
     // Services of which it reaches no server.
     unreachable: Vec<String>,
+    // Whether it left a question unanswered since its last heartbeat.
+    is_silent: bool,
 }
 
 /// Address of another instance that clients can connect to.
@@ -87,6 +89,7 @@
             last_heartbeat: now,
             models: heartbeat.models.clone(),
             unreachable: heartbeat.unreachable.clone(),
+            is_silent: false,
         };
         self.peers.insert(heartbeat.instance.as_str().into(), peer);
         true
@@ -162,14 +165,30 @@
             })
     }
 
+    /// Records that an instance left a question unanswered; its next heartbeat ends that.
+    pub fn mark_silent(&mut self, instance: &str) {
+        if let Some(peer) = self.peers.get_mut(instance) {
+            peer.is_silent = true;
+        }
+    }
+
     /// Returns the reachable and ready instances that may reach servers of a service, with their zones.
+    ///
+    /// Those that left a question unanswered are named only if there are no others.
     pub fn reaching(&self, now: Instant, service: &str) -> Vec<(&InstanceId, &ZoneId)> {
         let reaching = self.peers.iter().filter(|(_, peer)| {
             peer.ready
                 && self.is_alive(now, peer)
                 && peer.unreachable.iter().all(|it| it != service)
         });
-        reaching.map(|(id, peer)| (id, &peer.zone)).collect()
+        let (silent, responding): (Vec<_>, Vec<_>) = reaching.partition(|(_, peer)| peer.is_silent);
+        let named = if responding.is_empty() {
+            silent
+        } else {
+            responding
+        };
+        let named = named.into_iter();
+        named.map(|(id, peer)| (id, &peer.zone)).collect()
     }
 
     /// Returns the reachable instances by zone, sorted within each zone.
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -56,6 +56,7 @@
 {
     let listeners = gateway.listeners.clone();
     let socket = Rc::new(UdpSocket::bind(&listeners.peers).await?);
+    let socket = Rc::clone(gateway.peer_socket.get_or_init(|| socket));
     let clients = listen(&listeners.clients)?;
     let instances = listen(&listeners.peers)?;
     let readiness = listen(&listeners.readiness)?;
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -1,11 +1,12 @@
 //! State shared by all tasks of an instance.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_http::pool::ConnectionPool;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::adapter::Platform;
@@ -14,6 +15,7 @@
 use crate::crash_checks::CrashChecks;
 use crate::feed_queries::FeedQueries;
 use crate::metrics::Metrics;
+use crate::pending::PendingQuestions;
 
 /// Limit on open client connections. The process has about 4000 file descriptors; the remaining
 /// ones are for connections to servers.
@@ -93,6 +95,10 @@
     pub crash_checks: CrashChecks,
     /// Pending feed queries to other instances.
     pub feed_queries: FeedQueries,
+    /// Questions to other instances whether they respond.
+    pub liveness: PendingQuestions<()>,
+    /// Socket for datagrams to other instances; set once the instance listens.
+    pub peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Budget of client connections.
     pub connection_budget: Budget,
     /// Budget of request body bytes.
@@ -119,6 +125,7 @@
         engines: P::EngineClient,
     ) -> Rc<Self> {
         let feed_queries = FeedQueries::new(config.incarnation);
+        let liveness = PendingQuestions::new(config.incarnation);
         Rc::new(Self {
             dispatcher: RefCell::new(Dispatcher::new(config)),
             clock: BootClock::new(),
@@ -138,6 +145,8 @@
             shutdown: Notify::new(),
             crash_checks: CrashChecks::default(),
             feed_queries,
+            liveness,
+            peer_socket: OnceCell::new(),
             connection_budget: Budget::new(MAX_CONNECTIONS),
             body_budget: Budget::new(MAX_BODY_BYTES),
             response_budget: Budget::new(MAX_RESPONSE_BYTES),
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -275,7 +275,7 @@
                 let dispatcher = self.gateway.dispatcher.borrow();
                 dispatcher.select_server(now, &self.admission, &self.request, &self.excluded)
             };
-            if let Some(instance) = self.find_detour(now, &choice)? {
+            if let Some(instance) = self.find_detour(now, &choice).await? {
                 return Ok(instance);
             }
             match choice {
--- a/crates/apricotwell_gateway/src/heartbeats.rs
+++ b/crates/apricotwell_gateway/src/heartbeats.rs
@@ -1,11 +1,12 @@
 //! Exchange of datagrams with the other instances: heartbeats, inventory updates and feed queries.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use apricotwell_dispatch::peers::heartbeat_interval;
 use apricotwell_dispatch::prelude::*;
-use apricotwell_messages::{Datagram, Heartbeat, InventoryUpdate};
+use apricotwell_messages::{Datagram, Heartbeat, InventoryUpdate, Liveness};
 use apricotwell_types::InstanceId;
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -245,6 +246,12 @@
         if let Some(response) = datagram.response {
             gateway.feed_queries.deliver(response);
         }
+        if let Some(query) = datagram.liveness_query {
+            respond(&socket, sender, query).await;
+        }
+        if let Some(response) = datagram.liveness_response {
+            gateway.liveness.deliver(response.number, ());
+        }
         if let Some(request) = datagram.permit_request {
             permits::answer(&gateway, &socket, sender, &request).await;
         }
@@ -254,6 +261,17 @@
     }
 }
 
+// Responds to the question whether this instance does.
+async fn respond(socket: &UdpSocket, sender: SocketAddr, query: Liveness) {
+    let datagram = Datagram {
+        liveness_response: Some(query),
+        ..Datagram::default()
+    };
+    if let Err(error) = socket.send_to(&datagram.encode_to_vec(), sender).await {
+        log::debug!("failed to respond to {sender}: {error}");
+    }
+}
+
 fn apply_heartbeat<P>(gateway: &Gateway<P>, heartbeat: &Heartbeat)
 where
     P: Platform,
--- a/crates/apricotwell_messages/src/feeds.rs
+++ b/crates/apricotwell_messages/src/feeds.rs
@@ -93,6 +93,14 @@
     pub on_disk: Vec<String>,
 }
 
+/// Question whether an instance responds, or the response to it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Liveness {
+    /// Number of the question, which the response repeats.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+}
+
 /// Datagram between instances; exactly one field is set.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
@@ -114,4 +122,10 @@
     /// Response to such a request.
     #[prost(message, optional, tag = "6")]
     pub permit_response: Option<PermitResponse>,
+    /// Question whether the receiver responds.
+    #[prost(message, optional, tag = "7")]
+    pub liveness_query: Option<Liveness>,
+    /// Response to such a question, with its number.
+    #[prost(message, optional, tag = "8")]
+    pub liveness_response: Option<Liveness>,
 }
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -29,7 +29,7 @@
     Ack, Demand, DemandItem, Envelope, LogEvidence, Message, Ping, PingFor, Reclaim, RecordsReply,
     RecordsRequest, RelayedEvidence, SnapshotChunk, SnapshotRequest,
 };
-pub use feeds::{Datagram, FeedQuery, FeedResponse, ServerChange, ServerEntry};
+pub use feeds::{Datagram, FeedQuery, FeedResponse, Liveness, ServerChange, ServerEntry};
 pub use heartbeat::{
     FleetSpending, FleetState, Heartbeat, HeldModel, InventoryUpdate, ModelUse,
     OrganisationSpending, ServerInventory, ServerUse, Spending,
