--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -150,6 +150,7 @@
             planner: PlacementPlanner::default(),
             prompts: PromptCacheTable::default(),
             quotas: QuotaTable::new(config.quota, config.first_start)
+                .with_incarnation(config.incarnation)
                 .with_phase((hash(&[&config.id]) % QUOTA_PHASES) as f64 / QUOTA_PHASES as f64),
             retries: Map::default(),
             draining: false,
@@ -324,8 +325,7 @@
         organisation: &Organisation,
         tokens: Tokens,
     ) -> Result<(), Refusal> {
-        let (reporting, possible) = (self.peers.reporting_count(now), self.peers.possible_count());
-        self.quotas.set_share(reporting, possible);
+        self.quotas.set_share(now, self.peers.reporting_fleet(now));
         self.quotas
             .spend(now, organisation, tokens)
             .map_err(|exceeded| {
@@ -375,6 +375,11 @@
         self.crashes.adopt(now, &state.blocked);
     }
 
+    /// Returns whether spending must be saved in the store.
+    pub fn needs_save(&self) -> bool {
+        self.quotas.needs_save()
+    }
+
     /// Returns whether some organisation is close to its limit.
     pub fn is_any_near_limit(&self) -> bool {
         self.quotas.is_any_near_limit()
--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -6,6 +6,8 @@
 use apricotwell_messages::{Heartbeat, ModelUse};
 use apricotwell_types::{Fence, InstanceId, Map, ZoneId};
 
+use crate::quota::ReportingFleet;
+
 /// Heartbeat interval of a small fleet.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Heartbeat interval per instance of a large fleet.
@@ -229,6 +231,15 @@
             .count()
     }
 
+    /// Returns which instances report their spending.
+    pub fn reporting_fleet(&self, now: Instant) -> ReportingFleet {
+        ReportingFleet {
+            reporting: self.reporting_count(now),
+            possible: self.possible_count(),
+            timeout: self.timeout(REPORTING_TENTHS),
+        }
+    }
+
     /// Returns the number of instances that may be serving requests, including this one.
     pub fn possible_count(&self) -> usize {
         1 + self.heartbeat_targets().len()
@@ -248,8 +259,12 @@
     }
 
     fn is_alive_within(&self, now: Instant, peer: &Peer, tenths: u32) -> bool {
+        now.saturating_duration_since(peer.last_heartbeat) < self.timeout(tenths)
+    }
+
+    // Returns the time of so many tenths of the heartbeat interval.
+    fn timeout(&self, tenths: u32) -> Duration {
         let instances = 1 + self.peers.len() as u32;
-        let timeout = heartbeat_interval(instances) * tenths / 10;
-        now.saturating_duration_since(peer.last_heartbeat) < timeout
+        heartbeat_interval(instances) * tenths / 10
     }
 }
--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -19,9 +19,17 @@
 use apricotwell_messages::{FleetSpending, OrganisationSpending};
 use apricotwell_types::{InstanceId, Map, OrgId, Tokens};
 
-use self::window::{BUCKETS, RefusedRequest, Window};
+use self::window::{BUCKETS, Bucket, RefusedRequest, Report, Window};
 use crate::catalog::Organisation;
 
+/// Difference of start times, in ms, up to which two instances may have heard of no third one that knows
+/// the spending of the first.
+const START_SPREAD_MS: u64 = 3000;
+/// Share of the allowed excess that may be spent before it is saved in the store.
+const UNSAVED_SHARE: f64 = 0.25;
+/// Spending that a fleet whose instances have all restarted assumes to have happened after the last save,
+/// as time at the organisation's rate.
+const UNSAVED_TIME: Duration = Duration::from_millis(1500);
 /// Share of the allowed excess by which one instance's window may be overdrawn.
 const OVERDRAFT_SHARE: f64 = 0.3;
 /// Number of instances up to which the full overdraft is allowed; a larger fleet needs more of the
@@ -29,6 +37,12 @@
 const OVERDRAFT_INSTANCES: f64 = 12.0;
 /// Share of the allowed excess that covers spending which other instances have not reported yet.
 const UNREPORTED_SHARE: f64 = 0.2;
+/// Share of the allowed excess which all instances of a small fleet together may spend, besides what is
+/// left of the limit, while some are not heard that still count as reporting. In a large fleet the part
+/// of one instance is less than a request, and so is what it can spend unheard.
+const UNHEARD_SHARE: f64 = 0.5;
+/// Delay after which clients retry that are refused until the other instances are heard.
+const UNHEARD_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after the first request in which an instance may not have received all heartbeats yet.
 const WARMUP_TIME: Duration = Duration::from_secs(3);
 /// Shortest delay after which refused clients retry during the warm-up; the longest is twice as long.
@@ -50,6 +64,17 @@
     pub slack: f64,
 }
 
+/// Instances that report their spending.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportingFleet {
+    /// Instances that do, including this one.
+    pub reporting: usize,
+    /// Instances that may be serving requests, including this one.
+    pub possible: usize,
+    /// Time without a heartbeat after which an instance no longer counts as reporting.
+    pub timeout: Duration,
+}
+
 /// Error for tokens that can't be spent within the rate limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaExceeded {
@@ -65,6 +90,8 @@
 #[derive(Debug)]
 pub struct QuotaTable {
     bounds: QuotaBounds,
+    // Start of this instance, in milliseconds.
+    incarnation: u64,
     // Whether the fleet's earlier spending is known: none at its first start, or restored from the
     // store. Otherwise the whole limit is assumed to be spent.
     history_known: bool,
@@ -73,8 +100,14 @@
     share: f64,
     // Instances that report their spending, including this one.
     reporting: usize,
+    // Time without a heartbeat after which an instance no longer counts as reporting.
+    timeout: Duration,
     // Time of the first request.
     first_request: Option<Instant>,
+    // When the fleet's earlier spending was restored from the store.
+    restored_at: Option<Instant>,
+    // Until when spending after the last save is assumed; an instance that did not restart ends that.
+    assumes_until: Option<Instant>,
     // Offset from 0 to 1 by which this instance staggers retries against the other instances.
     phase: f64,
 }
@@ -87,15 +120,28 @@
     pub fn new(bounds: QuotaBounds, first_start: bool) -> Self {
         Self {
             bounds,
+            incarnation: u64::MAX,
             history_known: first_start,
             windows: Map::default(),
             share: 1.0,
             reporting: 1,
+            timeout: Duration::ZERO,
             first_request: None,
+            restored_at: None,
+            assumes_until: None,
             phase: 0.5,
         }
     }
 
+    /// Sets the incarnation of this instance, its start in milliseconds, by which it tells which
+    /// instances started with it.
+    pub fn with_incarnation(self, incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            ..self
+        }
+    }
+
     /// Sets the offset, from 0 to 1, by which this instance staggers retries.
     ///
     /// Any value works that differs from those of most other instances.
@@ -103,24 +149,23 @@
         Self { phase, ..self }
     }
 
-    /// Sets how many of the fleet's `possible` instances report their spending, including this one.
+    /// Sets how many instances report their spending.
     ///
-    /// Known spending is attributed to all reporting instances alike, so it is scaled with the share:
-    /// it shrinks when instances stop reporting and grows when they report again.
-    pub fn set_share(&mut self, reporting: usize, possible: usize) {
-        self.reporting = reporting.max(1);
-        let share = reporting as f64 / possible.max(reporting).max(1) as f64;
-        if share == self.share {
-            return;
-        }
-        let scale = share / self.share;
-        for window in self.windows.values_mut() {
-            window
-                .buckets
-                .iter_mut()
-                .for_each(|bucket| *bucket *= scale);
+    /// When some stop, what is left of the limit is split: spending that they know of is charged to the
+    /// share of those that still report, later spending in full.
+    pub fn set_share(&mut self, now: Instant, fleet: ReportingFleet) {
+        self.reporting = fleet.reporting.max(1);
+        let possible = fleet.possible.max(self.reporting);
+        let share = self.reporting as f64 / possible as f64;
+        let bucket_len = self.bucket_len();
+        if share < self.share {
+            for window in self.windows.values_mut() {
+                window.advance(now, bucket_len);
+                window.lower_share(now, bucket_len, self.share, fleet.timeout);
+            }
         }
         self.share = share;
+        self.timeout = fleet.timeout;
     }
 
     /// Spends tokens of an organisation.
@@ -140,12 +185,17 @@
         let (share, bucket_len) = (self.share, self.bucket_len());
         let overdraft = self.overdraft(organisation) * share;
         let tolerated = self.excess(organisation) * UNREPORTED_SHARE;
+        let assumes = self.assumes(now);
         let (reporting, phase) = (self.reporting as f64, self.phase);
+        let is_small = reporting <= OVERDRAFT_INSTANCES;
+        let unheard_tolerance = self.excess(organisation) * UNHEARD_SHARE / reporting;
+        let timeout = self.timeout;
         let is_warming_up = self.is_warming_up(now);
         let window = self.window(now, organisation);
         let cost = tokens as f64;
         let others = window.unreported_by_peers(now, bucket_len, cost, reporting);
-        let level = window.level(share);
+        let assumed = if assumes { window.assumed } else { 0.0 };
+        let level = window.level(share) - assumed * share;
         let missing = cost - level - overdraft + (others - tolerated).max(0.0);
         if missing > 0.0 && is_warming_up {
             // The share grows with each instance from which a heartbeat arrives.
@@ -158,7 +208,12 @@
         }
         if missing > 0.0 {
             let rate = window.limit * share / (bucket_len * BUCKETS).as_secs_f64() / reporting;
-            let request = RefusedRequest { cost, rate, phase };
+            let request = RefusedRequest {
+                cost,
+                share,
+                rate,
+                phase,
+            };
             let retry_after = window.schedule_retry(now, bucket_len, missing, request);
             return Err(QuotaExceeded {
                 level,
@@ -166,6 +221,15 @@
                 retry_after,
             });
         }
+        let unheard = window.spent_unheard(now, timeout);
+        let part = (level + unheard).max(0.0) / reporting + unheard_tolerance;
+        if is_small && unheard > 0.0 && unheard + cost > part {
+            return Err(QuotaExceeded {
+                level,
+                share,
+                retry_after: UNHEARD_RETRY_AFTER,
+            });
+        }
         window.add(cost);
         window.spent += tokens;
         window.unreported += tokens;
@@ -203,14 +267,20 @@
         window.level(share) < (window.limit * NEAR_LIMIT_SHARE).max(soon)
     }
 
-    /// Returns the fleet's spending in the last window, as far as this instance knows it.
+    /// Returns the fleet's spending in the last window, as far as this instance knows it, to be saved.
     pub fn snapshot(&mut self, now: Instant) -> FleetSpending {
         let bucket_len = self.bucket_len();
+        let assumes = self.assumes(now);
         let organisations = self.windows.iter_mut().map(|(name, window)| {
             window.advance(now, bucket_len);
+            window.unsaved = 0.0;
+            let mut buckets: Vec<f64> = window.buckets.iter().map(|it| it.total()).collect();
+            if assumes && let Some(last) = buckets.last_mut() {
+                *last += window.assumed;
+            }
             OrganisationSpending {
                 organisation: name.to_string(),
-                buckets: window.buckets.iter().copied().collect(),
+                buckets,
             }
         });
         FleetSpending {
@@ -223,16 +293,19 @@
     /// The age of the snapshot is unknown, so the spending is counted as if it ended now.
     pub fn restore(&mut self, now: Instant, spending: &FleetSpending) {
         self.history_known = true;
+        self.restored_at = Some(now);
+        self.assumes_until = Some(now + self.bounds.window);
         let spent = std::mem::take(&mut self.windows);
         for saved in &spending.organisations {
             let mut window = Window::new(now, f64::MAX, 0.0);
             let skipped = saved.buckets.len().saturating_sub(BUCKETS as usize);
             let buckets = saved.buckets.iter().skip(skipped).copied();
-            window.buckets = buckets.chain([0.0]).collect();
+            window.buckets = buckets.chain([0.0]).map(Bucket::from_common).collect();
             self.windows
                 .insert(saved.organisation.as_str().into(), window);
         }
-        // Spending since the start is kept.
+        // Spending since the start is kept. What others reported was compared with unknown spending, so
+        // their next reports count as their first ones.
         for (name, before) in spent {
             let window = self
                 .windows
@@ -242,10 +315,19 @@
             window.spent = before.spent;
             window.unreported = before.unreported;
             window.reported_at = before.reported_at;
-            window.peer_spending = before.peer_spending;
         }
     }
 
+    /// Returns whether an organisation has spent so much since the last snapshot that it must be saved.
+    pub fn needs_save(&self) -> bool {
+        let max_unsaved = |window: &Window| {
+            (window.limit * self.bounds.excess + self.bounds.slack) * UNSAVED_SHARE
+        };
+        self.windows
+            .values()
+            .any(|window| window.unsaved > max_unsaved(window))
+    }
+
     /// Returns whether some organisation is close to its limit.
     pub fn is_any_near_limit(&self) -> bool {
         let share = self.share;
@@ -259,7 +341,7 @@
     pub fn spending(&self) -> impl Iterator<Item = (&OrgId, Tokens, Tokens)> {
         self.windows
             .iter()
-            .map(|(name, window)| (name, window.spent, window.sum().max(0.0) as Tokens))
+            .map(|(name, window)| (name, window.spent, window.total().max(0.0) as Tokens))
             .filter(|(_, spent, fleet)| *spent > 0 || *fleet > 0)
     }
 
@@ -287,23 +369,51 @@
         if organisation.rate == 0 {
             return;
         }
-        let share = self.share;
+        let is_new = self.is_new(now);
+        let own_recent = |window: &Window| if is_new { window.spent as f64 } else { 0.0 };
+        let starts_together = self.starts_with(incarnation);
+        if !starts_together {
+            self.assumes_until = None;
+        }
         let window = self.window(now, organisation);
-        let before = match window.peer_spending.get(instance) {
-            Some((start, _)) if *start > incarnation => return,
-            Some((start, sum)) if *start == incarnation => *sum,
-            // What an instance spent before its first report is older than this window.
-            None => spent,
-            Some(_) => 0,
+        let before = match window.reports.get(instance) {
+            Some(report) if report.incarnation > incarnation => return,
+            Some(report) if report.incarnation == incarnation => report.spent,
+            // What an instance spent before its first report is in its view of the fleet, unless
+            // it started with this one: then each of them may know its own spending only.
+            None if !starts_together => spent,
+            None | Some(_) => 0,
         };
-        if !window.peer_spending.contains_key(instance) {
-            let missing = fleet as f64 * share - window.sum();
-            window.add(missing.max(0.0));
-        }
+        let is_first = !window.reports.contains_key(instance);
         window.add(spent as f64 - before as f64);
-        window
-            .peer_spending
-            .insert(instance.clone(), (incarnation, spent));
+        if is_first {
+            // What was spent since a recent start may be unknown to that instance.
+            let missing = fleet as f64 - (window.total() - own_recent(window));
+            window.add_common(missing.max(0.0));
+        }
+        let report = Report {
+            incarnation,
+            spent,
+            at: now,
+            own_spent: window.spent,
+        };
+        window.reports.insert(instance.clone(), report);
+    }
+
+    // Returns whether an instance of that incarnation started about when this one did.
+    fn starts_with(&self, incarnation: u64) -> bool {
+        incarnation.saturating_add(START_SPREAD_MS) >= self.incarnation
+    }
+
+    // Returns whether spending after the last save is assumed.
+    fn assumes(&self, now: Instant) -> bool {
+        self.assumes_until.is_some_and(|until| now < until)
+    }
+
+    // Returns whether all that this instance has spent is still in the window.
+    fn is_new(&self, now: Instant) -> bool {
+        let started = self.restored_at.or(self.first_request);
+        started.is_none_or(|at| now.saturating_duration_since(at) < self.bounds.window)
     }
 
     fn limit(&self, organisation: &Organisation) -> f64 {
@@ -333,6 +443,7 @@
             .or_insert_with(|| Window::new(now, limit, spent));
         window.advance(now, bucket_len);
         window.set_limit(limit);
+        window.assumed = organisation.rate as f64 * UNSAVED_TIME.as_secs_f64();
         window
     }
 }
--- a/crates/apricotwell_dispatch/src/quota/window.rs
+++ b/crates/apricotwell_dispatch/src/quota/window.rs
@@ -20,13 +20,57 @@
 /// Number of buckets per window; the oldest bucket counts until all of it has left the window.
 pub(super) const BUCKETS: u32 = 16;
 
+/// Spending in a part of the window, in tokens; may be negative after a refund.
+///
+/// Two groups of instances that no longer hear each other split what is left of the limit. What both
+/// knew of by then, each charges to its share. What one has spent since, the other can't know, so it is
+/// charged in full.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Bucket {
+    // Spending that the instances that are not heard know of as well.
+    common: f64,
+    // Spending that they may not know of.
+    local: f64,
+}
+
+impl Bucket {
+    /// Returns a bucket of spending that all instances know of.
+    pub(super) fn from_common(tokens: f64) -> Self {
+        Self {
+            common: tokens,
+            local: 0.0,
+        }
+    }
+
+    /// Returns all spending.
+    pub(super) fn total(self) -> f64 {
+        self.common + self.local
+    }
+
+    // Returns what counts against the share of the limit that applies.
+    fn charged(self, share: f64) -> f64 {
+        self.common * share + self.local
+    }
+
+    // Makes the spending known to instances that are not heard from now on; `share` applied so far.
+    fn settle(&mut self, share: f64) {
+        self.common += self.local / share;
+        self.local = 0.0;
+    }
+
+    fn scale(&mut self, factor: f64) {
+        self.common *= factor;
+        self.local *= factor;
+    }
+}
+
 /// Spending of an organisation in the last window and its limit.
 #[derive(Debug)]
 pub(super) struct Window {
     // Tokens allowed in one window; unlimited before the configuration is known.
     pub(super) limit: f64,
-    // Tokens per bucket, the current one last; may be negative after a refund. Never empty.
-    pub(super) buckets: VecDeque<f64>,
+    // The window's parts, the current one last. Never empty.
+    pub(super) buckets: VecDeque<Bucket>,
     // Start of the current bucket.
     pub(super) bucket_start: Instant,
     // Tokens that this instance has spent since its start.
@@ -34,18 +78,35 @@
     // Those of them that are not yet reported to the other instances, and the last report's time.
     pub(super) unreported: Tokens,
     pub(super) reported_at: Instant,
+    // Tokens that the saved state lacks.
+    pub(super) unsaved: f64,
+    // Tokens that a fleet which has restarted assumes to have spent after the last save.
+    pub(super) assumed: f64,
     // Earliest time at which the next refused client should retry.
     pub(super) next_retry: Instant,
-    // Spending reported by other instances: their incarnation and the tokens since its start.
-    pub(super) peer_spending: Map<InstanceId, (u64, Tokens)>,
+    // Last reports of other instances.
+    pub(super) reports: Map<InstanceId, Report>,
+}
+
+/// Last report of another instance's spending.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Report {
+    // Incarnation of the instance.
+    pub(super) incarnation: u64,
+    // Tokens that it has spent since its start.
+    pub(super) spent: Tokens,
+    // When the report was received, and what this instance had spent by then.
+    pub(super) at: Instant,
+    pub(super) own_spent: Tokens,
 }
 
 impl Window {
     /// Returns the window of a fleet that has spent `share` of its limit, evenly over the window.
     pub(super) fn new(now: Instant, limit: f64, share: f64) -> Self {
         let per_bucket = limit * share / f64::from(BUCKETS);
-        let mut buckets: VecDeque<f64> = (0..BUCKETS).map(|_| per_bucket).collect();
-        buckets.push_back(0.0);
+        let spent = Bucket::from_common(per_bucket);
+        let mut buckets: VecDeque<Bucket> = (0..BUCKETS).map(|_| spent).collect();
+        buckets.push_back(Bucket::default());
         Self {
             limit,
             buckets,
@@ -53,15 +114,17 @@
             spent: 0,
             unreported: 0,
             reported_at: now,
+            unsaved: 0.0,
+            assumed: 0.0,
             next_retry: now,
-            peer_spending: Map::default(),
+            reports: Map::default(),
         }
     }
 
     pub(super) fn advance(&mut self, now: Instant, bucket_len: Duration) {
         while now.saturating_duration_since(self.bucket_start) >= bucket_len {
             self.bucket_start += bucket_len;
-            self.buckets.push_back(0.0);
+            self.buckets.push_back(Bucket::default());
             if self.buckets.len() > BUCKETS as usize + 1 {
                 self.buckets.pop_front();
             }
@@ -73,29 +136,70 @@
     pub(super) fn set_limit(&mut self, limit: f64) {
         if limit < self.limit && self.limit < f64::MAX {
             let scale = limit / self.limit;
-            self.buckets.iter_mut().for_each(|bucket| *bucket *= scale);
+            self.buckets
+                .iter_mut()
+                .for_each(|bucket| bucket.scale(scale));
         }
         self.limit = limit;
     }
 
+    // Notes that the share of the limit that applies falls from `share`, since some instances were not
+    // heard for the time `unheard`: what was spent before that is known to them.
+    pub(super) fn lower_share(
+        &mut self,
+        now: Instant,
+        bucket_len: Duration,
+        share: f64,
+        unheard: Duration,
+    ) {
+        let mut end = self.bucket_start + bucket_len;
+        for bucket in self.buckets.iter_mut().rev() {
+            if end + unheard <= now {
+                bucket.settle(share);
+            }
+            end -= bucket_len;
+        }
+    }
+
     pub(super) fn level(&self, share: f64) -> f64 {
-        self.limit * share - self.sum()
+        let charged = self.buckets.iter().map(|bucket| bucket.charged(share));
+        self.limit * share - charged.sum::<f64>()
     }
 
-    pub(super) fn sum(&self) -> f64 {
-        self.buckets.iter().sum()
+    // Returns all known spending.
+    pub(super) fn total(&self) -> f64 {
+        self.buckets.iter().map(|bucket| bucket.total()).sum()
     }
 
     pub(super) fn add(&mut self, tokens: f64) {
+        self.unsaved += tokens;
+        if let Some(current) = self.buckets.back_mut() {
+            current.local += tokens;
+        }
+    }
+
+    // Adds spending that all instances know of.
+    pub(super) fn add_common(&mut self, tokens: f64) {
+        self.unsaved += tokens;
         if let Some(current) = self.buckets.back_mut() {
-            *current += tokens;
+            current.common += tokens;
         }
     }
 
+    // Returns what this instance has spent since it last heard of each instance that reports, each of which
+    // may have spent as much meanwhile; `timeout` is the time after which one no longer does.
+    pub(super) fn spent_unheard(&self, now: Instant, timeout: Duration) -> f64 {
+        let reports = self.reports.values();
+        let current = reports.filter(|it| now.saturating_duration_since(it.at) < timeout);
+        let heard = current.map(|it| it.own_spent).min();
+        heard.map_or(0.0, |heard| self.spent.saturating_sub(heard) as f64)
+    }
+
     // Returns the fleet's recent spending in tokens per second.
     pub(super) fn recent_rate(&self, now: Instant, bucket_len: Duration) -> f64 {
         let passed = now.saturating_duration_since(self.bucket_start);
-        let recent: f64 = self.buckets.iter().rev().take(2).sum();
+        let recent = self.buckets.iter().rev().take(2);
+        let recent: f64 = recent.map(|bucket| bucket.total()).sum();
         recent / (bucket_len + passed).as_secs_f64()
     }
 
@@ -134,7 +238,7 @@
         missing: f64,
         request: RefusedRequest,
     ) -> Duration {
-        let free = now + self.time_to_free(now, bucket_len, missing);
+        let free = now + self.time_to_free(now, bucket_len, missing, request.share);
         let latest = now + bucket_len * BUCKETS * MAX_RETRY_WINDOWS;
         let time = Duration::from_secs_f64(request.cost * RETRY_SPACING / request.rate.max(1.0));
         let at = self
@@ -151,12 +255,13 @@
         now: Instant,
         bucket_len: Duration,
         missing: f64,
+        share: f64,
     ) -> Duration {
         let passed = now.saturating_duration_since(self.bucket_start);
         let mut freed = 0.0;
         let mut time = bucket_len.saturating_sub(passed);
-        for spent in &self.buckets {
-            freed += spent;
+        for bucket in &self.buckets {
+            freed += bucket.charged(share);
             if freed >= missing {
                 break;
             }
@@ -171,6 +276,8 @@
 pub(super) struct RefusedRequest {
     // Tokens that the request needs.
     pub(super) cost: f64,
+    // Share of the limit that applies.
+    pub(super) share: f64,
     // Tokens per second that the instance can grant.
     pub(super) rate: f64,
     // Offset of the first retry, as a share of the retry interval.
--- a/crates/apricotwell_dispatch/tests/quota.rs
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::catalog::Organisation;
-use apricotwell_dispatch::quota::{QuotaBounds, QuotaTable};
+use apricotwell_dispatch::quota::{QuotaBounds, QuotaTable, ReportingFleet};
 use apricotwell_types::{InstanceId, Tokens};
 use proptest::prelude::*;
 
@@ -29,6 +29,15 @@
     }
 }
 
+// So many of the fleet's instances report their spending.
+fn reporting(reporting: usize, possible: usize) -> ReportingFleet {
+    ReportingFleet {
+        reporting,
+        possible,
+        timeout: Duration::from_millis(960),
+    }
+}
+
 struct Fleet {
     start: Instant,
     organisation: Organisation,
@@ -50,7 +59,7 @@
             // Spread at random, like hashes of ids.
             let phase = (index as f64 * 0.618).fract();
             let mut table = QuotaTable::new(BOUNDS, true).with_phase(phase);
-            table.set_share(instances, instances);
+            table.set_share(Instant::now(), reporting(instances, instances));
             table
         };
         Self {
@@ -142,7 +151,8 @@
             && let Some(started) = fleet.starting.take()
         {
             (0..INSTANCES).for_each(|from| fleet.send_heartbeat(at, from));
-            fleet.tables[started].set_share(INSTANCES, INSTANCES);
+            let now = fleet.start + at;
+            fleet.tables[started].set_share(now, reporting(INSTANCES, INSTANCES));
         }
         if step % HEARTBEAT_STEPS == 0 && fleet.starting.is_none() {
             (0..INSTANCES).for_each(|from| fleet.send_heartbeat(at, from));
@@ -276,7 +286,7 @@
 fn isolated_instances_use_only_their_share() {
     let mut fleet = Fleet::new(organisation(10_000, 10_000));
     for table in &mut fleet.tables {
-        table.set_share(1, INSTANCES);
+        table.set_share(fleet.start, reporting(1, INSTANCES));
     }
     for step in 0..1000 {
         for instance in 0..INSTANCES {
@@ -345,7 +355,8 @@
         fleet.tables[4] = QuotaTable::new(BOUNDS, false);
         fleet.tables[4].restore(fleet.start + at, &saved);
         // Without heartbeats of the others it uses only its share.
-        fleet.tables[4].set_share(1, INSTANCES);
+        let now = fleet.start + at;
+        fleet.tables[4].set_share(now, reporting(1, INSTANCES));
         fleet.starting = Some(4);
         fleet.offset = at;
         simulate(&mut fleet, 8, 7.5, seed + 1);
@@ -366,7 +377,7 @@
     assert!(before.spend(now, &organisation, 45_000).is_ok());
     let mut table = QuotaTable::new(BOUNDS, false);
     table.restore(now, &before.snapshot(now));
-    table.set_share(1, INSTANCES);
+    table.set_share(now, reporting(1, INSTANCES));
     assert!(table.spend(now, &organisation, 4_000).is_ok());
     assert!(table.spend(now, &organisation, 9_000).is_err());
 }
@@ -422,7 +433,7 @@
     let now = Instant::now();
     let organisation = organisation(8_669, 8_669);
     let mut table = QuotaTable::new(BOUNDS, true).with_phase(0.9);
-    table.set_share(1, LARGE_FLEET);
+    table.set_share(now, reporting(1, LARGE_FLEET));
     for number in 0..50 {
         let at = now + Duration::from_millis(number * 20);
         let exceeded = table.spend(at, &organisation, 5000).unwrap_err();
--- a/crates/apricotwell_gateway/src/handler/detours.rs
+++ b/crates/apricotwell_gateway/src/handler/detours.rs
@@ -179,6 +179,7 @@
             return AttemptOutcome::Unsent("the other instance can't serve it either".to_owned());
         }
         self.refund();
+        let may_have_run = self.runs > 0;
         let head: ResponseHead = P::ClientProtocol::decode_response(&response.head, &self.request);
         if head.is_sealed {
             self.runs += 1;
@@ -191,6 +192,10 @@
         if !is_valid {
             return AttemptOutcome::Lost("the response belongs to another request".to_owned());
         }
+        if !head.is_sealed && may_have_run {
+            // Its refusal may state that the request has not run, but it knows of its own attempts only.
+            return AttemptOutcome::Lost("the other instance refused it".to_owned());
+        }
         self.is_refused_elsewhere = !head.is_sealed;
         AttemptOutcome::Response(Box::new(response), flight)
     }
--- a/crates/apricotwell_gateway/src/usage.rs
+++ b/crates/apricotwell_gateway/src/usage.rs
@@ -18,11 +18,11 @@
 use crate::events::Event;
 use crate::gateway::Gateway;
 
-/// Interval between two saves while any organisation is close to its limit, or after a change of the
-/// quarantined parts.
-const MIN_SAVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two saves while any organisation is close to its limit or spends fast, or after a
+/// change of the quarantined parts.
+const MIN_SAVE_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of these intervals between two saves otherwise.
-const INTERVALS_PER_SAVE: u32 = 5;
+const INTERVALS_PER_SAVE: u32 = 10;
 /// Delay before another attempt to load the saved usage.
 const RESTORE_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -45,7 +45,7 @@
             let dispatcher = gateway.dispatcher.borrow();
             (
                 quarantined_parts(&dispatcher),
-                dispatcher.is_any_near_limit(),
+                dispatcher.is_any_near_limit() || dispatcher.needs_save(),
             )
         };
         if intervals < INTERVALS_PER_SAVE && !is_urgent && parts == saved_parts {
