Leave the placement lease to another instance while this one reaches no engine

Change: an instance that has reached no engine of some service for 0.9 s, while another may, gives up its claim and leaves the group until it reaches one; the next candidate claims as after a drop.

--- a/crates/apricotwell_dispatch/src/dispatcher/detours.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/detours.rs
@@ -39,6 +39,21 @@
         unreachable.cloned().collect()
     }
 
+    /// Returns whether this instance reaches no engine of some service that another instance may reach.
+    pub fn is_cut_from_engines(&self, now: Instant) -> bool {
+        let Some(catalog) = &self.catalog else {
+            return false;
+        };
+        let has_engines = |service: &ServiceId| {
+            catalog
+                .service(service)
+                .is_some_and(|service| service.engine.is_some())
+        };
+        let unreachable = self.unreachable_services(now);
+        let mut engines = unreachable.iter().filter(|service| has_engines(service));
+        engines.any(|service| !self.peers.reaching(now, service).is_empty())
+    }
+
     /// Returns the servers that show, by accepting a connection or not, which services are reachable.
     pub fn probe_targets(&mut self, now: Instant) -> Vec<(ServerId, SocketAddr)> {
         let suspected: Vec<ServiceId> = self.reach.suspected().cloned().collect();
--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -164,6 +164,11 @@
         self.release_claim();
     }
 
+    /// Releases the claim before this instance leaves the group.
+    pub fn give_up(&mut self) {
+        self.release_claim();
+    }
+
     /// Releases the claim if another instance uses a higher fencing token.
     pub fn observe_fence(&mut self, fence: Fence) {
         if self.claim.is_some_and(|claim| claim.fence < fence) {
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -17,6 +17,8 @@
 /// Minimum interval between two reads of the member list, per instance of the fleet. The longer of
 /// the two minimums applies.
 const LIST_INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(60);
+/// Time without a reachable engine after which an instance leaves the group, and the lease to others.
+const STEP_ASIDE_TIME: Duration = Duration::from_millis(900);
 /// Attempts to claim the lease between two renewals.
 const MAX_CLAIM_ATTEMPTS: u32 = 3;
 
@@ -33,10 +35,17 @@
         listed: None,
         listed_at: None,
         checked: None,
+        cut_since: None,
+        has_left: false,
         gateway,
     };
     while renewer.may_renew() {
-        if let Err(error) = renewer.renew().await {
+        let result = if renewer.must_step_aside() {
+            renewer.step_aside().await
+        } else {
+            renewer.renew().await
+        };
+        if let Err(error) = result {
             renewer.gateway.metrics.count_store_call("failed");
             log::info!("failed to renew the membership: {error}");
         }
@@ -59,6 +68,10 @@
     listed_at: Option<Instant>,
     // Generation in which the lease was last checked.
     checked: Option<u64>,
+    // Since when this instance reaches no engine of some service that others reach.
+    cut_since: Option<Instant>,
+    // Whether it left the group because of that.
+    has_left: bool,
 }
 
 impl<P> Renewer<P>
@@ -73,6 +86,35 @@
             || self.gateway.dispatcher.borrow().lease.is_held(now)
     }
 
+    // A member that reaches no engine can't order any, so another one must be able to hold the lease.
+    fn must_step_aside(&mut self) -> bool {
+        let now = self.gateway.now();
+        let is_cut = self.gateway.dispatcher.borrow().is_cut_from_engines(now);
+        if !is_cut {
+            self.cut_since = None;
+            return false;
+        }
+        let since = *self.cut_since.get_or_insert(now);
+        now.saturating_duration_since(since) >= STEP_ASIDE_TIME
+    }
+
+    // Leaves the group and gives up the lease, until this instance reaches engines again.
+    async fn step_aside(&mut self) -> Result<(), StoreError> {
+        if self.has_left {
+            return Ok(());
+        }
+        let gateway = &self.gateway;
+        let was_held = gateway.dispatcher.borrow().lease.is_held(gateway.now());
+        gateway.dispatcher.borrow_mut().lease.give_up();
+        gateway.store.leave(&self.member).await?;
+        gateway.metrics.count_store_call("leave");
+        Event::new("stepped_aside")
+            .with("held_lease", was_held)
+            .log();
+        self.has_left = true;
+        Ok(())
+    }
+
     async fn renew(&mut self) -> Result<(), StoreError> {
         let gateway = Rc::clone(&self.gateway);
         let start = gateway.now();
@@ -83,6 +125,7 @@
             .await?;
         gateway.metrics.count_store_call("join");
         self.generation = joined.generation;
+        self.has_left = false;
         let now = gateway.now();
         // Only the candidate may claim a free lease, so the other members need not check it.
         let changed = self.checked.is_none()
