--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -186,12 +186,22 @@
     }
 
     /// Returns where to read the store's feeds from: the store itself or the zone's reader.
+    ///
+    /// That is the ready instance with the lowest id. While the store answers none of them, none is
+    /// ready, and the first one that is reachable tries for all.
     pub fn feed_source(&self, now: Instant) -> FeedSource {
-        let reader = self.peers.first_ready(now, &self.config.zone);
-        match reader {
-            Some(reader) if reader < self.config.id || !self.is_ready(now) => {
+        let zone = &self.config.zone;
+        let reader = self.peers.first_ready(now, zone);
+        if let Some(reader) = reader {
+            return if reader < self.config.id || !self.is_ready(now) {
                 FeedSource::Peer(reader)
-            }
+            } else {
+                FeedSource::Store
+            };
+        }
+        let is_ready = self.is_ready(now);
+        match self.zone_peers(now).into_iter().next() {
+            Some(first) if first < self.config.id && !is_ready => FeedSource::Peer(first),
             _ => FeedSource::Store,
         }
     }
--- a/crates/apricotwell_dispatch/src/feeds.rs
+++ b/crates/apricotwell_dispatch/src/feeds.rs
@@ -21,6 +21,21 @@
 /// Number of changes from which on an answer is split, so that it fits into a datagram.
 const MAX_ANSWER_CHANGES: usize = 32;
 
+/// Pause after a failed read of the store by an instance whose zone's reader has an old view too, per other
+/// instance of the zone: together they ask the store this often whether it answers again.
+const OUTAGE_PAUSE_PER_PEER: Duration = Duration::from_millis(100);
+/// Longest such pause; after it an instance whose zone only lost its reader goes on by itself.
+const MAX_OUTAGE_PAUSE: Duration = Duration::from_millis(3000);
+
+/// Returns the pause after which an instance reads a store again that did not answer it, in a zone with
+/// `zone_peers` other instances. Meanwhile it goes on asking the zone's reader.
+pub fn outage_pause(zone_peers: usize) -> Duration {
+    let zone_peers = u32::try_from(zone_peers).unwrap_or(u32::MAX);
+    OUTAGE_PAUSE_PER_PEER
+        .saturating_mul(zone_peers)
+        .min(MAX_OUTAGE_PAUSE)
+}
+
 /// A feed of the store. Logged by variant name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Feed {
--- a/crates/apricotwell_dispatch/tests/feeds.rs
+++ b/crates/apricotwell_dispatch/tests/feeds.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::backends::BackendEntry;
-use apricotwell_dispatch::feeds::{Feed, FeedUpdate, FeedViews, ServerListChange, decode_answer};
+use apricotwell_dispatch::feeds::{
+    Feed, FeedUpdate, FeedViews, ServerListChange, decode_answer, outage_pause,
+};
 use apricotwell_dispatch::model::Inventory;
 use apricotwell_messages::FeedQuery;
 
@@ -119,3 +121,15 @@
     views.record_position(Feed::Servers, 6000, now);
     assert!(query(&views, now, now, Feed::Servers, 5100).is_none());
 }
+
+#[test]
+fn store_that_does_not_answer_is_asked_ten_times_a_second_by_a_zone_of_any_size() {
+    for peers in [9_u32, 25, 30] {
+        let per_second = f64::from(peers) / outage_pause(peers as usize).as_secs_f64();
+        assert!(per_second <= 10.0 + 1e-9, "{per_second} by {peers}");
+    }
+    // A view that is left at 2.4 s is read again within the bound of 4 s plus that of the next query.
+    assert!(outage_pause(1_000) <= Duration::from_secs(3));
+    // A small zone's instances try as often as they ask each other.
+    assert!(outage_pause(2) <= Duration::from_millis(500));
+}
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use apricotwell_dispatch::feeds::FeedUpdate;
+use apricotwell_dispatch::feeds::{FeedUpdate, outage_pause};
 use apricotwell_dispatch::prelude::*;
 use apricotwell_types::{InstanceId, Offset};
 use tokio::net::UdpSocket;
@@ -41,6 +41,7 @@
     P: Platform,
 {
     let mut follower = Follower {
+        retry_at: gateway.now(),
         gateway,
         socket,
         feed,
@@ -70,6 +71,8 @@
     failing_since: Option<Instant>,
     // Number of consecutive failed store calls.
     failures: u32,
+    // Before this time the store is not read as long as another instance is the source.
+    retry_at: Instant,
     outage_end: Option<Instant>,
 }
 
@@ -88,6 +91,7 @@
         match (source, self.feed) {
             (FeedSource::Peer(peer), _) => match self.query_peer(&peer, from).await {
                 Some(pause) => pause,
+                None if self.gateway.now() < self.retry_at => PEER_QUERY_INTERVAL,
                 None => self
                     .read_store(Duration::ZERO)
                     .await
@@ -290,6 +294,9 @@
     fn record_failure(&mut self, error: &StoreError) {
         self.gateway.metrics.count_store_call("failed");
         self.failures += 1;
+        let now = self.gateway.now();
+        let zone_peers = self.gateway.dispatcher.borrow().zone_peers(now).len();
+        self.retry_at = now + outage_pause(zone_peers);
         if self.failing_since.is_none() {
             self.failing_since = Some(self.gateway.now());
             Event::new("store_lost")
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -17,6 +17,10 @@
 /// Minimum interval between two reads of the member list, per instance of the fleet. The longer of
 /// the two minimums applies.
 const LIST_INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(60);
+/// Time after its start in which an instance may not know most of the others, which started with it.
+const START_TIME: Duration = Duration::from_secs(5);
+/// Minimum interval between two reads of the member list in that time.
+const START_LIST_INTERVAL: Duration = Duration::from_millis(900);
 /// Time without a reachable engine after which an instance leaves the group, and the lease to others.
 const STEP_ASIDE_TIME: Duration = Duration::from_millis(900);
 /// Attempts to claim the lease between two renewals.
@@ -32,6 +36,7 @@
         member: gateway.listeners.peers.clone(),
         term,
         generation: 0,
+        started: gateway.now(),
         listed: None,
         listed_at: None,
         checked: None,
@@ -62,6 +67,7 @@
     term: Duration,
     // Generation of the group in the last response.
     generation: u64,
+    started: Instant,
     // Generation whose members were last listed.
     listed: Option<u64>,
     // Time of the last read of the member list.
@@ -147,10 +153,16 @@
         Ok(())
     }
 
-    // Members announce themselves by heartbeats; the list only recovers lost ones.
+    // Members announce themselves by heartbeats; the list only recovers lost ones, but for those that
+    // started with this one.
     fn may_list(&self, now: Instant) -> bool {
         let members = self.gateway.dispatcher.borrow().peers.possible_count() as u32;
-        let interval = MIN_LIST_INTERVAL.max(LIST_INTERVAL_PER_INSTANCE * members);
+        let is_starting = now.saturating_duration_since(self.started) < START_TIME;
+        let interval = if is_starting {
+            START_LIST_INTERVAL
+        } else {
+            MIN_LIST_INTERVAL.max(LIST_INTERVAL_PER_INSTANCE * members)
+        };
         self.listed_at
             .is_none_or(|at| now.saturating_duration_since(at) >= interval)
     }
@@ -223,7 +235,12 @@
         .filter(|member| *member != own)
         .map(|member| InstanceId::from(member.as_str()));
     let mut dispatcher = gateway.dispatcher.borrow_mut();
+    let known = dispatcher.peers.possible_count();
     dispatcher.peers.apply_members(now, others);
+    if dispatcher.peers.possible_count() > known {
+        // The new ones learn of this instance at once, and use its view of the feeds.
+        gateway.heartbeat_due.notify_one();
+    }
     Ok(())
 }
 
