Log reads of the store and the age of the views behind requests

Cause: nothing in the logs told how many bytes a read of the store brought in which time, by which version and at which age of its view a request was routed, and whether an instance was stalled. The hypotheses of the incident could not be told apart.

Change: events feed_read, feed_read_failed and stalled; config, config_age_ms and list_age_ms in request_ended; versions and ages in status. No decision changes.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -88,6 +88,10 @@
     pub route: Arc<Route>,
     /// Service that runs the request.
     pub service: ServiceId,
+    /// Version of the configuration that the route is from.
+    pub version: u64,
+    /// Age of that configuration at the admission; `None` if it was never confirmed.
+    pub config_age: Option<Duration>,
     /// Organisation that the request's key belongs to; `None` if the route needs no key.
     pub organisation: Option<Arc<Organisation>>,
     /// Tokens charged to the organisation's quota.
@@ -399,6 +403,8 @@
                 .and_then(|organisation| organisation.priority)
                 .unwrap_or(route.priority),
             route: route.clone(),
+            version: catalog.version,
+            config_age: self.freshness.age(now),
             organisation,
             tokens: 0,
             arrived: now,
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -177,6 +177,21 @@
     pub next: Offset,
     /// Whether the page reaches the end of the feed.
     pub is_end: bool,
+    /// How the page was received.
+    pub transfer: Transfer,
+}
+
+/// Size and times of a transfer from the store, for log records.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Transfer {
+    /// Bytes of the response's body.
+    pub bytes: usize,
+    /// Time from the call to the head of the response.
+    pub head_time: Duration,
+    /// Time from the head of the response to the end of its body.
+    pub body_time: Duration,
+    /// Time for decoding the records.
+    pub decode_time: Duration,
 }
 
 /// Result of joining the group or renewing the membership.
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -50,6 +50,8 @@
 const LOG_FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Log flushes between two `status` events.
 const FLUSHES_PER_STATUS: u32 = 40;
+/// Delay of a timer from which on the event loop counts as stalled.
+const STALL_TIME: Duration = Duration::from_millis(200);
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -282,6 +284,10 @@
     }
 }
 
+fn millis(time: Option<Duration>) -> Option<u64> {
+    time.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+}
+
 fn status_response(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
@@ -326,7 +332,9 @@
 {
     let mut flushes = 0;
     loop {
+        let due = gateway.now() + FLUSH_INTERVAL;
         tokio::time::sleep(FLUSH_INTERVAL).await;
+        log_stall(gateway.now().saturating_duration_since(due));
         flushes += 1;
         if flushes % FLUSHES_PER_STATUS == 0 {
             log_status(&gateway);
@@ -337,6 +345,13 @@
     }
 }
 
+// Logs that all tasks were held up, by a long task or for lack of processor time.
+fn log_stall(late: Duration) {
+    if late >= STALL_TIME {
+        Event::new("stalled").with_time("late_ms", late).log();
+    }
+}
+
 fn log_status<P>(gateway: &Gateway<P>)
 where
     P: Platform,
@@ -345,6 +360,15 @@
     let dispatcher = gateway.dispatcher.borrow();
     let mut event = Event::new("status")
         .with("ready", dispatcher.is_ready(now))
+        .with(
+            "config",
+            dispatcher.catalog.as_ref().map(|catalog| catalog.version),
+        )
+        .with("config_age_ms", millis(dispatcher.freshness.age(now)))
+        .with(
+            "list_age_ms",
+            millis(dispatcher.feeds.age(now, Feed::Servers)),
+        )
         .with("active", gateway.active_requests.get())
         .with("heard", dispatcher.peers.reporting_count(now))
         .with("possible", dispatcher.peers.possible_count())
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -18,6 +18,7 @@
 
 mod entries;
 mod helpers;
+mod reads;
 
 use entries::log_entry;
 
@@ -229,6 +230,7 @@
                 self.gateway.metrics.count_store_call("read");
                 self.record_success();
                 self.record_seen(start);
+                self.log_read(from, &page);
                 let pauses = self.feed == Feed::Servers && page.is_end;
                 // A long poll without records shows that there were none until the end of its wait.
                 let waited = self.gateway.now().saturating_duration_since(start);
@@ -250,6 +252,7 @@
                 Duration::ZERO
             }
             Err(error) => {
+                self.log_failed_read(start, &error);
                 self.record_failure(&error);
                 RETRY_DELAY_STEP * (self.failures.min(MAX_BACKOFF_FAILURES) - 1)
             }
@@ -395,9 +398,11 @@
             FeedRecord::Catalog(catalog) => {
                 let version = catalog.version;
                 let applied = dispatcher.apply_catalog(*catalog);
+                let apply_time = self.gateway.now().saturating_duration_since(now);
                 Event::new("configuration")
                     .with("version", version)
                     .with("applied", applied)
+                    .with_time("apply_ms", apply_time)
                     .log();
             }
             FeedRecord::Entry(entry) => {
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -518,6 +518,9 @@
         Event::new("request_ended")
             .with("request", self.request.attempt.as_str())
             .with("route", &*self.admission.route.name)
+            .with("config", self.admission.version)
+            .with("config_age_ms", self.admission.config_age.map(millis))
+            .with("list_age_ms", self.trace.list_age.map(millis))
             .with("server", server.map_or("", |server| &**server))
             .with("outcome", outcome)
             .with("status", status)
@@ -557,6 +560,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Reason logged for an attempt that got the response to another one.
 const FOREIGN: &str = "the response belongs to another request";
 /// Reason logged for an attempt of which nothing was sent.
--- a/crates/apricotwell_gateway/src/handler/waiting.rs
+++ b/crates/apricotwell_gateway/src/handler/waiting.rs
@@ -43,6 +43,7 @@
                 RoutingDecision::Send(..) if !self.start_trial(now, trial) => continue,
                 RoutingDecision::Send(server, address) => {
                     self.server_found = Some(now);
+                    self.trace.list_age = self.list_age(now);
                     if let Some(turn) = &mut turn {
                         turn.is_served = true;
                         self.observe_wait(now);
@@ -155,6 +156,11 @@
         dispatcher.server_priority(&self.admission, &self.request)
     }
 
+    fn list_age(&self, now: Instant) -> Option<Duration> {
+        let dispatcher = self.gateway.dispatcher.borrow();
+        dispatcher.feeds.age(now, Feed::Servers)
+    }
+
     fn observe_wait(&self, now: Instant) {
         let wait = now.saturating_duration_since(self.admission.arrived);
         let priority = self.admission.priority;
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -43,7 +43,7 @@
 pub mod prelude {
     pub use crate::adapter::{
         Attempt, ClaimRecord, ClientProtocol, EngineClient, FeedPage, FeedRecord, LastClaim,
-        Membership, Platform, ResponseHead, SoftwarePage, Store, StoreError, StreamPage,
+        Membership, Platform, ResponseHead, SoftwarePage, Store, StoreError, StreamPage, Transfer,
     };
     pub use crate::events::Event;
     pub use crate::gateway::{Gateway, ListenAddresses, Timings};
--- a/crates/apricotwell_gateway/src/trace.rs
+++ b/crates/apricotwell_gateway/src/trace.rs
@@ -25,6 +25,8 @@
     pub received: Option<ReceivedBody>,
     /// Limit that the last server was known to have when the request was sent to it.
     pub server_limit: Option<RequestRate>,
+    /// Age of the list of servers when the last server was selected.
+    pub list_age: Option<Duration>,
     /// Time at which the first bytes were received.
     pub first_byte: Option<Instant>,
     /// Longest pause between bytes.
