Read the newest configuration in place of those that it replaces

Seen: an instance that is some large versions behind asks for all of them, falls further behind meanwhile and asks for more.

Cause: each version is the configuration in full, and a read returns all versions from an offset on.

--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -119,6 +119,8 @@
     Unknown(String),
     /// Records at the requested offset have been deleted.
     Truncated,
+    /// Newer records replace the requested ones, which are so large that they were not received.
+    Superseded,
     /// The end of the log is not at the offset that the append expected.
     Conflict,
 }
@@ -136,6 +138,7 @@
                 )
             }
             Self::Truncated => f.write_str("the records were deleted; start from the newest ones"),
+            Self::Superseded => f.write_str("newer records replace them; read the newest ones"),
             Self::Conflict => f.write_str("the end of the log has moved; read it again"),
         }
     }
@@ -245,6 +248,11 @@
     fn newest(&self, feed: Feed) -> impl Future<Output = Result<FeedPage, StoreError>>;
 
     /// Reads the records of a feed from an offset; waits for new ones for `wait` at most.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Truncated`] or [`StoreError::Superseded`] if the newest records are to be read
+    /// instead.
     fn read(
         &self,
         feed: Feed,
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -50,6 +50,7 @@
         socket,
         feed,
         next: None,
+        reads_newest: false,
         position: LogPosition::default(),
         source: FeedSource::Store,
         failing_since: None,
@@ -73,6 +74,8 @@
     feed: Feed,
     // Offset from which to read; `None` until the newest records have been read.
     next: Option<Offset>,
+    // Whether the newest records are to be read, since newer ones replace those from `next` on.
+    reads_newest: bool,
     position: LogPosition,
     // Source of the last step.
     source: FeedSource,
@@ -95,7 +98,7 @@
 {
     // Fetches new records once; returns the pause before the next step.
     async fn step(&mut self) -> Duration {
-        let Some(from) = self.next else {
+        let Some(from) = self.read_position() else {
             return self.read_store(Duration::ZERO).await;
         };
         let now = self.gateway.now();
@@ -118,6 +121,11 @@
         }
     }
 
+    // Returns the offset from which to read, `None` if the newest records are to be read.
+    fn read_position(&self) -> Option<Offset> {
+        self.next.filter(|_| !self.reads_newest)
+    }
+
     // Queries another instance and reads the store once the view is too old.
     async fn follow_peer(&mut self, peer: &InstanceId, from: Offset) -> Duration {
         let may_read = self.gateway.now() >= self.retry_at;
@@ -217,9 +225,10 @@
 
     // Reads the store once; returns the pause before the next read.
     async fn read_store(&mut self, wait: Duration) -> Duration {
-        let (start, from) = (self.gateway.now(), self.next);
+        let start = self.gateway.now();
+        let from = self.read_position();
         let known = self.position.known();
-        let page = self.read_page(wait).await;
+        let page = self.read_page(from, wait).await;
         match page.and_then(|page| self.check_position(start, known, page)) {
             Ok(None) => {
                 self.record_success();
@@ -230,6 +239,7 @@
                 self.gateway.metrics.count_store_call("read");
                 self.record_success();
                 self.record_seen(start);
+                self.reads_newest = false;
                 self.log_read(from, &page);
                 let pauses = self.feed == Feed::Servers && page.is_end;
                 // A long poll without records shows that there were none until the end of its wait.
@@ -251,6 +261,10 @@
                 self.next = None;
                 Duration::ZERO
             }
+            Err(StoreError::Superseded) => {
+                self.reads_newest = true;
+                Duration::ZERO
+            }
             Err(error) => {
                 self.log_failed_read(start, &error);
                 self.record_failure(&error);
@@ -308,7 +322,7 @@
             .max(from.unwrap_or_default());
         let offsets = (first + 1..).map(|offset| offset.min(page.next));
         // Others may have told of the first ones while the store was read.
-        let known = self.next.unwrap_or_default();
+        let known = from.and(self.next).unwrap_or_default();
         let records = offsets.zip(page.records);
         let records = records.filter(|(offset, _)| *offset > known);
         self.apply(confirmed_at, page.next, records.collect());
--- a/crates/apricotwell_gateway/src/feeds/helpers.rs
+++ b/crates/apricotwell_gateway/src/feeds/helpers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use apricotwell_dispatch::freshness::QUERY_INTERVAL;
-use apricotwell_types::InstanceId;
+use apricotwell_types::{InstanceId, Offset};
 
 use super::Follower;
 use crate::adapter::{FeedPage, Platform, Store, StoreError};
@@ -18,8 +18,12 @@
     P: Platform,
 {
     // Reads a page of the store. While that takes so long that the view gets old, others are asked.
-    pub(super) async fn read_page(&mut self, wait: Duration) -> Result<FeedPage, StoreError> {
-        let (gateway, feed, from) = (Rc::clone(&self.gateway), self.feed, self.next);
+    pub(super) async fn read_page(
+        &mut self,
+        from: Option<Offset>,
+        wait: Duration,
+    ) -> Result<FeedPage, StoreError> {
+        let (gateway, feed) = (Rc::clone(&self.gateway), self.feed);
         let Some(from) = from else {
             return gateway.store.newest(feed).await;
         };
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -339,7 +339,7 @@
     };
     let began = handler.gateway.now();
     let mut reservation = handler.gateway.response_budget.try_reserve(0);
-    let may_hold = |bytes| reservation.as_mut().is_some_and(|it| it.grow(bytes));
+    let may_hold = |chunk: &[u8]| reservation.as_mut().is_some_and(|it| it.grow(chunk.len()));
     let collected = tokio::time::timeout(
         handler.remaining(),
         server_response.collect_while(MAX_RESPONSE_BYTES, may_hold),
--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -443,18 +443,18 @@
         self.collect_while(limit, |_| true).await
     }
 
-    /// Reads the whole body as long as `may_hold` agrees to hold the bytes of each chunk.
+    /// Reads the whole body as long as `accepts` agrees to each chunk.
     ///
     /// # Errors
     ///
-    /// As [`Self::collect`], and if `may_hold` does not agree.
+    /// As [`Self::collect`], and if `accepts` does not agree.
     pub async fn collect_while<F>(
         mut self,
         limit: usize,
-        mut may_hold: F,
+        mut accepts: F,
     ) -> Result<(response::Parts, Bytes), String>
     where
-        F: FnMut(usize) -> bool,
+        F: FnMut(&[u8]) -> bool,
     {
         let mut body = Vec::new();
         let mut scanner = self.scanner();
@@ -464,8 +464,8 @@
             if body.len() + chunk.len() > limit {
                 return Err(format!("the body is larger than {limit} bytes"));
             }
-            if !may_hold(chunk.len()) {
-                return Err("the bodies in memory are over the limit".to_owned());
+            if !accepts(&chunk) {
+                return Err("the body was not accepted".to_owned());
             }
             body.extend_from_slice(&chunk);
         }
