Refuse requests by a configuration older than the bound while the store answers

Cause: no decision compared the age of the configuration with the time within which changes must be in force; that it stays young was left to reads being fast. Keys alone were bounded, by 0.8 of the bound on withdrawn keys; routes without keys by nothing.

Change: a view older than its bound is overdue if the store has answered this instance for two thirds of that time: it can't be the store's outage then. An overdue configuration admits nothing (503, not run, retry later) and the instance is not ready. While the store is silent, an old configuration is used on as before: it may be silent to all. The bounds of both feeds moved to InstanceConfig, one copy.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -25,9 +25,9 @@
 use crate::catalog::{Catalog, EngineSpec, Organisation, Route, Service, ServiceId};
 use crate::demand::DemandTable;
 use crate::engine_speed::EngineSpeeds;
-use crate::feeds::{FeedSource, FeedViews};
+use crate::feeds::{Feed, FeedSource, FeedViews};
 use crate::former_routes::FormerRoutes;
-use crate::freshness::Freshness;
+use crate::freshness::{ChangeBounds, Freshness};
 use crate::lease::{Lease, LeaseConfig};
 use crate::load_notices::LoadNotices;
 use crate::model::RequestedModel;
@@ -68,6 +68,8 @@
     pub first_start: bool,
     /// Time within which a revoked key must stop working.
     pub revocation_bound: Duration,
+    /// Times within which changes of the feeds must be in force.
+    pub change_bounds: ChangeBounds,
     /// Permitted excess over the quotas.
     pub quota: QuotaBounds,
     /// Permitted number of retries.
@@ -195,7 +197,7 @@
         Self {
             catalog: None,
             freshness: Freshness::new(config.revocation_bound),
-            feeds: FeedViews::default(),
+            feeds: FeedViews::new(config.change_bounds),
             backends: BackendTable::default(),
             crashes: SharedQuarantine::default(),
             reach: ReachTable::default(),
@@ -282,7 +284,8 @@
 
     // Returns whether this instance has what it needs to serve requests, also while it is draining.
     fn can_serve(&self, now: Instant) -> bool {
-        self.catalog.is_some() && self.freshness.is_ready(now)
+        let is_overdue = self.feeds.is_overdue(now, Feed::Configuration);
+        self.catalog.is_some() && self.freshness.is_ready(now) && !is_overdue
     }
 
     /// Returns where to read the store's feeds from: the store itself or the zone's reader.
@@ -383,6 +386,11 @@
                 "no configuration received yet; try another instance",
             ));
         };
+        if self.feeds.is_overdue(now, Feed::Configuration) {
+            return Err(unavailable(
+                "the configuration may have been replaced; try another instance",
+            ));
+        }
         let current = self.freshness.is_current(now);
         let Some(route) = catalog.route(&request.host, &request.path) else {
             return Err(if current {
--- a/crates/apricotwell_dispatch/src/feeds.rs
+++ b/crates/apricotwell_dispatch/src/feeds.rs
@@ -14,9 +14,11 @@
 use apricotwell_types::{InstanceId, Map, Offset, ServerId};
 
 use crate::backends::BackendEntry;
+use crate::freshness::ChangeBounds;
 use crate::model::{Inventory, ModelName};
 use crate::outages::StoreOutages;
 use crate::software;
+use crate::store_contact::StoreContact;
 
 /// Maximum number of server list changes that are retained for other instances.
 const MAX_RETAINED_CHANGES: usize = 4096;
@@ -82,8 +84,9 @@
 }
 
 /// Read positions in both feeds, with the recent changes that other instances may query.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FeedViews {
+    bounds: ChangeBounds,
     configuration: Option<View>,
     servers: Option<View>,
     changes: VecDeque<(Offset, ServerChange)>,
@@ -93,6 +96,8 @@
     sources: Map<Feed, FeedSource>,
     /// Outages of the store.
     pub outages: StoreOutages,
+    /// Answers of the store to this instance.
+    pub contact: StoreContact,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -103,6 +108,21 @@
 }
 
 impl FeedViews {
+    /// Returns the views of an instance that has not read any feed; `bounds` are the times within which
+    /// changes must be in force.
+    pub fn new(bounds: ChangeBounds) -> Self {
+        Self {
+            bounds,
+            configuration: None,
+            servers: None,
+            changes: VecDeque::new(),
+            retained_from: 0,
+            sources: Map::default(),
+            outages: StoreOutages::default(),
+            contact: StoreContact::default(),
+        }
+    }
+
     /// Records that a feed has been read up to `next`, and that there was nothing beyond it at
     /// `confirmed_at`.
     pub fn record_position(&mut self, feed: Feed, next: Offset, confirmed_at: Instant) {
@@ -156,6 +176,17 @@
         Some(now.saturating_duration_since(view.confirmed_at))
     }
 
+    /// Returns whether a view is too old to decide by it, though the store answers this instance.
+    ///
+    /// While the store is silent, an old view is used on: it may be silent to all, and nobody changes
+    /// anything then.
+    pub fn is_overdue(&self, now: Instant, feed: Feed) -> bool {
+        let is_old = self
+            .age(now, feed)
+            .is_some_and(|age| age > self.bounds.max_use_age(feed));
+        is_old && self.contact.duration(now) >= self.bounds.renewal_time(feed)
+    }
+
     fn view(&self, feed: Feed) -> Option<View> {
         match feed {
             Feed::Configuration => self.configuration,
--- a/crates/apricotwell_dispatch/src/freshness.rs
+++ b/crates/apricotwell_dispatch/src/freshness.rs
@@ -6,6 +6,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::feeds::Feed;
+
 /// Share of the revocation bound up to which keys are accepted without a new read.
 const USABLE_SHARE: f64 = 0.8;
 /// Half of the age from which on a missing route or key may just have been added.
@@ -61,6 +63,40 @@
     }
 }
 
+/// Times within which changes of the feeds must be in force everywhere.
+#[derive(Clone, Copy, Debug)]
+pub struct ChangeBounds {
+    /// Bound for changes of the configuration.
+    pub configuration: Duration,
+    /// Bound for changes of the server list: after it a server that leaves gets no new requests.
+    pub servers: Duration,
+}
+
+impl ChangeBounds {
+    /// Returns the bound for changes of a feed.
+    pub fn of(&self, feed: Feed) -> Duration {
+        match feed {
+            Feed::Configuration => self.configuration,
+            Feed::Servers => self.servers,
+        }
+    }
+
+    /// Returns the age from which on a view of a feed is too old for decisions: a change that was made
+    /// since may have to be in force.
+    pub fn max_use_age(&self, feed: Feed) -> Duration {
+        match feed {
+            Feed::Configuration => self.configuration,
+            // The bound ends with the arrival of a request at its server.
+            Feed::Servers => self.servers.saturating_sub(SEND_TIME),
+        }
+    }
+
+    /// Returns the time within which an instance renews its view once the store answers it again.
+    pub fn renewal_time(&self, feed: Feed) -> Duration {
+        self.of(feed).mul_f64(RENEWAL_SHARE)
+    }
+}
+
 /// Time for which a process may not be scheduled while it follows a feed.
 pub const SCHEDULING_GAP: Duration = Duration::from_millis(300);
 /// Longest read of the store by an instance that reaches it: one on a connection whose other end has
@@ -80,6 +116,9 @@
 /// this old, and must have the time for a query before they read the store.
 const READ_SHARE: f64 = 0.25;
 
+/// Share of a bound within which an instance renews its view once the store answers it again.
+const RENEWAL_SHARE: f64 = 2.0 / 3.0;
+
 /// Ages of a view of a feed whose changes must be in force everywhere within a bound.
 ///
 /// The age counts from the time up to which the view is known to be complete, whatever source it has.
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod saved_streams;
 pub mod software;
 pub mod software_record;
+pub mod store_contact;
 pub mod stream_memory;
 pub mod waiting;
 pub mod warmup;
@@ -62,7 +63,7 @@
     pub use crate::engine_speed::SpeedChange;
     pub use crate::evacuation::EvacuationChange;
     pub use crate::feeds::{Feed, FeedSource, ServerListChange};
-    pub use crate::freshness::Freshness;
+    pub use crate::freshness::{ChangeBounds, Freshness};
     pub use crate::inventory_updates::InventoryUpdates;
     pub use crate::lease::{ClaimStatus, Lease, LeaseAction, LeaseConfig};
     pub use crate::model::{AdapterName, Inventory, ModelName, RequestedModel};
--- a/crates/apricotwell_dispatch/tests/feeds.rs
+++ b/crates/apricotwell_dispatch/tests/feeds.rs
@@ -7,10 +7,18 @@
 use apricotwell_dispatch::feeds::{
     Feed, FeedUpdate, FeedViews, ServerListChange, decode_answer, outage_pause,
 };
+use apricotwell_dispatch::freshness::ChangeBounds;
 use apricotwell_dispatch::model::Inventory;
 use apricotwell_messages::FeedQuery;
 use prost::Message;
 
+/// Time within which changes of both feeds must be in force.
+const BOUND: Duration = Duration::from_secs(3);
+const BOUNDS: ChangeBounds = ChangeBounds {
+    configuration: BOUND,
+    servers: BOUND,
+};
+
 fn entry(number: u16) -> BackendEntry {
     BackendEntry {
         id: format!("server-{number}").into(),
@@ -51,7 +59,7 @@
 #[test]
 fn an_answer_never_understates_the_age_of_the_view() {
     let read = Instant::now();
-    let mut views = FeedViews::default();
+    let mut views = FeedViews::new(BOUNDS);
     assert!(query(&views, read, read, Feed::Configuration, 0).is_none());
     views.record_position(Feed::Configuration, 7, read);
     // The query is delayed by a suspended machine, and the answer by another one.
@@ -70,7 +78,7 @@
 #[test]
 fn a_missing_configuration_is_read_from_the_store() {
     let now = Instant::now();
-    let mut views = FeedViews::default();
+    let mut views = FeedViews::new(BOUNDS);
     views.record_position(Feed::Configuration, 7, now);
     assert!(query(&views, now, now, Feed::Configuration, 6).is_none());
     // An instance that is ahead gets the confirmation that there are no newer changes.
@@ -81,7 +89,7 @@
 #[test]
 fn server_list_changes_are_complete_and_in_order() {
     let now = Instant::now();
-    let mut views = FeedViews::default();
+    let mut views = FeedViews::new(BOUNDS);
     views.reset_changes(100);
     for number in 0..90 {
         let change = match number {
@@ -112,7 +120,7 @@
 #[test]
 fn a_query_for_discarded_changes_gets_no_partial_answer() {
     let now = Instant::now();
-    let mut views = FeedViews::default();
+    let mut views = FeedViews::new(BOUNDS);
     views.reset_changes(100);
     for number in 0..5000 {
         views.record_change(101 + number, &ServerListChange::Entry(entry(1).into()));
@@ -142,7 +150,7 @@
 #[test]
 fn answer_fits_into_one_packet_unless_one_change_is_larger() {
     let now = Instant::now();
-    let mut views = FeedViews::default();
+    let mut views = FeedViews::new(BOUNDS);
     for number in 0..200 {
         views.record_change(
             1 + u64::from(number),
@@ -195,7 +203,7 @@
             ..entry(index % 7)
         })
         .collect();
-    let mut reader = FeedViews::default();
+    let mut reader = FeedViews::new(BOUNDS);
     for (offset, entry) in (1..).zip(&log) {
         if state(&log, offset - 1).get(&*entry.id) != Some(&entry.draining) {
             reader.record_change(offset, &ServerListChange::Entry(entry.clone().into()));
@@ -203,7 +211,7 @@
     }
     reader.record_position(Feed::Servers, 120, now);
     for first in 0..120 {
-        let mut relay = FeedViews::default();
+        let mut relay = FeedViews::new(BOUNDS);
         relay.reset_changes(first);
         let mut known = first;
         while known < 120 {
@@ -213,7 +221,7 @@
         for from in first..120 {
             let (mut next, mut servers) = (from, state(&log, from));
             while next < 120 {
-                let mut views = FeedViews::default();
+                let mut views = FeedViews::new(BOUNDS);
                 let update = follow(now, &mut views, &relay, next).unwrap();
                 next = update.next;
                 for (_, change) in update.changes {
@@ -231,3 +239,35 @@
         }
     }
 }
+
+#[test]
+fn view_that_outlived_its_bound_is_overdue_only_while_the_store_answers() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    for feed in [Feed::Configuration, Feed::Servers] {
+        let mut views = FeedViews::new(BOUNDS);
+        assert!(!views.is_overdue(at(0), feed));
+        views.record_position(feed, 1, at(0));
+        // The store is silent to this instance: the view is used on.
+        assert!(!views.is_overdue(at(10_000), feed));
+        let mut overdue = Vec::new();
+        for millis in (10_000..14_000).step_by(500) {
+            views.contact.record_answer(at(millis));
+            overdue.push(views.is_overdue(at(millis), feed));
+        }
+        assert_eq!(
+            overdue,
+            [false, false, false, false, true, true, true, true]
+        );
+        views.record_position(feed, 2, at(13_500));
+        for millis in (14_000..16_400).step_by(100) {
+            views.contact.record_answer(at(millis));
+            assert!(!views.is_overdue(at(millis), feed), "{feed:?} at {millis}");
+        }
+        views.contact.record_answer(at(16_510));
+        assert!(views.is_overdue(at(16_510), feed));
+        // It falls silent for longer than between two renewals of the membership.
+        assert!(views.is_overdue(at(18_010), feed));
+        assert!(!views.is_overdue(at(18_020), feed));
+    }
+}
--- a/crates/apricotwell_dispatch/tests/support/config.rs
+++ b/crates/apricotwell_dispatch/tests/support/config.rs
@@ -17,6 +17,10 @@
         address,
         first_start: true,
         revocation_bound: REVOCATION,
+        change_bounds: ChangeBounds {
+            configuration: Duration::from_secs(2),
+            servers: Duration::from_secs(2),
+        },
         quota: QuotaBounds {
             window: Duration::from_secs(8),
             excess: 0.1,
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -201,11 +201,8 @@
     }
 
     fn view_age(&self) -> ViewAge {
-        let timings = &self.gateway.timings;
-        ViewAge::new(match self.feed {
-            Feed::Configuration => timings.configuration_bound(),
-            Feed::Servers => timings.drain,
-        })
+        let dispatcher = self.gateway.dispatcher.borrow();
+        ViewAge::new(dispatcher.config.change_bounds.of(self.feed))
     }
 
     // Age of this instance's view, by the source that confirmed it last.
@@ -489,6 +486,9 @@
     }
 
     fn record_success(&mut self) {
+        let now = self.gateway.now();
+        let feeds = &mut self.gateway.dispatcher.borrow_mut().feeds;
+        feeds.contact.record_answer(now);
         self.failures = 0;
         let Some(since) = self.failing_since.take() else {
             return;
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -51,24 +51,10 @@
 pub struct Timings {
     /// Time between a request to stop and the exit of the process.
     pub grace: Duration,
-    /// Time within which instances must stop sending new requests to a server that starts to drain.
-    pub drain: Duration,
-    /// Time within which an acknowledged configuration must be in force.
-    pub config_apply: Duration,
-    /// Time within which no request reaches a server of a zone after its evacuation was
-    /// acknowledged.
-    pub evacuate: Duration,
     /// Time for which clients may cache the response to an address lookup.
     pub lookup_ttl: Duration,
 }
 
-impl Timings {
-    /// Returns the time within which a change of the configuration feed must be in force.
-    pub fn configuration_bound(&self) -> Duration {
-        self.config_apply.min(self.evacuate)
-    }
-}
-
 /// An instance: decision state, connections and platform adapter.
 pub struct Gateway<P>
 where
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -138,6 +138,7 @@
             || (joined.is_candidate && self.checked != Some(joined.generation));
         let action = {
             let mut dispatcher = gateway.dispatcher.borrow_mut();
+            dispatcher.feeds.contact.record_answer(now);
             dispatcher.peers.refresh_members(now);
             dispatcher.lease.complete_renewal(start, changed)
         };
--- a/crates/apricotwell_gateway/src/software.rs
+++ b/crates/apricotwell_gateway/src/software.rs
@@ -113,11 +113,11 @@
     let servers = dispatcher.backends.iter();
     let listed = software::listed_software(servers.map(|server| &server.entry));
     let age = dispatcher.feeds.age(now, Feed::Servers);
-    let is_current = age.is_some_and(|age| age < gateway.timings.drain);
+    let is_current = age.is_some_and(|age| age < dispatcher.config.change_bounds.servers);
     dispatcher.software.observe(now, is_current, &listed);
     let catalog = dispatcher.catalog.clone();
     if let Some(catalog) = catalog {
-        let margin = lifetime_margin(gateway);
+        let margin = lifetime_margin(&dispatcher);
         dispatcher.former_routes.observe(now, margin, &catalog);
     }
     let others = dispatcher.peers.heartbeat_targets();
@@ -132,17 +132,15 @@
 {
     let dispatcher = gateway.dispatcher.borrow();
     let catalog = dispatcher.catalog.as_ref();
-    let margin = lifetime_margin(gateway);
+    let margin = lifetime_margin(&dispatcher);
     catalog.map_or(Duration::MAX, |catalog| {
         dispatcher.former_routes.stream_lifetime(margin, catalog)
     })
 }
 
-fn lifetime_margin<P>(gateway: &Gateway<P>) -> Duration
-where
-    P: Platform,
-{
-    gateway.timings.drain.saturating_add(CONTACT_MARGIN)
+fn lifetime_margin(dispatcher: &Dispatcher) -> Duration {
+    let bound = dispatcher.config.change_bounds.servers;
+    bound.saturating_add(CONTACT_MARGIN)
 }
 
 // Adds listed versions to the record, marks absent ones and removes retired ones, if it is not as it
