Send no request by a list of servers older than the bound while the store answers

Cause: the age of the list was not looked at when a server was selected or a request sent.

Change: while the list is overdue, a request waits up to 300 ms for a newer one and is then refused (503, not run). Looked at when a server is selected and once more just before the request is sent. While the store is silent the old list is used on.

--- a/crates/apricotwell_gateway/src/handler/attempt.rs
+++ b/crates/apricotwell_gateway/src/handler/attempt.rs
@@ -65,8 +65,11 @@
     }
 
     // Returns whether a server that was selected may still receive the request: it is in the list at the
-    // same address, does not drain, and its zone is not evacuated.
+    // same address, does not drain, and its zone is not evacuated. A list that is too old says nothing.
     pub(super) fn may_send(&self, destination: &Destination) -> bool {
+        if self.is_list_overdue() {
+            return false;
+        }
         let now = self.gateway.now();
         let dispatcher = self.gateway.dispatcher.borrow();
         let backends = &dispatcher.backends;
--- a/crates/apricotwell_gateway/src/handler/waiting.rs
+++ b/crates/apricotwell_gateway/src/handler/waiting.rs
@@ -10,6 +10,10 @@
 use crate::events::Event;
 use crate::guard::{PermitGuard, TurnGuard, WaitGuard};
 
+/// Longest wait for a newer list of servers while the known one may lack a change that must be in force.
+const MAX_LIST_WAIT: Duration = Duration::from_millis(300);
+/// Interval at which such a wait looks at the list; not every confirmation is signalled.
+const LIST_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum interval at which a waiting request looks for a server, even if no change was signalled.
 const SERVER_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Fraction of the grace period during which requests may still wait for a server after a request
@@ -26,6 +30,7 @@
         let mut turn: Option<TurnGuard<P>> = None;
         let mut permit: Option<PermitGuard<P>> = None;
         loop {
+            self.await_current_list().await?;
             let changed = self.gateway.servers_changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
@@ -93,6 +98,27 @@
         }
     }
 
+    // Waits shortly for a list of servers that requests may be sent by.
+    async fn await_current_list(&self) -> Result<(), Refusal> {
+        let begun = self.gateway.now();
+        while self.is_list_overdue() {
+            let waited = self.gateway.now().saturating_duration_since(begun);
+            if waited >= MAX_LIST_WAIT || self.wait_remaining().is_zero() {
+                let text = "the list of servers may lack changes; try another instance";
+                return Err(self.refusal(RefusalKind::Unavailable, text));
+            }
+            tokio::time::sleep(LIST_POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns whether the list of servers is too old to send requests by it.
+    pub(super) fn is_list_overdue(&self) -> bool {
+        let now = self.gateway.now();
+        let dispatcher = self.gateway.dispatcher.borrow();
+        dispatcher.feeds.is_overdue(now, Feed::Servers)
+    }
+
     // Returns what `choice` becomes in view of the other waiting requests, and whether one of them
     // goes first. Takes a ticket if that is necessary.
     fn take_turn(
