Confirm a view by an empty answer of the store only for the whole wait

Cause: an empty answer that came before the end of its wait confirmed the view up to its arrival, though the store may have looked at its log any time since the call: views seemed younger than they were, by up to a quarter of the bound.

Change: it confirms the time of the call; an empty answer after the whole wait confirms call and wait, as before.

The rule is a function of its own with a test, which failed for an answer after 499 of 500 ms.

--- a/crates/apricotwell_dispatch/src/feeds.rs
+++ b/crates/apricotwell_dispatch/src/feeds.rs
@@ -238,6 +238,20 @@
     }
 }
 
+/// Returns the time up to which a read shows that there was nothing beyond its records.
+///
+/// The read began at `start`, the store was asked to wait for records for `wait`, and answered by `end`. An
+/// empty answer after the whole wait shows that nothing came in it. The store may have looked at its log
+/// at any time before an earlier one.
+pub fn confirmation_time(start: Instant, wait: Duration, end: Instant, is_empty: bool) -> Instant {
+    let has_waited = end.saturating_duration_since(start) >= wait;
+    if is_empty && has_waited {
+        start + wait
+    } else {
+        start
+    }
+}
+
 /// Decodes the answer to a query that was sent at `sent_at` for the changes after `from`.
 ///
 /// Returns `None` if the answer doesn't contain all changes since then.
--- a/crates/apricotwell_dispatch/tests/feeds.rs
+++ b/crates/apricotwell_dispatch/tests/feeds.rs
@@ -5,7 +5,7 @@
 
 use apricotwell_dispatch::backends::BackendEntry;
 use apricotwell_dispatch::feeds::{
-    Feed, FeedUpdate, FeedViews, ServerListChange, decode_answer, outage_pause,
+    Feed, FeedUpdate, FeedViews, ServerListChange, confirmation_time, decode_answer, outage_pause,
 };
 use apricotwell_dispatch::freshness::ChangeBounds;
 use apricotwell_dispatch::model::Inventory;
@@ -271,3 +271,19 @@
         assert!(!views.is_overdue(at(17_611), feed));
     }
 }
+
+#[test]
+fn empty_answer_before_the_end_of_its_wait_confirms_no_more_than_its_start() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let wait = Duration::from_millis(500);
+    // The store looked at the log at some time between the call and the answer.
+    assert_eq!(confirmation_time(at(0), wait, at(499), true), at(0));
+    assert_eq!(confirmation_time(at(0), wait, at(500), true), at(500));
+    assert_eq!(confirmation_time(at(0), wait, at(900), true), at(500));
+    assert_eq!(confirmation_time(at(0), wait, at(900), false), at(0));
+    assert_eq!(
+        confirmation_time(at(0), Duration::ZERO, at(30), true),
+        at(0)
+    );
+}
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use apricotwell_dispatch::feeds::{FeedUpdate, outage_pause};
+use apricotwell_dispatch::feeds::{FeedUpdate, confirmation_time, outage_pause};
 use apricotwell_dispatch::freshness::{QUERY_INTERVAL, ViewAge};
 use apricotwell_dispatch::log_position::{LogPosition, PageOrder};
 use apricotwell_dispatch::prelude::*;
@@ -239,12 +239,9 @@
                 self.reads_newest = false;
                 self.log_read(from, &page);
                 let pauses = self.feed == Feed::Servers && page.is_end;
-                // A long poll without records shows that there were none until the end of its wait.
-                let waited = self.gateway.now().saturating_duration_since(start);
-                let confirmed_at = match from {
-                    Some(_) if page.records.is_empty() => start + wait.min(waited),
-                    _ => start,
-                };
+                // The newest records are read without a wait.
+                let is_empty = from.is_some() && page.records.is_empty();
+                let confirmed_at = confirmation_time(start, wait, self.gateway.now(), is_empty);
                 let confirmed_at = page.is_end.then_some(confirmed_at);
                 self.apply_page(confirmed_at, from, page);
                 self.record_source(FeedSource::Store);
