Treat the services of skipped configurations as unknown when a stream is resumed

Cause: an instance that reads the newest configuration in place of several never sees the routes between them. A stream that began on one of those elsewhere would be bound to the services that this instance knows. The same held after the store dropped its history.

Change: a gap counts like dropped tables of routes: until the streams have ended, clients' resumptions are refused here. Event configurations_skipped.

Test: services_are_unknown_after_configurations_that_were_not_read; no stream was seen to be joined so.

--- a/crates/apricotwell_dispatch/src/former_routes.rs
+++ b/crates/apricotwell_dispatch/src/former_routes.rs
@@ -17,13 +17,13 @@
 /// # Invariants
 ///
 /// `tables` has the routes of each configuration that was replaced by one with other routes within the
-/// lifetime of its streams, unless `dropped` states that there were too many.
+/// lifetime of its streams, unless `dropped` states that there were too many or that some were missed.
 #[derive(Debug, Default)]
 pub struct FormerRoutes {
     // With the times at which they were replaced, oldest first.
     tables: VecDeque<(RouteTable, Instant)>,
     last: Option<Arc<Catalog>>,
-    // When a table was dropped last, and the longest stream timeout of those that were.
+    // When a table was dropped or missed last, and the longest stream timeout of those that were.
     dropped: Option<(Instant, Duration)>,
 }
 
@@ -58,6 +58,15 @@
         }
     }
 
+    /// Records that configurations were in effect whose routes this instance has not seen.
+    pub fn record_gap(&mut self, now: Instant) {
+        let tables = self.tables.iter().map(|(table, _)| table);
+        let tables = tables.chain(self.last.iter().map(|last| last.routes()));
+        let dropped = self.dropped.map(|(_, timeout)| timeout);
+        let longest = tables.map(longest_stream).chain(dropped).max();
+        self.dropped = Some((now, longest.unwrap_or_default()));
+    }
+
     /// Returns how long after the last server of a version has left one of its streams may be resumed,
     /// by the longest timeout of the present and the remembered routes.
     pub fn stream_lifetime(&self, margin: Duration, catalog: &Catalog) -> Duration {
--- a/crates/apricotwell_dispatch/tests/former_routes.rs
+++ b/crates/apricotwell_dispatch/tests/former_routes.rs
@@ -83,3 +83,23 @@
     routes.observe(start + 2 * LONG + MARGIN + LONG, MARGIN, &last);
     assert!(routes.stream_lifetime(MARGIN, &last) < LONG);
 }
+
+#[test]
+fn services_are_unknown_after_configurations_that_were_not_read() {
+    let start = Instant::now();
+    let (first, third) = (catalog("a", LONG), catalog("c", LONG));
+    let mut routes = FormerRoutes::default();
+    let lifetime = 2 * LONG + MARGIN;
+    let services = |routes: &FormerRoutes, now: Instant| {
+        let services = routes.services((now, lifetime), &third, "h", "/draft/x");
+        services.map(|it| it.len())
+    };
+    routes.observe(start, MARGIN, &first);
+    // The second one may have had another service.
+    routes.record_gap(start);
+    routes.observe(start, MARGIN, &third);
+    assert_eq!(services(&routes, start), None);
+    let end = start + lifetime;
+    routes.observe(end, MARGIN, &third);
+    assert_eq!(services(&routes, end), Some(1));
+}
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -299,6 +299,7 @@
     fn apply_page(&mut self, confirmed_at: Option<Instant>, from: Option<Offset>, page: FeedPage) {
         if from.is_none() && self.feed == Feed::Configuration {
             evacuation::end_missing(&self.gateway, &page);
+            self.record_skipped(&page);
         }
         if from.is_none() && self.feed == Feed::Servers {
             self.remove_missing(&page);
@@ -322,6 +323,21 @@
         self.apply(confirmed_at, page.next, records.collect());
     }
 
+    // Records that configurations before the newest one were not read, whose routes streams may have begun on.
+    fn record_skipped(&self, page: &FeedPage) {
+        let known = self.position.known();
+        if known == 0 || page.next <= known + 1 {
+            return;
+        }
+        Event::new("configurations_skipped")
+            .with("known", known)
+            .with("next", page.next)
+            .log();
+        let now = self.gateway.now();
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher.former_routes.record_gap(now);
+    }
+
     // Applies records with the offsets up to which the feed is known with them; `next` is that of all.
     fn apply(
         &mut self,
