Take the store for silent only after failed calls

Cause: an instance without processor time hears nothing from the store for over 1.1 s, took that for the store's silence and used its old views on.

Change: the store counts as silent after 1.1 s without an answer in which two calls or more failed.

--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -536,6 +536,7 @@
 
     fn record_failure(&mut self, error: &StoreError) {
         self.gateway.metrics.count_store_call("failed");
+        self.gateway.record_store_failure();
         self.failures += 1;
         let now = self.gateway.now();
         if self.failures > 1 {
@@ -552,9 +553,7 @@
     }
 
     fn record_success(&mut self) {
-        let now = self.gateway.now();
-        let feeds = &mut self.gateway.dispatcher.borrow_mut().feeds;
-        feeds.contact.record_answer(now);
+        self.gateway.record_store_answer();
         self.failures = 0;
         let Some(since) = self.failing_since.take() else {
             return;
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -185,6 +185,19 @@
         self.clock.now()
     }
 
+    /// Records that the store answered a call.
+    pub fn record_store_answer(&self) {
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.feeds.contact.record_answer(now);
+    }
+
+    /// Records that a call of the store failed.
+    pub fn record_store_failure(&self) {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.feeds.contact.record_failure();
+    }
+
     /// Lets a waiting request look for a server again.
     pub fn wake_turn(&self, ticket: TicketId) {
         if let Some(due) = self.turns.borrow().get(&ticket) {
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -52,6 +52,7 @@
         };
         if let Err(error) = result {
             renewer.gateway.metrics.count_store_call("failed");
+            renewer.gateway.record_store_failure();
             log::info!("failed to renew the membership: {error}");
         }
         tokio::time::sleep(RENEWAL_INTERVAL).await;
@@ -130,6 +131,7 @@
             .join(&self.member, self.generation, self.term)
             .await?;
         gateway.metrics.count_store_call("join");
+        gateway.record_store_answer();
         self.generation = joined.generation;
         self.has_left = false;
         let now = gateway.now();
@@ -138,7 +140,6 @@
             || (joined.is_candidate && self.checked != Some(joined.generation));
         let action = {
             let mut dispatcher = gateway.dispatcher.borrow_mut();
-            dispatcher.feeds.contact.record_answer(now);
             dispatcher.peers.refresh_members(now);
             dispatcher.lease.complete_renewal(start, changed)
         };
