Probe several servers at a time where a service has many

Cause: a quarter of the servers crash together. Three failed ones make their service unreachable, and then one server is asked each 0.52 s, which has crashed as well in one of four cases.

Change: one server for each 16 of the service is asked at a time, three at most.

--- a/crates/apricotwell_dispatch/src/reach.rs
+++ b/crates/apricotwell_dispatch/src/reach.rs
@@ -14,6 +14,8 @@
 
 /// Servers in a row that must accept no connection for their service to count as unreachable.
 const MIN_FAILED: usize = 3;
+/// Servers of a service for each one that is probed at a time while it counts as unreachable.
+const SERVERS_PER_PROBE: usize = 16;
 /// Failed servers of one service that are remembered.
 const MAX_FAILED: usize = 16;
 /// Time for which failures are remembered without another one.
@@ -37,7 +39,7 @@
     // Processes that accepted no connection, the last one at the end.
     processes: Vec<Process>,
     last: Instant,
-    // Counts the probes of an unreachable service, so that each one asks another server.
+    // Place of the next server to probe while the service is unreachable.
     turn: usize,
 }
 
@@ -90,16 +92,18 @@
     /// Returns the servers to ask for a connection next; `usable` are those of the service.
     ///
     /// As long as the service counts as reachable, these are as many others as make it unreachable,
-    /// afterwards one in turn.
+    /// afterwards some in turn: one alone may have crashed with those that failed before.
     pub fn probe_targets<'a>(&mut self, service: &str, usable: &[&'a Backend]) -> Vec<&'a Backend> {
         let is_unreachable = self.is_unreachable(service, usable.iter().copied());
         let Some(failures) = self.services.get_mut(service) else {
             return Vec::new();
         };
         if is_unreachable {
-            failures.turn = failures.turn.wrapping_add(1);
-            let next = failures.turn % usable.len();
-            return vec![usable[next]];
+            let count = (usable.len() / SERVERS_PER_PROBE).clamp(1, MIN_FAILED);
+            let first = failures.turn % usable.len();
+            failures.turn = first + count;
+            let in_turn = usable.iter().cycle().skip(first);
+            return in_turn.take(count).copied().collect();
         }
         let others = usable
             .iter()
--- a/crates/apricotwell_dispatch/tests/reach.rs
+++ b/crates/apricotwell_dispatch/tests/reach.rs
@@ -164,6 +164,28 @@
     assert_eq!(servers.len(), 9);
 }
 
+#[test]
+fn service_is_reached_at_the_next_probe_though_a_quarter_of_its_servers_crashed_together() {
+    const SERVERS: usize = 140;
+    let mut fixture = Fixture::new(SERVERS);
+    let now = fixture.start;
+    let has_crashed = |server: &str| {
+        let number: usize = server["server-".len()..].parse().unwrap();
+        number.is_multiple_of(4)
+    };
+    for server in [0, 4, 8] {
+        fixture.connect(0, server, false);
+    }
+    let rounds = 100;
+    let reached = (0..rounds).filter(|_| {
+        let targets = fixture.dispatcher.probe_targets(now);
+        assert!(targets.len() <= 3);
+        targets.iter().any(|(server, _)| !has_crashed(server))
+    });
+    let reached = reached.count();
+    assert!(reached >= 95, "{reached} of {rounds}");
+}
+
 #[test]
 fn request_is_passed_on_within_the_zone_while_half_of_it_reaches_the_service() {
     let mut fixture = Fixture::new(9);
