--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -284,10 +284,6 @@
     }
 }
 
-fn millis(time: Option<Duration>) -> Option<u64> {
-    time.map(|time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
-}
-
 fn status_response(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
@@ -364,11 +360,8 @@
             "config",
             dispatcher.catalog.as_ref().map(|catalog| catalog.version),
         )
-        .with("config_age_ms", millis(dispatcher.freshness.age(now)))
-        .with(
-            "list_age_ms",
-            millis(dispatcher.feeds.age(now, Feed::Servers)),
-        )
+        .with_optional_time("config_age_ms", dispatcher.freshness.age(now))
+        .with_optional_time("list_age_ms", dispatcher.feeds.age(now, Feed::Servers))
         .with("active", gateway.active_requests.get())
         .with("heard", dispatcher.peers.reporting_count(now))
         .with("possible", dispatcher.peers.possible_count())
--- a/crates/apricotwell_gateway/src/events.rs
+++ b/crates/apricotwell_gateway/src/events.rs
@@ -160,6 +160,11 @@
         self.with(name, time.as_millis() as u64)
     }
 
+    /// Adds a duration in milliseconds, or no value.
+    pub fn with_optional_time(self, name: &str, time: Option<Duration>) -> Self {
+        self.with(name, time.map(|time| time.as_millis() as u64))
+    }
+
     /// Logs the event.
     pub fn log(self) {
         log::info!("{}", Value::Object(self.fields));
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -258,11 +258,14 @@
         ViewAge::new(dispatcher.config.change_bounds.of(self.feed))
     }
 
-    // Age of this instance's view, by the source that confirmed it last.
-    fn age(&self) -> Duration {
+    // Age of this instance's view, by the source that confirmed it last; `None` if it was never read.
+    fn known_age(&self) -> Option<Duration> {
         let now = self.gateway.now();
-        let age = self.gateway.dispatcher.borrow().feeds.age(now, self.feed);
-        age.unwrap_or(Duration::MAX)
+        self.gateway.dispatcher.borrow().feeds.age(now, self.feed)
+    }
+
+    fn age(&self) -> Duration {
+        self.known_age().unwrap_or(Duration::MAX)
     }
 
     fn time_left(&self) -> Duration {
@@ -444,7 +447,7 @@
             .with("feed", format!("{:?}", self.feed))
             .with("source", &**peer)
             .with("reason", reason)
-            .with_time("age_ms", self.age())
+            .with_optional_time("age_ms", self.known_age())
             .log();
     }
 
@@ -498,7 +501,7 @@
                     .with("server", &*id)
                     .with("offset", offset)
                     .with("cause", grace.map(|_| "lapse_after_outage"))
-                    .with("kept_ms", grace.map(|grace| grace.as_millis() as u64))
+                    .with_optional_time("kept_ms", grace)
                     .log();
                 dispatcher.backends.mark_removed(now, &id, grace);
                 dispatcher.prompts.remove_server(&id);
--- a/crates/apricotwell_gateway/src/feeds/reads.rs
+++ b/crates/apricotwell_gateway/src/feeds/reads.rs
@@ -33,7 +33,7 @@
             .with_time("head_ms", transfer.head_time)
             .with_time("body_ms", transfer.body_time)
             .with_time("decode_ms", transfer.decode_time)
-            .with_time("age_ms", self.age())
+            .with_optional_time("age_ms", self.known_age())
             .log();
     }
 
@@ -45,7 +45,7 @@
             .with("from", self.next)
             .with("reason", error.to_string())
             .with_time("ms", time)
-            .with_time("age_ms", self.age())
+            .with_optional_time("age_ms", self.known_age())
             .log();
     }
 }
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -519,8 +519,8 @@
             .with("request", self.request.attempt.as_str())
             .with("route", &*self.admission.route.name)
             .with("config", self.admission.version)
-            .with("config_age_ms", self.admission.config_age.map(millis))
-            .with("list_age_ms", self.trace.list_age.map(millis))
+            .with_optional_time("config_age_ms", self.admission.config_age)
+            .with_optional_time("list_age_ms", self.trace.list_age)
             .with("server", server.map_or("", |server| &**server))
             .with("outcome", outcome)
             .with("status", status)
@@ -532,8 +532,8 @@
             .with("server_limit", self.trace.server_limit)
             .with("model", self.model_name())
             .with("tokens", self.admission.tokens)
-            .with("waited_ms", self.millis_to(self.server_found))
-            .with("first_byte_ms", self.millis_to(self.trace.first_byte))
+            .with_optional_time("waited_ms", self.time_to(self.server_found))
+            .with_optional_time("first_byte_ms", self.time_to(self.trace.first_byte))
             .with_time("longest_pause_ms", self.trace.longest_pause)
             .with_time("ms", time)
             .log();
@@ -544,10 +544,9 @@
         requested.map_or("", |requested| &*requested.model)
     }
 
-    // Returns the milliseconds from the arrival of the request to `end`.
-    fn millis_to(&self, end: Option<Instant>) -> Option<u64> {
-        let time = end?.saturating_duration_since(self.admission.arrived);
-        Some(time.as_millis() as u64)
+    // Returns the time from the arrival of the request to `end`.
+    fn time_to(&self, end: Option<Instant>) -> Option<Duration> {
+        Some(end?.saturating_duration_since(self.admission.arrived))
     }
 
     /// Records that bytes of the response were received.
@@ -560,10 +559,6 @@
     }
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Reason logged for an attempt that got the response to another one.
 const FOREIGN: &str = "the response belongs to another request";
 /// Reason logged for an attempt of which nothing was sent.
--- a/crates/apricotwell_gateway/src/handler/retries.rs
+++ b/crates/apricotwell_gateway/src/handler/retries.rs
@@ -38,7 +38,7 @@
         let source = dispatcher.feeds.source(Feed::Servers);
         event
             .with("server_state", dispatcher.backends.state_name(now, server))
-            .with("list_age_ms", age.map(|age| age.as_millis() as u64))
+            .with_optional_time("list_age_ms", age)
             .with("list_source", source.map(|source| format!("{source:?}")))
     }
 }
--- a/crates/apricotwell_gateway/src/handler/waiting.rs
+++ b/crates/apricotwell_gateway/src/handler/waiting.rs
@@ -169,10 +169,10 @@
             .with("priority", self.admission.priority)
             .with("reason", reason)
             .with("queue_position", estimate.map(|it| it.position))
-            .with("expected_wait_ms", millis(estimate.map(|it| it.expected)))
-            .with("earliest_wait_ms", millis(estimate.map(|it| it.earliest)))
+            .with_optional_time("expected_wait_ms", estimate.map(|it| it.expected))
+            .with_optional_time("earliest_wait_ms", estimate.map(|it| it.earliest))
             .with_time("patience_ms", self.wait_remaining())
-            .with("retry_after_ms", millis(refusal.retry_after))
+            .with_optional_time("retry_after_ms", refusal.retry_after)
             .log();
     }
 
@@ -218,7 +218,3 @@
             .saturating_duration_since(now)
     }
 }
-
-fn millis(time: Option<Duration>) -> Option<u64> {
-    time.map(|time| time.as_millis() as u64)
-}
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -426,16 +426,7 @@
             "config",
             dispatcher.catalog.as_ref().map(|catalog| catalog.version),
         )
-        .with(
-            "view_age_ms",
-            dispatcher
-                .freshness
-                .age(now)
-                .map(|age| age.as_millis() as u64),
-        )
-        .with(
-            "retry_after_ms",
-            refusal.retry_after.map(|after| after.as_millis() as u64),
-        )
+        .with_optional_time("view_age_ms", dispatcher.freshness.age(now))
+        .with_optional_time("retry_after_ms", refusal.retry_after)
         .log();
 }
