Begin a new series of answers when the store answers from an older state

Cause: for a second such a log may be a late answer, so the view is not confirmed meanwhile, while renewals of the membership are answered: the configuration counted as overdue.

Change: a page that ends before what is known begins a new series of the store's answers.

--- a/crates/apricotwell_dispatch/src/store_contact.rs
+++ b/crates/apricotwell_dispatch/src/store_contact.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Records that the store answered from an older state: it may have been away, and only what it answers from
+    /// now on counts.
+    pub fn restart(&mut self) {
+        self.series = None;
+    }
+
     /// Returns for how long the store has answered without a silence, zero if it does not.
     pub fn duration(&self, now: Instant) -> Duration {
         let unbroken = self.series.filter(|series| !series.is_broken(now));
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -332,7 +332,12 @@
         known: Offset,
         page: FeedPage,
     ) -> Result<Option<FeedPage>, StoreError> {
-        match self.position.check_page(start, known, page.next) {
+        let order = self.position.check_page(start, known, page.next);
+        if matches!(order, PageOrder::Behind | PageOrder::Restarted) {
+            let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+            dispatcher.feeds.contact.restart();
+        }
+        match order {
             PageOrder::Current => Ok(Some(page)),
             PageOrder::Overtaken => Ok(None),
             PageOrder::Behind => Err(StoreError::Unknown(format!(
