Order claims of the placement lease by the store's era, then by offset

Cause: the token was the claim's offset + 1, and a store that comes back from an older copy gives offsets out again. The holder whose claim was lost saw nothing of it: a renewal keeps a claim without a look at the log, an equal token of another instance was not in conflict, and numbers of the group's generation come again as well, so that a candidate took a check of the former history for one of the present.

A token is the era and then the offset, 53 bits together. When the era changes, each member forgets the generation that it has checked and listed; the holder stops, looks at the log and claims the lease again at once if nobody has in this era (with what is left of its pause). Nobody else claims on a log whose last claim is of an earlier era before the term of such a holder is over, and then with the whole pause, also on its own former claim. A claim counts as one's own by its offset. An equal token of another instance ends the claim and is logged and counted (`fence_shared`). Beside builds that know no eras (heartbeats say so) the offset alone is used, unless this process has seen the era change. A store without the header is served as before.

Tests changed: signatures only (`standing`, `complete_renewal`, `is_some`).

--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -7,6 +7,7 @@
 
 use super::Dispatcher;
 use crate::catalog::Catalog;
+use crate::lease::FenceConflict;
 use crate::load_notices::LoadNotice;
 
 /// Instances per zone that take turns in relaying server inventories, so that an unreachable relay
@@ -59,6 +60,7 @@
                 .iter()
                 .map(|service| service.to_string())
                 .collect(),
+            knows_eras: true,
         }
     }
 
@@ -67,10 +69,15 @@
         self.quotas.mark_reported(now);
     }
 
-    /// Applies another instance's heartbeat; returns `false` for an outdated or own one.
-    pub fn apply_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> bool {
+    /// Applies another instance's heartbeat; returns `None` for an outdated or own one, and else whether its
+    /// fencing token is in conflict with that of this instance.
+    pub fn apply_heartbeat(
+        &mut self,
+        now: Instant,
+        heartbeat: &Heartbeat,
+    ) -> Option<FenceConflict> {
         if heartbeat.instance == *self.config.id || !self.peers.apply_heartbeat(now, heartbeat) {
-            return false;
+            return None;
         }
         let instance: InstanceId = heartbeat.instance.as_str().into();
         let requests: Map<&str, &ServerUse> = heartbeat
@@ -84,14 +91,14 @@
         if let Some(catalog) = self.catalog.clone() {
             self.apply_spending(now, &catalog, &instance, heartbeat);
         }
-        self.lease.observe_fence(heartbeat.fence);
+        let conflict = self.lease.observe_fence(heartbeat.fence);
         if let Some(crashes) = &heartbeat.crashes {
             self.crashes.apply(now, crashes);
         }
         for limit in &heartbeat.limits {
             self.limited.limits.apply_limit(now, limit);
         }
-        true
+        Some(conflict)
     }
 
     /// Applies the server inventories that the lease holder sent.
--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -1,13 +1,16 @@
 //! The placement lease, which permits one instance at a time to send orders to backend servers.
 //!
 //! The member that appended the last claim to the store's log holds the lease for as long as it
-//! stays in the store's consumer group; the claim's offset is the fencing token. Once the group has
+//! stays in the store's consumer group; [`crate::lease_log`] has the fencing tokens. Once the group has
 //! removed the holder, the member that is assigned a certain partition may claim the lease. A
 //! holder that the group may have removed without its knowledge checks the log before it continues.
+//!
+//! When the era of the store changes, later claims than the last one of the log may be lost. Whoever held the
+//! lease until then claims it again at once; nobody else claims it before the term of such a holder is over.
 
 use std::time::{Duration, Instant};
 
-use apricotwell_types::Fence;
+use apricotwell_types::{Fence, Offset, StoreEra};
 
 /// Last part of the term, left unused by the holder to allow for late timers and orders in transit.
 const TERM_MARGIN: Duration = Duration::from_millis(300);
@@ -44,12 +47,34 @@
     Taken,
 }
 
+/// What the log and the group say of the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// State of the last claim of the log.
+    pub status: ClaimStatus,
+    /// Offset of that claim, `None` if there is none.
+    pub last: Option<Offset>,
+    /// Whether it is known that no later claim was lost with an earlier era of the store.
+    pub is_current: bool,
+}
+
+/// Whether another instance's fencing token is in conflict with the own one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FenceConflict {
+    /// It is not.
+    None,
+    /// Another instance claimed the lease later.
+    Superseded,
+    /// Both have the same token, which must never happen.
+    Shared,
+}
+
 /// Next step to take for the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseAction {
     /// Do nothing.
     Keep,
-    /// Read the log and the group, then call [`Lease::apply_status`].
+    /// Read the log and the group, then call [`Lease::apply_standing`].
     Check,
     /// Append a claim to the log, then call [`Lease::apply_claim`].
     Claim,
@@ -73,13 +98,26 @@
     // Start of the last renewal, confirmed or not.
     last_attempt: Option<Instant>,
     claim: Option<Claim>,
-    // Whether a claim was released without checking the log.
+    // Whether the log must be checked, as a claim was released or could not be made yet.
     needs_check: bool,
+    // Era of the store in the last renewal, and the start of the first renewal that showed it.
+    era: Option<(StoreEra, Instant)>,
+    // Claim that this instance held when the era changed.
+    former: Option<FormerClaim>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct FormerClaim {
+    // End of its term.
+    until: Instant,
+    // Time of its first permitted order.
+    effective_at: Instant,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Claim {
     fence: Fence,
+    offset: Offset,
     // Time of the first permitted order.
     effective_at: Instant,
 }
@@ -93,6 +131,8 @@
             last_attempt: None,
             claim: None,
             needs_check: false,
+            era: None,
+            former: None,
         }
     }
 
@@ -109,13 +149,20 @@
 
     /// Completes the renewal that began at `start`, which the store confirmed.
     ///
-    /// `changed` is whether the group has changed since the last check.
-    pub fn complete_renewal(&mut self, start: Instant, changed: bool) -> LeaseAction {
-        let gap = self
-            .last_renewal
-            .map(|previous| start.saturating_duration_since(previous));
+    /// `changed` is whether the group has changed since the last check, and `era` that of the store's answer.
+    pub fn complete_renewal(
+        &mut self,
+        start: Instant,
+        changed: bool,
+        era: Option<StoreEra>,
+    ) -> LeaseAction {
+        let term_end = self.term_end();
+        let is_continuous = term_end.is_some_and(|end| start < end);
+        let has_reverted = self.observe_era(start, term_end, era);
         self.last_renewal = Some(start);
-        let is_continuous = gap.is_some_and(|gap| gap + TERM_MARGIN < self.config.term);
+        if has_reverted {
+            return LeaseAction::Check;
+        }
         if self.claim.is_some() && is_continuous {
             return LeaseAction::Keep;
         }
@@ -125,38 +172,109 @@
         LeaseAction::Check
     }
 
+    // Returns whether the era has changed. The claim then ends, as the store may know of a later one.
+    fn observe_era(
+        &mut self,
+        start: Instant,
+        term_end: Option<Instant>,
+        era: Option<StoreEra>,
+    ) -> bool {
+        let known = self.era.map(|(known, _)| known);
+        if era.is_none() || era == known {
+            return false;
+        }
+        self.era = era.map(|era| (era, start));
+        if known.is_none() {
+            return false;
+        }
+        self.needs_check = true;
+        if let (Some(claim), Some(until)) = (self.claim.take(), term_end) {
+            self.former = Some(FormerClaim {
+                until,
+                effective_at: claim.effective_at,
+            });
+        }
+        true
+    }
+
+    // Returns whether no claim of an earlier era can still be in force at another instance that is in touch.
+    fn is_settled(&self, now: Instant) -> bool {
+        self.era
+            .is_none_or(|(_, since)| now.saturating_duration_since(since) >= self.config.term)
+    }
+
+    // Returns this instance's claim that ended only because of the change of the era.
+    fn held_through(&self, now: Instant, standing: Standing) -> Option<FormerClaim> {
+        self.former
+            .filter(|former| !standing.is_current && now < former.until)
+    }
+
     /// Applies the result of a check; `candidate` is whether this instance may claim a free lease.
-    pub fn apply_status(&mut self, status: ClaimStatus, candidate: bool) -> LeaseAction {
+    pub fn apply_standing(
+        &mut self,
+        now: Instant,
+        standing: Standing,
+        candidate: bool,
+    ) -> LeaseAction {
         self.needs_check = false;
-        match status {
-            ClaimStatus::Own if self.claim.is_some() => LeaseAction::Keep,
-            ClaimStatus::Own => LeaseAction::Claim,
-            ClaimStatus::Unclaimed | ClaimStatus::Dropped if candidate => LeaseAction::Claim,
-            _ => match self.claim.take() {
-                Some(_) => LeaseAction::Stop,
-                None => LeaseAction::Keep,
-            },
+        if self.held_through(now, standing).is_some() {
+            return LeaseAction::Claim;
         }
+        self.former = None;
+        let may_claim = match standing.status {
+            // Another claim than the own one may have been lost since.
+            ClaimStatus::Own => true,
+            ClaimStatus::Unclaimed | ClaimStatus::Dropped => candidate,
+            ClaimStatus::Taken => false,
+        };
+        if may_claim && !standing.is_current && !self.is_settled(now) {
+            self.needs_check = true;
+            return self.end_claim();
+        }
+        let is_own = self
+            .claim
+            .is_some_and(|claim| Some(claim.offset) == standing.last);
+        match standing.status {
+            ClaimStatus::Own if is_own => LeaseAction::Keep,
+            _ if may_claim => LeaseAction::Claim,
+            _ => self.end_claim(),
+        }
+    }
+
+    fn end_claim(&mut self) -> LeaseAction {
+        match self.claim.take() {
+            Some(_) => LeaseAction::Stop,
+            None => LeaseAction::Keep,
+        }
+    }
+
+    /// Applies this instance's claim with its offset; `standing` is what was known before it.
+    pub fn apply_claim(&mut self, now: Instant, fence: Fence, offset: Offset, standing: Standing) {
+        let effective_at = match self.held_through(now, standing) {
+            Some(former) => former.effective_at.max(now),
+            None => now + self.pause_after(standing),
+        };
+        self.former = None;
+        self.claim = Some(Claim {
+            fence,
+            offset,
+            effective_at,
+        });
     }
 
-    /// Applies this instance's claim; `fence` is its offset, and `status` the status before it.
-    pub fn apply_claim(&mut self, now: Instant, fence: Fence, status: ClaimStatus) {
-        let delay = match status {
+    // Returns the time between a claim and its first order.
+    fn pause_after(&self, standing: Standing) -> Duration {
+        match standing.status {
             // The processes of one machine count as one holder.
-            ClaimStatus::Unclaimed | ClaimStatus::Own => Duration::ZERO,
+            ClaimStatus::Unclaimed | ClaimStatus::Own if standing.is_current => Duration::ZERO,
             ClaimStatus::Taken => self.config.handover_pause,
             // The group removes a holder one term after its last renewal, and its last order came
             // at most one renewal gap after that renewal. If it still runs without access to the
             // store, the higher fencing token stops it.
-            ClaimStatus::Dropped if self.config.fenced => (self.config.handover_pause
-                + self.config.max_renewal_gap)
+            _ if self.config.fenced => (self.config.handover_pause + self.config.max_renewal_gap)
                 .saturating_sub(self.config.term),
-            ClaimStatus::Dropped => self.config.handover_pause,
-        };
-        self.claim = Some(Claim {
-            fence,
-            effective_at: now + delay,
-        });
+            _ => self.config.handover_pause,
+        }
     }
 
     /// Releases the claim after a server rejected its fencing token.
@@ -169,15 +287,21 @@
         self.release_claim();
     }
 
-    /// Releases the claim if another instance uses a higher fencing token.
-    pub fn observe_fence(&mut self, fence: Fence) {
-        if self.claim.is_some_and(|claim| claim.fence < fence) {
-            self.release_claim();
+    /// Releases the claim if another instance uses a fencing token that is not lower.
+    pub fn observe_fence(&mut self, fence: Fence) -> FenceConflict {
+        let Some(claim) = self.claim.filter(|claim| claim.fence <= fence) else {
+            return FenceConflict::None;
+        };
+        self.release_claim();
+        match claim.fence == fence {
+            true => FenceConflict::Shared,
+            false => FenceConflict::Superseded,
         }
     }
 
     fn release_claim(&mut self) {
         self.needs_check |= self.claim.take().is_some();
+        self.former = None;
     }
 
     /// Returns the fencing token for an order that is sent right now.
@@ -212,6 +336,12 @@
         })
     }
 
+    // Returns when the group may remove this member, less a margin.
+    fn term_end(&self) -> Option<Instant> {
+        self.last_renewal
+            .map(|last_renewal| last_renewal + self.config.term - TERM_MARGIN)
+    }
+
     // Whether the process did not run for a while, so that it may have missed a takeover.
     fn is_stalled(&self, now: Instant) -> bool {
         let limit = self.config.max_renewal_gap * 2 + TERM_MARGIN;
--- a/crates/apricotwell_dispatch/src/peers.rs
+++ b/crates/apricotwell_dispatch/src/peers.rs
@@ -61,6 +61,8 @@
     unreachable: Vec<String>,
     // Whether it left a question unanswered since its last heartbeat.
     is_silent: bool,
+    // Whether its fencing tokens follow the eras of the store.
+    knows_eras: bool,
 }
 
 impl Peer {
@@ -143,6 +145,7 @@
             models: heartbeat.models.clone(),
             unreachable: heartbeat.unreachable.clone(),
             is_silent: false,
+            knows_eras: heartbeat.knows_eras,
         };
         let previous = self.peers.insert(heartbeat.instance.as_str().into(), peer);
         // Counting takes time in a large fleet, and only a new instance changes the number.
@@ -221,6 +224,13 @@
         targets
     }
 
+    /// Returns whether the fencing tokens of all instances follow the eras of the store; those that were not
+    /// heard may be earlier builds.
+    pub fn know_eras(&self) -> bool {
+        let knows = |id: &InstanceId| self.peers.get(id).is_some_and(|peer| peer.knows_eras);
+        self.members.keys().chain(self.peers.keys()).all(knows)
+    }
+
     /// Returns the reachable instance that announces the highest fencing token, if any does.
     pub fn lease_holder(&self, now: Instant) -> Option<InstanceId> {
         let holders = self
--- a/crates/apricotwell_dispatch/tests/dispatcher.rs
+++ b/crates/apricotwell_dispatch/tests/dispatcher.rs
@@ -293,9 +293,9 @@
     other.apply_catalog(catalog());
     other.freshness.record_read(now);
     let heartbeat = other.heartbeat(now);
-    assert!(dispatcher.apply_heartbeat(now, &heartbeat));
+    assert!(dispatcher.apply_heartbeat(now, &heartbeat).is_some());
     assert!(
-        !dispatcher.apply_heartbeat(now, &heartbeat),
+        dispatcher.apply_heartbeat(now, &heartbeat).is_none(),
         "a repeated heartbeat is outdated"
     );
     assert_eq!(dispatcher.client_addresses(now).len(), 2);
@@ -318,7 +318,7 @@
         other.config.id = id.into();
         other.config.zone = zone.into();
         let heartbeat = other.heartbeat(now);
-        assert!(receiver.apply_heartbeat(now, &heartbeat));
+        assert!(receiver.apply_heartbeat(now, &heartbeat).is_some());
     };
     assert_eq!(own.feed_source(now), FeedSource::Store);
     receive_heartbeat(&mut own, "10.0.0.0:7600", "b", true);
--- a/crates/apricotwell_dispatch/tests/fleet/simulation.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::backends::BackendEntry;
-use apricotwell_dispatch::lease::ClaimStatus;
+use apricotwell_dispatch::lease::{ClaimStatus, Standing};
 use apricotwell_dispatch::peers::heartbeat_interval;
 use apricotwell_dispatch::prelude::*;
 use apricotwell_messages::{Heartbeat, PermitRequest, PermitResponse};
@@ -130,7 +130,7 @@
 
 fn renew_lease(dispatcher: &mut Dispatcher, now: Instant) {
     dispatcher.lease.begin_renewal(now);
-    dispatcher.lease.complete_renewal(now, false);
+    dispatcher.lease.complete_renewal(now, false, None);
 }
 
 /// Returns the largest number of `sent` times within any window.
@@ -273,8 +273,12 @@
         // The first instance holds the lease.
         if index == 0 {
             renew_lease(&mut dispatcher, self.now);
-            let status = ClaimStatus::Unclaimed;
-            dispatcher.lease.apply_claim(self.now, 1, status);
+            let standing = Standing {
+                status: ClaimStatus::Unclaimed,
+                last: None,
+                is_current: true,
+            };
+            dispatcher.lease.apply_claim(self.now, 1, 0, standing);
         }
         // The first heartbeat is sent at once, the next ones at different times.
         Member {
--- a/crates/apricotwell_dispatch/tests/lease.rs
+++ b/crates/apricotwell_dispatch/tests/lease.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use apricotwell_dispatch::lease::{ClaimStatus, Lease, LeaseAction, LeaseConfig};
+use apricotwell_dispatch::lease::{ClaimStatus, Lease, LeaseAction, LeaseConfig, Standing};
 
 const FENCED: LeaseConfig = LeaseConfig {
     term: Duration::from_millis(1800),
@@ -16,19 +16,28 @@
 };
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
+// What the log says where the store names no era.
+fn standing(status: ClaimStatus) -> Standing {
+    Standing {
+        status,
+        last: (status != ClaimStatus::Unclaimed).then_some(0),
+        is_current: true,
+    }
+}
+
 fn renew(lease: &mut Lease, now: Instant, changed: bool) -> LeaseAction {
     lease.begin_renewal(now);
-    lease.complete_renewal(now, changed)
+    lease.complete_renewal(now, changed, None)
 }
 
 fn holder(config: LeaseConfig, now: Instant) -> Lease {
     let mut lease = Lease::new(config);
     assert_eq!(renew(&mut lease, now, true), LeaseAction::Check);
     assert_eq!(
-        lease.apply_status(ClaimStatus::Unclaimed, true),
+        lease.apply_standing(Instant::now(), standing(ClaimStatus::Unclaimed), true),
         LeaseAction::Claim
     );
-    lease.apply_claim(now, 1, ClaimStatus::Unclaimed);
+    lease.apply_claim(now, 1, 1 - 1, standing(ClaimStatus::Unclaimed));
     assert_eq!(lease.fence(now), Some(1));
     lease
 }
@@ -37,12 +46,18 @@
 fn only_the_candidate_claims_a_free_lease() {
     for status in [ClaimStatus::Unclaimed, ClaimStatus::Dropped] {
         let mut lease = Lease::new(FENCED);
-        assert_eq!(lease.apply_status(status, false), LeaseAction::Keep);
-        assert_eq!(lease.apply_status(status, true), LeaseAction::Claim);
+        assert_eq!(
+            lease.apply_standing(Instant::now(), standing(status), false),
+            LeaseAction::Keep
+        );
+        assert_eq!(
+            lease.apply_standing(Instant::now(), standing(status), true),
+            LeaseAction::Claim
+        );
     }
     let mut lease = Lease::new(FENCED);
     assert_eq!(
-        lease.apply_status(ClaimStatus::Taken, true),
+        lease.apply_standing(Instant::now(), standing(ClaimStatus::Taken), true),
         LeaseAction::Keep
     );
 }
@@ -52,11 +67,11 @@
     let now = Instant::now();
     let mut lease = Lease::new(FENCED);
     assert_eq!(
-        lease.apply_status(ClaimStatus::Own, false),
+        lease.apply_standing(Instant::now(), standing(ClaimStatus::Own), false),
         LeaseAction::Claim
     );
-    lease.complete_renewal(now, true);
-    lease.apply_claim(now, 5, ClaimStatus::Own);
+    lease.complete_renewal(now, true, None);
+    lease.apply_claim(now, 5, 5 - 1, standing(ClaimStatus::Own));
     assert_eq!(lease.fence(now), Some(5));
 }
 
@@ -74,8 +89,8 @@
         ),
     ] {
         let mut lease = Lease::new(config);
-        lease.complete_renewal(now, true);
-        lease.apply_claim(now, 2, status);
+        lease.complete_renewal(now, true, None);
+        lease.apply_claim(now, 2, 2 - 1, standing(status));
         let early = now + min_delay - Duration::from_millis(1);
         keep_alive(&mut lease, now, early);
         assert_eq!(lease.fence(early), None, "{status:?}");
@@ -127,9 +142,12 @@
         None,
         "before the store has confirmed the renewal"
     );
-    assert_eq!(lease.complete_renewal(resumed, true), LeaseAction::Check);
     assert_eq!(
-        lease.apply_status(ClaimStatus::Taken, true),
+        lease.complete_renewal(resumed, true, None),
+        LeaseAction::Check
+    );
+    assert_eq!(
+        lease.apply_standing(Instant::now(), standing(ClaimStatus::Taken), true),
         LeaseAction::Keep
     );
     assert_eq!(lease.fence(resumed), None);
@@ -143,12 +161,15 @@
     let resumed = now + Duration::from_millis(1750);
     lease.begin_renewal(resumed);
     assert_eq!(lease.fence(resumed), None);
-    assert_eq!(lease.complete_renewal(resumed, false), LeaseAction::Check);
     assert_eq!(
-        lease.apply_status(ClaimStatus::Own, false),
+        lease.complete_renewal(resumed, false, None),
+        LeaseAction::Check
+    );
+    assert_eq!(
+        lease.apply_standing(Instant::now(), standing(ClaimStatus::Own), false),
         LeaseAction::Claim
     );
-    lease.apply_claim(resumed, 2, ClaimStatus::Own);
+    lease.apply_claim(resumed, 2, 2 - 1, standing(ClaimStatus::Own));
     assert_eq!(lease.fence(resumed), Some(2));
     let next = resumed + RENEWAL_INTERVAL;
     assert_eq!(renew(&mut lease, next, false), LeaseAction::Keep);
@@ -163,10 +184,13 @@
         attempt += RENEWAL_INTERVAL;
         lease.begin_renewal(attempt);
     }
-    assert_eq!(lease.complete_renewal(attempt, false), LeaseAction::Check);
+    assert_eq!(
+        lease.complete_renewal(attempt, false, None),
+        LeaseAction::Check
+    );
     let mut replaced = lease;
     assert_eq!(
-        replaced.apply_status(ClaimStatus::Taken, true),
+        replaced.apply_standing(Instant::now(), standing(ClaimStatus::Taken), true),
         LeaseAction::Stop
     );
     assert_eq!(replaced.fence(attempt), None);
@@ -187,8 +211,8 @@
     let mut previous = holder(FENCED, now);
     let mut next = Lease::new(FENCED);
     let claimed = now + Duration::from_secs(2);
-    next.complete_renewal(claimed, true);
-    next.apply_claim(claimed, 2, ClaimStatus::Dropped);
+    next.complete_renewal(claimed, true, None);
+    next.apply_claim(claimed, 2, 2 - 1, standing(ClaimStatus::Dropped));
     let mut announcement = None;
     let mut at = now;
     while at < claimed {
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -9,9 +9,10 @@
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_permits::prelude::RequestRate;
-use apricotwell_types::{Fence, Offset, Refusal, ServerId, ZoneId};
+use apricotwell_types::{Fence, Offset, Refusal, ServerId, StoreEra, ZoneId};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request, response};
+use tokio::sync::watch;
 
 /// A platform that instances run on.
 pub trait Platform: 'static {
@@ -204,6 +205,8 @@
     pub generation: u64,
     /// Whether this member is the one that may claim the placement lease when it is free.
     pub is_candidate: bool,
+    /// Era of the store, `None` if it names none.
+    pub era: Option<StoreEra>,
 }
 
 /// Records of the software versions of services, with undecoded values.
@@ -226,24 +229,14 @@
     pub is_end: bool,
 }
 
-/// Last claim of the placement lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LastClaim {
-    /// End of the log: the offset of the next record.
-    pub end: Offset,
-    /// Last record; `None` if it has been deleted.
-    pub claim: Option<ClaimRecord>,
-}
-
-/// Record of a claim of the placement lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ClaimRecord {
-    /// Member of the group that claimed the lease.
-    pub holder: String,
-}
-
 /// Client of the platform's store.
+///
+/// No call returns an answer of an era before the one that [`Self::era`] shows.
 pub trait Store: 'static {
+    /// Returns the era of the store's history, `None` if it names none; it changes when the store comes back
+    /// from an older copy.
+    fn era(&self) -> watch::Receiver<Option<StoreEra>>;
+
     /// Reads the latest record of each key of a feed.
     fn newest(&self, feed: Feed) -> impl Future<Output = Result<FeedPage, StoreError>>;
 
@@ -310,7 +303,7 @@
     /// Returns the last claim of the placement lease.
     fn last_claim(&self) -> impl Future<Output = Result<LastClaim, StoreError>>;
 
-    /// Appends a claim of the placement lease at offset `at` and returns its fencing token.
+    /// Appends a claim of the placement lease at offset `at`.
     ///
     /// # Errors
     ///
@@ -319,7 +312,7 @@
         &self,
         at: Offset,
         record: &ClaimRecord,
-    ) -> impl Future<Output = Result<Fence, StoreError>>;
+    ) -> impl Future<Output = Result<ClaimReceipt, StoreError>>;
 }
 
 /// Client of the model engines on servers.
--- a/crates/apricotwell_gateway/src/heartbeats.rs
+++ b/crates/apricotwell_gateway/src/heartbeats.rs
@@ -12,6 +12,7 @@
 use tokio::net::UdpSocket;
 
 use crate::adapter::Platform;
+use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::{crash_checks, permits, stream_queries};
 
@@ -297,12 +298,19 @@
     P: Platform,
 {
     let now = gateway.now();
-    let is_newer = gateway
+    let conflict = gateway
         .dispatcher
         .borrow_mut()
         .apply_heartbeat(now, heartbeat);
-    if !is_newer {
+    let Some(conflict) = conflict else {
         return;
+    };
+    if conflict == FenceConflict::Shared {
+        gateway.metrics.count_shared_fence();
+        Event::new("fence_shared")
+            .with("instance", heartbeat.instance.as_str())
+            .with("fence", heartbeat.fence)
+            .log();
     }
     permits::log_limit_changes(gateway);
     crash_checks::log_quarantine(gateway);
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -42,8 +42,8 @@
 /// Re-exports of the most commonly used types and traits.
 pub mod prelude {
     pub use crate::adapter::{
-        Attempt, ClaimRecord, ClientProtocol, EngineClient, FeedPage, FeedRecord, LastClaim,
-        Membership, Platform, ResponseHead, SoftwarePage, Store, StoreError, StreamPage, Transfer,
+        Attempt, ClientProtocol, EngineClient, FeedPage, FeedRecord, Membership, Platform,
+        ResponseHead, SoftwarePage, Store, StoreError, StreamPage, Transfer,
     };
     pub use crate::events::Event;
     pub use crate::gateway::{Gateway, ListenAddresses, Timings};
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -3,10 +3,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use apricotwell_dispatch::lease_log::ClaimContext;
 use apricotwell_dispatch::prelude::*;
-use apricotwell_types::{InstanceId, Offset};
+use apricotwell_types::{InstanceId, StoreEra};
+use tokio::sync::watch;
 
-use crate::adapter::{ClaimRecord, Platform, Store, StoreError};
+use crate::adapter::{Platform, Store, StoreError};
 use crate::events::Event;
 use crate::gateway::Gateway;
 
@@ -36,12 +38,15 @@
         member: gateway.listeners.peers.clone(),
         term,
         generation: 0,
+        era: gateway.store.era(),
         started: gateway.now(),
         listed: None,
         listed_at: None,
         checked: None,
         cut_since: None,
         has_left: false,
+        joined_era: None,
+        has_reverted: false,
         gateway,
     };
     while renewer.may_renew() {
@@ -55,7 +60,7 @@
             renewer.gateway.record_store_failure();
             log::info!("failed to renew the membership: {error}");
         }
-        tokio::time::sleep(RENEWAL_INTERVAL).await;
+        renewer.pause().await;
     }
 }
 
@@ -68,6 +73,7 @@
     term: Duration,
     // Generation of the group in the last response.
     generation: u64,
+    era: watch::Receiver<Option<StoreEra>>,
     started: Instant,
     // Generation whose members were last listed.
     listed: Option<u64>,
@@ -79,12 +85,25 @@
     cut_since: Option<Instant>,
     // Whether it left the group because of that.
     has_left: bool,
+    // Era of the store in the last response.
+    joined_era: Option<StoreEra>,
+    // Whether the era has changed since the start.
+    has_reverted: bool,
 }
 
 impl<P> Renewer<P>
 where
     P: Platform,
 {
+    // Pauses until the next renewal, which is due at once when the era of the store changes.
+    async fn pause(&mut self) {
+        let renewal = tokio::time::sleep(RENEWAL_INTERVAL);
+        tokio::select! {
+            () = renewal => {}
+            Ok(()) = self.era.changed() => {}
+        }
+    }
+
     // A stopping instance stays in the group only while it holds the lease. It keeps sending orders
     // until it exits, and the next process on this machine can take the lease over without a pause.
     fn may_renew(&self) -> bool {
@@ -132,6 +151,7 @@
             .await?;
         gateway.metrics.count_store_call("join");
         gateway.record_store_answer();
+        self.observe_era(joined.era);
         self.generation = joined.generation;
         self.has_left = false;
         let now = gateway.now();
@@ -141,7 +161,9 @@
         let action = {
             let mut dispatcher = gateway.dispatcher.borrow_mut();
             dispatcher.peers.refresh_members(now);
-            dispatcher.lease.complete_renewal(start, changed)
+            dispatcher
+                .lease
+                .complete_renewal(start, changed, joined.era)
         };
         if self.listed != Some(joined.generation) && self.may_list(now) {
             list_members(&gateway).await?;
@@ -155,6 +177,25 @@
         Ok(())
     }
 
+    // In another era of the store, the generations that it gave out before are given out again.
+    fn observe_era(&mut self, era: Option<StoreEra>) {
+        if era == self.joined_era {
+            return;
+        }
+        if let Some(from) = self.joined_era {
+            self.gateway.metrics.count_store_reversion();
+            Event::new("store_reverted")
+                .with("from_era", from)
+                .with("era", era)
+                .with("generation", self.generation)
+                .log();
+            self.has_reverted = true;
+            self.checked = None;
+            self.listed = None;
+        }
+        self.joined_era = era;
+    }
+
     // Members announce themselves by heartbeats; the list only recovers lost ones, but for those that
     // started with this one.
     fn may_list(&self, now: Instant) -> bool {
@@ -173,26 +214,19 @@
     async fn check(&self, is_candidate: bool) -> Result<(), StoreError> {
         for _ in 0..MAX_CLAIM_ATTEMPTS {
             let last = self.gateway.store.last_claim().await?;
-            let status = match &last.claim {
-                Some(claim) if claim.holder != self.member => {
-                    let members = self.gateway.store.members().await?;
-                    if members.contains(&claim.holder) {
-                        ClaimStatus::Taken
-                    } else {
-                        ClaimStatus::Dropped
-                    }
-                }
-                Some(_) => ClaimStatus::Own,
-                None if last.end == 0 => ClaimStatus::Unclaimed,
-                // The record has expired, so any member may have written it.
-                None => ClaimStatus::Dropped,
+            let members = match &last.claim {
+                Some(claim) if claim.holder != self.member => self.gateway.store.members().await?,
+                _ => Vec::new(),
             };
+            let is_member = |holder: &str| members.iter().any(|member| member == holder);
+            let standing = last.standing(&self.member, self.claim_context(), is_member);
             let action = {
+                let now = self.gateway.now();
                 let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-                dispatcher.lease.apply_status(status, is_candidate)
+                dispatcher.lease.apply_standing(now, standing, is_candidate)
             };
             match action {
-                LeaseAction::Claim => match self.claim(last.end, status).await {
+                LeaseAction::Claim => match self.claim(&last, standing).await {
                     Err(StoreError::Conflict) => {}
                     result => return result,
                 },
@@ -206,18 +240,34 @@
         Err(StoreError::Conflict)
     }
 
-    async fn claim(&self, at: Offset, status: ClaimStatus) -> Result<(), StoreError> {
+    fn claim_context(&self) -> ClaimContext {
+        let dispatcher = self.gateway.dispatcher.borrow();
+        ClaimContext {
+            has_reverted: self.has_reverted,
+            others_know_eras: dispatcher.peers.know_eras(),
+            first_start: dispatcher.config.first_start,
+        }
+    }
+
+    async fn claim(&self, last: &LastClaim, standing: Standing) -> Result<(), StoreError> {
         let gateway = &self.gateway;
-        let record = ClaimRecord {
-            holder: self.member.clone(),
-        };
-        let fence = gateway.store.append_claim(at, &record).await?;
+        let record = last.next_claim(&self.member, self.claim_context());
+        let receipt = gateway.store.append_claim(last.end, &record).await?;
+        if receipt.era != last.era {
+            // The log is not the one that was checked, so the claim is not relied on.
+            return Err(StoreError::Conflict);
+        }
+        let fence = record.fence_at(receipt.offset);
         let now = gateway.now();
         let mut dispatcher = gateway.dispatcher.borrow_mut();
-        dispatcher.lease.apply_claim(now, fence, status);
+        dispatcher
+            .lease
+            .apply_claim(now, fence, receipt.offset, standing);
         Event::new("lease_claimed")
             .with("fence", fence)
-            .with("standing", format!("{status:?}"))
+            .with("era", receipt.era)
+            .with("standing", format!("{:?}", standing.status))
+            .with("is_current", standing.is_current)
             .log();
         Ok(())
     }
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     server_speeds: Family<OutcomeLabels, Counter>,
     first_byte: Histogram,
     store_calls: Family<OutcomeLabels, Counter>,
+    store_reversions: Counter,
+    shared_fences: Counter,
     orders: Family<OutcomeLabels, Counter>,
     load_notices: Counter,
     order_replies: Family<OutcomeLabels, Counter>,
@@ -181,6 +183,18 @@
         );
         let store_calls = Family::default();
         registry.register("store_calls", "Store calls by kind", store_calls.clone());
+        let store_reversions = Counter::default();
+        registry.register(
+            "store_reversions",
+            "Times that the store came back with another era of its history",
+            store_reversions.clone(),
+        );
+        let shared_fences = Counter::default();
+        registry.register(
+            "shared_fences",
+            "Heartbeats of another instance with this instance's fencing token, which must not exist",
+            shared_fences.clone(),
+        );
         let load_notices = Counter::default();
         registry.register(
             "load_notices",
@@ -240,6 +254,8 @@
             server_speeds,
             first_byte,
             store_calls,
+            store_reversions,
+            shared_fences,
             orders,
             load_notices,
             order_replies,
@@ -349,6 +365,16 @@
         self.first_byte.observe(time.as_secs_f64());
     }
 
+    /// Counts a change of the store's era.
+    pub fn count_store_reversion(&self) {
+        self.store_reversions.inc();
+    }
+
+    /// Counts another instance with the same fencing token.
+    pub fn count_shared_fence(&self) {
+        self.shared_fences.inc();
+    }
+
     /// Counts a store call by kind.
     pub fn count_store_call(&self, kind: &str) {
         count(&self.store_calls, kind);
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -209,6 +209,9 @@
     /// Whether the sender is stopping and still serves requests that other instances pass on.
     #[prost(bool, tag = "17")]
     pub stopping: bool,
+    /// Whether the sender's fencing tokens follow the eras of the store; earlier builds don't send this.
+    #[prost(bool, tag = "18")]
+    pub knows_eras: bool,
 }
 
 /// Tokens that one organisation spent at all instances in the last window.
--- a/crates/apricotwell_types/src/lib.rs
+++ b/crates/apricotwell_types/src/lib.rs
@@ -42,8 +42,10 @@
 pub type Incarnation = u64;
 /// Position of a record in a log stream.
 pub type Offset = u64;
-/// Fencing token of a lease: the offset of the record that granted it.
+/// Fencing token of a lease; a later grant has a higher one.
 pub type Fence = u64;
+/// Number of a store's history, which changes when the store comes back from an older copy of its logs.
+pub type StoreEra = u64;
 /// Id of a replica: the offset of the record that decided to load it.
 pub type ReplicaId = u64;
 /// Index of a shard; instances acquire leases on shards.
