Keep a lease unconfirmed until the log has been checked, and check it until that succeeds

Callers: where servers check no fences, two instances ordered the same servers in turn; or no instance ordered any until the group changed.

Cause: a holder whose renewals had a gap must look at the log, but the renewal had already extended its term, and if the look failed, the next renewal found nothing to check. It went on without end beside its successor. The same way a claim that the store did not answer, made after a check, was never looked up: if it had reached the log, all others took the lease for held.

Change: a check that is due stays due until a read of the log has settled it or a claim is confirmed; meanwhile the claim permits no order, and after a drill it does not count as held.

--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -163,9 +163,11 @@
         if has_reverted {
             return LeaseAction::Check;
         }
-        if self.claim.is_some() && is_continuous {
+        if self.claim.is_some() && is_continuous && !self.needs_check {
             return LeaseAction::Keep;
         }
+        // Others may have taken over, and the check may fail.
+        self.needs_check |= self.claim.is_some();
         if self.claim.is_none() && !changed && !self.needs_check {
             return LeaseAction::Keep;
         }
@@ -187,8 +189,10 @@
         if known.is_none() {
             return false;
         }
-        self.needs_check = true;
-        if let (Some(claim), Some(until)) = (self.claim.take(), term_end) {
+        // A claim that was not checked after a gap may have been superseded.
+        let is_checked = !std::mem::replace(&mut self.needs_check, true);
+        let held = self.claim.take().filter(|_| is_checked);
+        if let (Some(claim), Some(until)) = (held, term_end) {
             self.former = Some(FormerClaim {
                 until,
                 effective_at: claim.effective_at,
@@ -216,7 +220,8 @@
         standing: Standing,
         candidate: bool,
     ) -> LeaseAction {
-        self.needs_check = false;
+        // A claim that fails may still have reached the log.
+        self.needs_check = true;
         if self.held_through(now, standing).is_some() {
             return LeaseAction::Claim;
         }
@@ -228,16 +233,19 @@
             ClaimStatus::Taken => false,
         };
         if may_claim && !standing.is_current && !self.is_settled(now) {
-            self.needs_check = true;
             return self.end_claim();
         }
         let is_own = self
             .claim
             .is_some_and(|claim| Some(claim.offset) == standing.last);
-        match standing.status {
-            ClaimStatus::Own if is_own => LeaseAction::Keep,
-            _ if may_claim => LeaseAction::Claim,
-            _ => self.end_claim(),
+        let is_kept = is_own && standing.status == ClaimStatus::Own;
+        if may_claim && !is_kept {
+            return LeaseAction::Claim;
+        }
+        self.needs_check = false;
+        match is_kept {
+            true => LeaseAction::Keep,
+            false => self.end_claim(),
         }
     }
 
@@ -255,6 +263,7 @@
             None => now + self.pause_after(standing),
         };
         self.former = None;
+        self.needs_check = false;
         self.claim = Some(Claim {
             fence,
             offset,
@@ -307,7 +316,8 @@
     /// Returns the fencing token for an order that is sent right now.
     pub fn fence(&self, now: Instant) -> Option<Fence> {
         let claim = self.claim?;
-        (claim.effective_at <= now && !self.has_expired(now)).then_some(claim.fence)
+        let may_order = claim.effective_at <= now && !self.needs_check && !self.has_expired(now);
+        may_order.then_some(claim.fence)
     }
 
     /// Returns the fencing token to announce to other instances.
--- a/crates/apricotwell_dispatch/tests/lease_eras.rs
+++ b/crates/apricotwell_dispatch/tests/lease_eras.rs
@@ -281,16 +281,38 @@
             "seed {seed}: a later claim has a lower token"
         );
     }
+
+    // Checks that servers get orders again once the faults are over.
+    fn check_progress(&self, seed: u64) {
+        let last = self.orders.last().map_or(0, |order| order.step);
+        assert!(
+            last + 20 > RUN_STEPS,
+            "seed {seed}: the last order is at step {last}"
+        );
+    }
 }
 
 /// An offset that the store gave out again became the token of a second holder.
 #[test]
 fn no_order_of_drills_and_faults_gives_two_claims_one_token() {
-    for seed in 0..400 {
+    for seed in 0..600 {
         for fenced in [false, true] {
             let mut fleet = Fleet::new(seed, Some(seed % 7 * 1_000_003), fenced);
             fleet.run();
+            assert!(fleet.orders.len() > RUN_STEPS / 10, "seed {seed}: {fenced}");
             fleet.check_fences(seed);
         }
     }
 }
+
+/// A claim that failed after a check, or a check that failed, left the lease to nobody.
+#[test]
+fn servers_get_orders_again_after_drills_and_faults() {
+    for seed in 0..600 {
+        for fenced in [false, true] {
+            let mut fleet = Fleet::new(seed, Some(1), fenced);
+            fleet.run();
+            fleet.check_progress(seed);
+        }
+    }
+}
