Wait for the pause of a claim whose answer was lost or that an earlier process made

Callers: where servers check no fences, orders of two holders came less than `lease-ms` apart.

Cause: an instance that finds its own claim last takes the lease over without a pause, as the processes of one machine count as one holder. But the claim may be one that it made a moment ago, after another holder: its answer was lost, or its process restarted in the pause.

Change: a claim says in the log whether its holder has to wait. One's own claim that does, but for the last one that the store confirmed to this process in this era, opens after the whole pause, where fences are checked only if its answer was lost: a process that has just started may take turns there.

--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -56,6 +56,8 @@
     pub last: Option<Offset>,
     /// Whether it is known that no later claim was lost with an earlier era of the store.
     pub is_current: bool,
+    /// Whether its holder was to wait before its first order.
+    pub waits: bool,
 }
 
 /// Whether another instance's fencing token is in conflict with the own one.
@@ -104,6 +106,10 @@
     era: Option<(StoreEra, Instant)>,
     // Claim that this instance held when the era changed.
     former: Option<FormerClaim>,
+    // Last claim of this process that the store confirmed, whether it is in force or not.
+    confirmed: Option<Claim>,
+    // Whether a claim of this process may have reached the log without an answer.
+    is_unsure: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -133,6 +139,8 @@
             needs_check: false,
             era: None,
             former: None,
+            confirmed: None,
+            is_unsure: false,
         }
     }
 
@@ -189,6 +197,7 @@
         if known.is_none() {
             return false;
         }
+        self.confirmed = None;
         // A claim that was not checked after a gap may have been superseded.
         let is_checked = !std::mem::replace(&mut self.needs_check, true);
         let held = self.claim.take().filter(|_| is_checked);
@@ -258,10 +267,7 @@
 
     /// Applies this instance's claim with its offset; `standing` is what was known before it.
     pub fn apply_claim(&mut self, now: Instant, fence: Fence, offset: Offset, standing: Standing) {
-        let effective_at = match self.held_through(now, standing) {
-            Some(former) => former.effective_at.max(now),
-            None => now + self.pause_after(standing),
-        };
+        let effective_at = self.first_order(now, standing);
         self.former = None;
         self.needs_check = false;
         self.claim = Some(Claim {
@@ -269,11 +275,38 @@
             offset,
             effective_at,
         });
+        self.confirmed = self.claim;
+        self.is_unsure = false;
+    }
+
+    /// Records that a claim may have reached the log, as the store did not answer.
+    pub fn on_claim_lost(&mut self) {
+        self.is_unsure = true;
+    }
+
+    /// Returns the time of the first order that a claim at `now` permits.
+    pub fn first_order(&self, now: Instant, standing: Standing) -> Instant {
+        if let Some(former) = self.held_through(now, standing) {
+            return former.effective_at.max(now);
+        }
+        let is_last = |claim: &Claim| {
+            standing.status == ClaimStatus::Own
+                && standing.is_current
+                && standing.last == Some(claim.offset)
+        };
+        match self.confirmed.filter(is_last) {
+            Some(claim) => claim.effective_at.max(now),
+            None => now + self.pause_after(standing),
+        }
     }
 
-    // Returns the time between a claim and its first order.
     fn pause_after(&self, standing: Standing) -> Duration {
         match standing.status {
+            // The answer to that claim was lost, or an earlier process made it: its pause may not be over. Where
+            // servers check fencing tokens, turns of a process that has just started are allowed.
+            ClaimStatus::Own if standing.waits && (self.is_unsure || !self.config.fenced) => {
+                self.config.handover_pause
+            }
             // The processes of one machine count as one holder.
             ClaimStatus::Unclaimed | ClaimStatus::Own if standing.is_current => Duration::ZERO,
             ClaimStatus::Taken => self.config.handover_pause,
--- a/crates/apricotwell_dispatch/src/lease_log.rs
+++ b/crates/apricotwell_dispatch/src/lease_log.rs
@@ -22,6 +22,8 @@
     pub era: Option<StoreEra>,
     /// Fencing token of the claim; `None` if the build does not name it.
     pub fence: Option<Fence>,
+    /// Whether the holder waits before its first order.
+    pub waits: bool,
 }
 
 /// Last claim of the placement lease.
@@ -73,6 +75,7 @@
             status,
             last: self.end.checked_sub(1),
             is_current: self.is_current(context),
+            waits: self.claim.as_ref().is_some_and(|claim| claim.waits),
         }
     }
 
@@ -87,8 +90,9 @@
         }
     }
 
-    /// Returns the claim that `member` may append at the end of the log.
-    pub fn next_claim(&self, member: &str, context: ClaimContext) -> ClaimRecord {
+    /// Returns the claim that `member` may append at the end of the log; `waits` is whether its first order
+    /// is not permitted yet.
+    pub fn next_claim(&self, member: &str, context: ClaimContext, waits: bool) -> ClaimRecord {
         let era = self.era.filter(|_| self.may_use_era(context));
         let last = self.claim.as_ref().and_then(|claim| claim.fence);
         // An era that falls is an error of the store, and must not lower the token.
@@ -97,6 +101,7 @@
             holder: member.to_owned(),
             era: self.era,
             fence: self.era.is_some().then_some(fence),
+            waits,
         }
     }
 
--- a/crates/apricotwell_dispatch/tests/fleet/simulation.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -277,6 +277,7 @@
                 status: ClaimStatus::Unclaimed,
                 last: None,
                 is_current: true,
+                waits: false,
             };
             dispatcher.lease.apply_claim(self.now, 1, 0, standing);
         }
--- a/crates/apricotwell_dispatch/tests/lease.rs
+++ b/crates/apricotwell_dispatch/tests/lease.rs
@@ -22,6 +22,7 @@
         status,
         last: (status != ClaimStatus::Unclaimed).then_some(0),
         is_current: true,
+        waits: false,
     }
 }
 
--- a/crates/apricotwell_dispatch/tests/lease_eras.rs
+++ b/crates/apricotwell_dispatch/tests/lease_eras.rs
@@ -242,7 +242,8 @@
         if lease.apply_standing(now, standing, is_candidate) != LeaseAction::Claim {
             return true;
         }
-        let record = last.next_claim(&own, context);
+        let waits = lease.first_order(now, standing) > now;
+        let record = last.next_claim(&own, context, waits);
         let fence = record.fence_at(last.end);
         // Some appends fail, with or without an effect.
         let is_answered = !self.rng.random_ratio(1, 8);
@@ -250,10 +251,10 @@
             self.store.history.claims.push(record);
             self.claims.push(fence);
         }
-        if is_answered {
-            self.members[index]
-                .lease
-                .apply_claim(now, fence, last.end, standing);
+        let lease = &mut self.members[index].lease;
+        match is_answered {
+            true => lease.apply_claim(now, fence, last.end, standing),
+            false => lease.on_claim_lost(),
         }
         is_answered
     }
@@ -290,6 +291,18 @@
             "seed {seed}: the last order is at step {last}"
         );
     }
+
+    // Checks that two holders never take turns within the handover pause.
+    fn check_turns(&self, seed: u64) {
+        let pause = (CONFIG.handover_pause.as_millis() / STEP.as_millis()) as usize;
+        for turn in self.orders.windows(2) {
+            let (before, after) = (turn[0], turn[1]);
+            assert!(
+                before.member == after.member || after.step - before.step >= pause,
+                "seed {seed}: {before:?} {after:?}"
+            );
+        }
+    }
 }
 
 /// An offset that the store gave out again became the token of a second holder.
@@ -316,3 +329,24 @@
         }
     }
 }
+
+/// A holder whose claim was lost ordered servers beside the one that claimed the lease after a drill.
+#[test]
+fn no_order_of_drills_and_faults_makes_holders_take_turns_within_the_pause() {
+    for seed in 0..600 {
+        let mut fleet = Fleet::new(seed, Some(1), false);
+        fleet.restarts_in_pause = false;
+        fleet.run();
+        fleet.check_turns(seed);
+    }
+}
+
+/// A process that restarts takes over the lease of the one before it, which may have been in its pause.
+#[test]
+fn claimant_that_restarts_in_its_pause_does_not_order_before_it_is_over() {
+    for seed in 0..600 {
+        let mut fleet = Fleet::new(seed, Some(1), false);
+        fleet.run();
+        fleet.check_turns(seed);
+    }
+}
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -251,10 +251,18 @@
 
     async fn claim(&self, last: &LastClaim, standing: Standing) -> Result<(), StoreError> {
         let gateway = &self.gateway;
-        let record = last.next_claim(&self.member, self.claim_context());
-        let receipt = gateway.store.append_claim(last.end, &record).await?;
+        let now = gateway.now();
+        let first_order = gateway.dispatcher.borrow().lease.first_order(now, standing);
+        let context = self.claim_context();
+        let record = last.next_claim(&self.member, context, first_order > now);
+        let appended = gateway.store.append_claim(last.end, &record).await;
+        if matches!(appended, Err(StoreError::Unknown(_))) {
+            gateway.dispatcher.borrow_mut().lease.on_claim_lost();
+        }
+        let receipt = appended?;
         if receipt.era != last.era {
             // The log is not the one that was checked, so the claim is not relied on.
+            gateway.dispatcher.borrow_mut().lease.on_claim_lost();
             return Err(StoreError::Conflict);
         }
         let fence = record.fence_at(receipt.offset);
