Write software versions and streams again that the store has lost, and trust no record without a voucher

Cause: a stream that a client resumes is bound by the store's record alone if that names one version. The drill took the newer version out of the record, and nobody wrote it again: the instances held it for confirmed. The saved streams of the last seconds were lost as well and saved only once, and the position in their log was not looked at anew.

Change: when the era of the store changes, an instance owes the record all versions that were recorded or listed within the lifetime of a stream, confirms none until it names them, saves the streams of the last 30 s again, reads their log from its beginning and records its start again if that is missing. The record names the era in which an instance vouched for it: one that read it in an earlier era and has seen current lists since, or has run for the lifetime of a stream. A resumption trusts a record that is vouched for in this era; else a witness adds what it knows, and one that started since goes by what instances remember of the attempt, or refuses. After a drill a request that names no attempt is known only by the answers of all instances, not by the log.

--- a/crates/apricotwell_dispatch/src/software.rs
+++ b/crates/apricotwell_dispatch/src/software.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_messages::SoftwareRecord;
+use apricotwell_types::StoreEra;
 
 use crate::backends::BackendEntry;
 use crate::catalog::ServiceId;
@@ -26,6 +27,9 @@
 const MAX_VERSION_BYTES: usize = 128;
 /// Longest time between two observations of the list of servers after which absences still count.
 const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(3);
+/// Time without a current list of servers after which an instance may have missed versions that began streams
+/// elsewhere.
+const MAX_BLIND_TIME: Duration = Duration::from_secs(10);
 /// Absence after which the record marks a version, so that the restart of its only server costs no
 /// append.
 const MARK_DELAY: Duration = Duration::from_secs(3);
@@ -75,7 +79,8 @@
 ///
 /// A version is confirmed only while it has been listed without a gap since a read or an append
 /// showed that the record names it without a mark. A version leaves the record only after a long
-/// absence from the list and a mark of the same age, so the record names each confirmed version.
+/// absence from the list and a mark of the same age, so the record names each confirmed version. When the era of
+/// the store changes, none is confirmed, and those known from before are owed to the record.
 #[derive(Debug, Default)]
 pub struct SoftwareTable {
     confirmed: ListedSoftware,
@@ -83,6 +88,19 @@
     recorded: BTreeMap<ServiceId, BTreeMap<Option<SoftwareVersion>, Departure>>,
     observed_at: Option<Instant>,
     requires_record: bool,
+    // Versions that were listed, and when last.
+    seen: BTreeMap<ServiceId, BTreeMap<Option<SoftwareVersion>, Instant>>,
+    // Versions of an earlier era that the record may lack.
+    owed: ListedSoftware,
+    era: Option<StoreEra>,
+    // When the list of servers was last observed to be current.
+    current_at: Option<Instant>,
+    // When the record was first read.
+    read_at: Option<Instant>,
+    // Whether all versions that may have begun streams are known: in the record, owed or listed.
+    is_complete: bool,
+    // Whether somebody has vouched for the record in this era, as far as it was read or appended.
+    is_vouched: bool,
 }
 
 // What is known of a recorded version that may leave.
@@ -137,6 +155,13 @@
         if has_gap {
             self.confirmed.clear();
         }
+        if is_current {
+            self.current_at = Some(now);
+        }
+        for (service, versions) in listed {
+            let seen = self.seen.entry(service.clone()).or_default();
+            seen.extend(versions.iter().map(|version| (version.clone(), now)));
+        }
         for (service, versions) in &mut self.confirmed {
             versions.retain(|version| is_listed(service, version));
         }
@@ -152,6 +177,90 @@
         }
     }
 
+    /// Forgets versions that were listed last before the `lifetime` of a stream.
+    pub fn expire(&mut self, now: Instant, lifetime: Duration) {
+        for versions in self.seen.values_mut() {
+            versions.retain(|_, at| now.saturating_duration_since(*at) < lifetime);
+        }
+        // Streams from before the first read can't be resumed any longer.
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= lifetime;
+        self.is_complete |= self.read_at.is_some_and(is_old);
+    }
+
+    /// Records the era of the store; returns whether it has changed, so that the record may lack versions.
+    pub fn observe_era(&mut self, now: Instant, lifetime: Duration, era: Option<StoreEra>) -> bool {
+        let known = self.era;
+        self.era = era.or(known);
+        if known.is_none() || known == self.era {
+            return false;
+        }
+        self.owed = self.remembered(now, lifetime);
+        self.confirmed.clear();
+        self.is_vouched = false;
+        let was_blind = |at: Instant| now.saturating_duration_since(at) > MAX_BLIND_TIME;
+        self.is_complete &= !self.current_at.is_none_or(was_blind);
+        true
+    }
+
+    /// Returns the versions that the record must name besides the listed ones, as they were in the record or
+    /// listed before the store lost its last records.
+    pub fn owed(&self) -> &ListedSoftware {
+        &self.owed
+    }
+
+    /// Returns whether this instance is to complete the record after the era has changed.
+    pub fn needs_vouching(&self) -> bool {
+        let is_due = self.is_complete && self.read_at.is_some();
+        self.era.is_some() && !self.is_vouched && (is_due || !self.owed.is_empty())
+    }
+
+    /// Returns whether this instance knows all versions that may have begun streams.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Returns all versions that are known to have been recorded or listed within the `lifetime` of a stream.
+    pub fn remembered(&self, now: Instant, lifetime: Duration) -> ListedSoftware {
+        let mut remembered = self.owed.clone();
+        for (service, versions) in &self.recorded {
+            let left = versions
+                .iter()
+                .filter(|(_, it)| !it.is_absent_for(now, lifetime));
+            let known = remembered.entry(service.clone()).or_default();
+            known.extend(left.map(|(version, _)| version.clone()));
+        }
+        for (service, versions) in &self.seen {
+            let known = remembered.entry(service.clone()).or_default();
+            known.extend(versions.keys().cloned());
+        }
+        remembered
+    }
+
+    /// Returns the versions that may have begun streams, by the record as it was just read in `era`; `None` if it
+    /// may lack some that this instance does not know either.
+    pub fn possible_versions(
+        &self,
+        now: Instant,
+        lifetime: Duration,
+        record: &RecordedSoftware,
+        era: Option<StoreEra>,
+    ) -> Option<ListedSoftware> {
+        if record.is_vouched(era) {
+            return Some(record.versions.clone());
+        }
+        self.is_complete
+            .then(|| record.versions_with(&self.remembered(now, lifetime)))
+    }
+
+    /// Records that the store's record was read for the first time; `is_first` is whether there was no instance
+    /// before.
+    pub fn record_read(&mut self, now: Instant, record: &RecordedSoftware, is_first: bool) {
+        if record.is_vouched(self.era) || (is_first && record.versions.is_empty()) {
+            self.is_complete = true;
+        }
+        self.read_at.get_or_insert(now);
+    }
+
     /// Returns the listed versions that are not known to be in the record.
     pub fn unconfirmed(&self, listed: &ListedSoftware) -> ListedSoftware {
         let mut missing = ListedSoftware::default();
@@ -180,6 +289,12 @@
         for (service, versions) in &mut self.confirmed {
             versions.retain(|version| record.is_settled(service, version));
         }
+        for (service, versions) in &mut self.owed {
+            let named = record.versions.get(service);
+            versions.retain(|version| !named.is_some_and(|named| named.contains(version)));
+        }
+        self.owed.retain(|_, versions| !versions.is_empty());
+        self.is_vouched = record.is_vouched(self.era);
         let mut known = std::mem::take(&mut self.recorded);
         for (service, versions) in &record.versions {
             let mut before = known.remove(service).unwrap_or_default();
--- a/crates/apricotwell_dispatch/src/software_record.rs
+++ b/crates/apricotwell_dispatch/src/software_record.rs
@@ -4,10 +4,14 @@
 //! lifetime of a stream. An instance relies on a version only if its mark is absent, and else replaces
 //! the record. So the removal, which is conditional on the record that was read, fails if any instance
 //! has relied on the version since the mark.
+//!
+//! A store that comes back from an older copy may have lost versions. So a record names the era of the store in
+//! which an instance that knew all versions from before vouched for it; one of an earlier era may lack some.
 
 use std::collections::BTreeMap;
 
 use apricotwell_messages::{LeavingVersion, SoftwareRecord};
+use apricotwell_types::StoreEra;
 
 use crate::catalog::ServiceId;
 use crate::software::{
@@ -24,6 +28,8 @@
     pub versions: ListedSoftware,
     // Marks of some of them.
     marks: VersionMarks,
+    // Eras in which an instance vouched for the records of services.
+    eras: BTreeMap<ServiceId, StoreEra>,
 }
 
 /// Versions that are to leave the record.
@@ -52,6 +58,10 @@
         });
         let marks = marks.filter(|(version, _)| versions.contains(version));
         self.marks.insert(service.clone(), marks.collect());
+        match record.vouched_era {
+            Some(era) => self.eras.insert(service.clone(), era),
+            None => self.eras.remove(&service),
+        };
         self.versions.insert(service, versions);
     }
 
@@ -65,6 +75,7 @@
         });
         SoftwareRecord {
             leaving: leaving.collect(),
+            vouched_era: self.eras.get(service).copied(),
             ..encode_record(self.versions.get(service).unwrap_or(&empty))
         }
     }
@@ -74,6 +85,38 @@
         self.marks.get(service)?.get(version).copied()
     }
 
+    /// Returns whether the record names all versions that may have begun streams, as somebody vouched for it in
+    /// this era, or as the store or the build that wrote it knows no eras.
+    pub fn is_vouched(&self, era: Option<StoreEra>) -> bool {
+        era.is_none_or(|era| {
+            !self.versions.is_empty() && self.eras.values().all(|vouched| *vouched == era)
+        })
+    }
+
+    /// Vouches for the record in an era; an instance that can't names it only where there is no record yet.
+    pub fn vouch(&mut self, stored: &Self, era: Option<StoreEra>, is_complete: bool) {
+        let Some(era) = era else {
+            return;
+        };
+        for service in self.versions.keys() {
+            if is_complete {
+                self.eras.insert(service.clone(), era);
+            } else if !stored.versions.contains_key(service) {
+                self.eras.insert(service.clone(), SoftwareRecord::NO_ERA);
+            }
+        }
+    }
+
+    /// Returns the versions that this record or `others` name.
+    pub fn versions_with(&self, others: &ListedSoftware) -> ListedSoftware {
+        let mut all = self.versions.clone();
+        for (service, versions) in others {
+            let known = all.entry(service.clone()).or_default();
+            known.extend(versions.iter().cloned());
+        }
+        all
+    }
+
     /// Returns whether the record names a version that is not about to leave.
     pub fn is_settled(&self, service: &str, version: &Option<SoftwareVersion>) -> bool {
         let versions = self.versions.get(service);
--- a/crates/apricotwell_dispatch/src/stream_memory.rs
+++ b/crates/apricotwell_dispatch/src/stream_memory.rs
@@ -22,6 +22,9 @@
 /// all of them take less than 26 MB of the 256 MB of a process.
 const MAX_STREAMS: usize = 64 << 10;
 
+/// Largest assumed age of the copy that a store comes back from.
+const MAX_COPY_AGE: Duration = Duration::from_secs(30);
+
 // What was there before this process.
 #[derive(Debug)]
 struct Baseline {
@@ -30,6 +33,8 @@
     started_at: Instant,
     // Instances that had started before, this one included if it has restarted.
     instances: Vec<InstanceId>,
+    // Whether the record may have lacked versions.
+    is_incomplete: bool,
 }
 
 /// A stream that this instance began.
@@ -62,21 +67,25 @@
     lost_at: Option<Instant>,
     // When this instance last forgot streams that may still be resumed.
     overflowed_at: Option<Instant>,
+    // When the store was last found to have lost its last records.
+    reverted_at: Option<Instant>,
 }
 
 impl StreamMemory {
     /// Sets which versions the record named and which instances had started before this process; only
-    /// the first call counts.
+    /// the first call counts. `is_complete` is whether the record named all versions.
     pub fn set_baseline(
         &mut self,
         now: Instant,
         record: &ListedSoftware,
         instances: Vec<InstanceId>,
+        is_complete: bool,
     ) {
         self.baseline.get_or_insert_with(|| Baseline {
             record: record.clone(),
             started_at: now,
             instances,
+            is_incomplete: !is_complete,
         });
     }
 
@@ -137,6 +146,33 @@
         self.unsaved.drain(..).collect()
     }
 
+    /// Marks the streams that the store may have lost as not saved, as it came back from an older copy.
+    pub fn on_reversion(&mut self, now: Instant) {
+        self.reverted_at = Some(now);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < MAX_COPY_AGE;
+        let lost = self.streams.iter().filter(|(_, (_, at))| is_recent(*at));
+        let lost = lost.flat_map(|(key, (versions, at))| {
+            versions.iter().map(|version| BegunStream {
+                key: *key,
+                version: version.clone(),
+                began: *at,
+            })
+        });
+        let mut lost: Vec<BegunStream> = lost.collect();
+        lost.sort_by_key(|stream| stream.began);
+        let is_older = |stream: &BegunStream| !is_recent(stream.began);
+        self.unsaved.retain(is_older);
+        self.unsaved.extend(lost);
+        self.bound_unsaved(now);
+    }
+
+    /// Returns whether streams may be missing from the store's log, as it came back from an older copy within
+    /// the `lifetime` of a stream.
+    pub fn has_reverted(&self, now: Instant, lifetime: Duration) -> bool {
+        self.reverted_at
+            .is_some_and(|at| now.saturating_duration_since(at) < lifetime)
+    }
+
     /// Puts back streams that could not be appended to the store's log.
     pub fn restore_unsaved(&mut self, now: Instant, streams: Vec<BegunStream>) {
         for stream in streams.into_iter().rev() {
@@ -169,6 +205,7 @@
         let baseline = self.baseline.as_ref()?;
         let is_recent = |at: Instant| now.saturating_duration_since(at) < lifetime;
         let has_overflowed = self.overflowed_at.is_some_and(is_recent);
+        let is_unsure = baseline.is_incomplete && is_recent(baseline.started_at);
         let mut earlier = VersionSet::new();
         // Those that still run answer for themselves.
         let is_gone = |instance: &InstanceId| !self.others.contains(instance);
@@ -182,7 +219,7 @@
             versions: Some(encode_record(&self.versions(query.request))),
             earlier_versions: Some(encode_record(&earlier)),
             attempt_versions: Some(encode_record(&self.versions(query.attempt))),
-            is_incomplete: has_overflowed || self.lost_at.is_some_and(is_recent),
+            is_incomplete: has_overflowed || is_unsure || self.lost_at.is_some_and(is_recent),
             has_overflowed,
         })
     }
@@ -218,12 +255,13 @@
 /// them.
 ///
 /// What an instance began just before it was killed is in neither, so only an equal request that was
-/// saved tells the version. That of a request is unknown if an instance has forgotten streams: an equal
-/// one may be among them.
+/// saved tells the version. That of a request is unknown if an instance has forgotten streams, or if the log
+/// may have lost some (`has_reverted`): an equal one may be among them.
 pub fn known_stream(
     answers: &[Option<StreamAnswer>],
     saved: &SavedStreams,
     query: &StreamQuery,
+    has_reverted: bool,
 ) -> Option<SoftwareVersion> {
     let known = || answers.iter().flatten();
     let saved_attempt = saved.versions(query.attempt);
@@ -231,7 +269,7 @@
         let told = known().filter_map(|answer| answer.attempt_versions.as_ref());
         return only(merged(told).into_iter().chain(saved_attempt).collect());
     }
-    if known().any(|answer| answer.has_overflowed) {
+    if has_reverted || known().any(|answer| answer.has_overflowed) {
         return remembered_version(answers);
     }
     let saved_request = saved.versions(query.request);
--- a/crates/apricotwell_dispatch/tests/lease_eras.rs
+++ b/crates/apricotwell_dispatch/tests/lease_eras.rs
@@ -301,6 +301,10 @@
                 before.member == after.member || after.step - before.step >= pause,
                 "seed {seed}: {before:?} {after:?}"
             );
+            assert!(
+                before.fence <= after.fence,
+                "seed {seed}: {before:?} {after:?}"
+            );
         }
     }
 }
--- a/crates/apricotwell_dispatch/tests/software.rs
+++ b/crates/apricotwell_dispatch/tests/software.rs
@@ -204,3 +204,78 @@
         assert_eq!(decoded.encode("engines"), stored.encode("engines"));
     }
 }
+
+// Table of an instance that has read the record in an era, while versions are listed.
+fn reader(now: Instant, era: u64, stored: &RecordedSoftware, listed: &[&str]) -> SoftwareTable {
+    let mut table = SoftwareTable::default();
+    table.observe_era(now, LIFETIME, Some(era));
+    table.observe(now, true, &software(listed));
+    table.record_read(now, stored, false);
+    table.apply_record(now, stored, &software(listed));
+    table
+}
+
+fn vouched(versions: &[&str], era: u64) -> RecordedSoftware {
+    let mut record = record(versions);
+    record.vouch(&RecordedSoftware::default(), Some(era), true);
+    record
+}
+
+#[test]
+fn version_that_the_store_lost_is_owed_until_the_record_names_it_again() {
+    let start = Instant::now();
+    let both = vouched(&["1", "2"], 1);
+    let mut table = reader(start, 1, &both, &["2"]);
+    assert!(!table.needs_vouching());
+    assert!(table.observe_era(start + STEP, LIFETIME, Some(2)));
+    assert!(table.needs_vouching());
+    assert_eq!(table.unconfirmed(&software(&["2"])), software(&["2"]));
+    assert_eq!(table.owed(), &software(&["1", "2"]));
+    // The record of the copy is not trusted, and what is known is added to it.
+    let copy = vouched(&["1"], 1);
+    let now = start + STEP;
+    let possible = table.possible_versions(now, LIFETIME, &copy, Some(2));
+    assert_eq!(possible, Some(software(&["1", "2"])));
+    table.apply_record(now, &copy, &software(&[]));
+    assert_eq!(table.owed(), &software(&["2"]));
+    table.apply_record(now, &vouched(&["1", "2"], 2), &software(&["2"]));
+    assert!(table.owed().is_empty() && !table.needs_vouching());
+}
+
+#[test]
+fn instance_that_knows_nothing_from_before_a_drill_trusts_no_record_without_a_voucher() {
+    let start = Instant::now();
+    let copy = vouched(&["1"], 1);
+    let mut table = reader(start, 2, &copy, &["1"]);
+    let possible = |table: &SoftwareTable, record| {
+        table.possible_versions(start + STEP, LIFETIME, record, Some(2))
+    };
+    assert_eq!(possible(&table, &copy), None);
+    assert!(!table.needs_vouching());
+    // It does not become a witness by another drill.
+    table.observe_era(start + STEP, LIFETIME, Some(3));
+    assert!(!table.is_complete());
+    // A record that it wrote itself is not trusted by others either.
+    let mut own = record(&["1"]);
+    own.vouch(&RecordedSoftware::default(), Some(3), false);
+    assert!(!own.is_vouched(Some(3)));
+    // Streams from before its start can't be resumed any longer.
+    table.expire(start + LIFETIME, LIFETIME);
+    assert!(table.is_complete());
+    let other = vouched(&["1", "2"], 2);
+    assert_eq!(
+        possible(&reader(start, 2, &copy, &["1"]), &other),
+        Some(software(&["1", "2"]))
+    );
+}
+
+#[test]
+fn instance_that_saw_no_current_list_for_long_before_a_drill_is_no_witness() {
+    let start = Instant::now();
+    for (blind, is_complete) in [(STEP, true), (30 * STEP, false)] {
+        let mut table = reader(start, 1, &vouched(&["1"], 1), &["1"]);
+        table.observe(start + blind, false, &software(&["1"]));
+        table.observe_era(start + blind, LIFETIME, Some(2));
+        assert_eq!(table.is_complete(), is_complete, "{blind:?}");
+    }
+}
--- a/crates/apricotwell_dispatch/tests/stream_memory.rs
+++ b/crates/apricotwell_dispatch/tests/stream_memory.rs
@@ -16,7 +16,7 @@
     let versions = versions.iter().map(|text| known_version(text));
     record.insert("engines".into(), versions.collect());
     let mut memory = StreamMemory::default();
-    memory.set_baseline(now, &record, vec!["before".into()]);
+    memory.set_baseline(now, &record, vec!["before".into()], true);
     memory
 }
 
@@ -104,7 +104,7 @@
     let restarted = started(now, &["1", "2"]);
     let version = |saved: &SavedStreams, attempt| {
         let answers = [answer(&restarted, now, attempt), None];
-        known_stream(&answers, saved, &query(attempt)).map(|it| it.to_string())
+        known_stream(&answers, saved, &query(attempt), false).map(|it| it.to_string())
     };
     let mut saved = SavedStreams::default();
     assert_eq!(version(&saved, 0), None);
@@ -127,7 +127,7 @@
     let mut saved = SavedStreams::default();
     save(&mut saved, now, REQUEST, "2");
     let answers = [answer(&memory, now, 0)];
-    assert_eq!(known_stream(&answers, &saved, &query(0)), None);
+    assert_eq!(known_stream(&answers, &saved, &query(0), false), None);
 }
 
 #[test]
@@ -189,5 +189,31 @@
     let mut saved = SavedStreams::default();
     save(&mut saved, now, REQUEST, "2");
     let answers = [answer(&memory, now, 0)];
-    assert_eq!(known_stream(&answers, &saved, &query(0)), None);
+    assert_eq!(known_stream(&answers, &saved, &query(0), false), None);
+}
+
+#[test]
+fn recent_streams_are_saved_again_after_the_store_lost_them() {
+    let now = Instant::now();
+    let mut memory = started(now, &[]);
+    memory.record(now, 1, known_version("1"));
+    let later = now + Duration::from_secs(60);
+    memory.record(later, ATTEMPT, known_version("2"));
+    assert_eq!(memory.take_unsaved().len(), 2);
+    memory.on_reversion(later + Duration::from_secs(5));
+    let again: Vec<u64> = memory.take_unsaved().iter().map(|it| it.key).collect();
+    assert_eq!(again, [ATTEMPT]);
+}
+
+#[test]
+fn request_of_a_log_that_lost_records_is_known_only_by_all_instances() {
+    let now = Instant::now();
+    let mut memory = started(now, &[]);
+    memory.record(now, REQUEST, known_version("1"));
+    let mut saved = SavedStreams::default();
+    save(&mut saved, now, REQUEST, "1");
+    let known = |answers: &[Option<StreamAnswer>]| known_stream(answers, &saved, &query(0), true);
+    assert_eq!(known(&[answer(&memory, now, 0), None]), None);
+    let all = [answer(&memory, now, 0), answer(&memory, now, 0)];
+    assert_eq!(known(&all).as_deref(), Some("1"));
 }
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -216,6 +216,8 @@
     pub records: Vec<(String, Vec<u8>)>,
     /// End of the log: the offset of the next record.
     pub end: Offset,
+    /// Era of the store.
+    pub era: Option<StoreEra>,
 }
 
 /// Records of the streams that instances began.
--- a/crates/apricotwell_gateway/src/handler/versions.rs
+++ b/crates/apricotwell_gateway/src/handler/versions.rs
@@ -71,20 +71,27 @@
             let reason = "its route had more services than are remembered";
             return Err(self.refuse_resumption("services", reason));
         };
-        let version = match software::read_shared(&self.gateway).await {
-            Ok(stored) => recorded_version(&stored.record.versions, &services),
+        let possible = match software::read_shared(&self.gateway).await {
+            Ok(stored) => software::possible_versions(&self.gateway, &stored),
             Err(error) => {
                 let text = format!("the record of versions can't be read: {error}");
                 return Err(self.refuse_resumption("unread", &text));
             }
         };
+        let version = match &possible {
+            Some(versions) => recorded_version(versions, &services),
+            // The store has lost versions that this instance does not know either.
+            None => RecordedVersion::Several,
+        };
         match version {
             RecordedVersion::Only(service, version) => {
                 self.bind(service, version);
                 Ok(())
             }
             RecordedVersion::Several => {
-                let Some((service, version)) = self.remembered(&services).await else {
+                let is_lossy = possible.is_none();
+                let remembered = self.remembered(&services, is_lossy).await;
+                let Some((service, version)) = remembered else {
                     let reason = "several versions may have begun it";
                     return Err(self.refuse_resumption("several", reason));
                 };
@@ -160,10 +167,12 @@
         }
     }
 
-    // Returns the service and the version that instances remember; they don't remember the service.
+    // Returns the service and the version that instances remember; they don't remember the service. `is_lossy` is
+    // whether the store has lost records that no instance is known to have written again.
     async fn remembered(
         &self,
         services: &BTreeSet<ServiceId>,
+        is_lossy: bool,
     ) -> Option<(ServiceId, SoftwareVersion)> {
         let service = services.first().filter(|_| services.len() == 1)?;
         let query = self.stream_query(service);
@@ -172,8 +181,11 @@
         if let Err(error) = stream_log::read(&self.gateway).await {
             log::info!("failed to read the saved streams: {error}");
         }
+        let lifetime = software::stream_lifetime(&self.gateway);
+        let now = self.gateway.now();
         let dispatcher = self.gateway.dispatcher.borrow();
-        let version = known_stream(&answers, &dispatcher.saved_streams, &query)?;
+        let is_lossy = is_lossy || dispatcher.streams.has_reverted(now, lifetime);
+        let version = known_stream(&answers, &dispatcher.saved_streams, &query, is_lossy)?;
         Some((service.clone(), version))
     }
 
--- a/crates/apricotwell_gateway/src/software.rs
+++ b/crates/apricotwell_gateway/src/software.rs
@@ -4,6 +4,7 @@
 //! those that left the list and removes those whose streams can no longer be resumed. All appends are conditional on the end of the log
 //! that the preceding read returned, so none of them undoes another.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,7 +12,7 @@
 use apricotwell_dispatch::software;
 use apricotwell_dispatch::software_record::{Departures, RecordedSoftware};
 use apricotwell_messages::SoftwareRecord;
-use apricotwell_types::{Offset, rendezvous_rank};
+use apricotwell_types::{Offset, StoreEra, rendezvous_rank};
 use prost::Message;
 use tokio::sync::Mutex;
 
@@ -43,6 +44,8 @@
 pub struct StoredSoftware {
     /// Versions that it names.
     pub record: RecordedSoftware,
+    /// Era of the store in which it was read.
+    pub era: Option<StoreEra>,
     // Offset at which an append must be made to change nothing that was not read.
     end: Offset,
 }
@@ -51,6 +54,8 @@
 #[derive(Debug, Default)]
 pub struct SoftwareReads {
     last: Mutex<Option<(Instant, Result<StoredSoftware, StoreError>)>>,
+    // Era of the store in which the start of this process was recorded.
+    start_era: Cell<Option<StoreEra>>,
 }
 
 /// Adds and removes versions for as long as the instance runs.
@@ -62,13 +67,15 @@
     loop {
         tokio::time::sleep(observe_interval(&gateway)).await;
         let listed = observe(&gateway);
+        observe_era(&gateway);
         let lifetime = stream_lifetime(&gateway);
         let now = gateway.now();
-        gateway
-            .dispatcher
-            .borrow_mut()
-            .streams
-            .expire(now, lifetime);
+        let needs_vouching = {
+            let mut dispatcher = gateway.dispatcher.borrow_mut();
+            dispatcher.streams.expire(now, lifetime);
+            dispatcher.software.expire(now, lifetime);
+            dispatcher.software.needs_vouching()
+        };
         let (missing, departures, is_holder) = {
             let dispatcher = gateway.dispatcher.borrow();
             let is_holder = dispatcher.lease.fence(now).is_some();
@@ -81,7 +88,7 @@
         };
         let is_recent = |at: Instant| now.saturating_duration_since(at) < HOLDER_READ_INTERVAL;
         let may_be_behind = is_holder && !read_at.is_some_and(is_recent);
-        if missing.is_empty() && departures.is_empty() && !may_be_behind {
+        if missing.is_empty() && departures.is_empty() && !may_be_behind && !needs_vouching {
             continue;
         }
         read_at = Some(now);
@@ -103,6 +110,40 @@
         .max(MIN_OBSERVE_INTERVAL)
 }
 
+/// Takes the era of the store into account: after a change, what was recorded before may be lost.
+pub fn observe_era<P>(gateway: &Gateway<P>)
+where
+    P: Platform,
+{
+    let era = *gateway.store.era().borrow();
+    let lifetime = stream_lifetime(gateway);
+    let now = gateway.now();
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    if !dispatcher.software.observe_era(now, lifetime, era) {
+        return;
+    }
+    dispatcher.streams.on_reversion(now);
+    let owed = dispatcher.software.owed();
+    Event::new("software_owed")
+        .with("era", era)
+        .with("is_complete", dispatcher.software.is_complete())
+        .with("versions", owed.values().flatten().flatten().count())
+        .log();
+}
+
+/// Returns the versions that may have begun streams, `None` if the store has lost some that this instance does
+/// not know either.
+pub fn possible_versions<P>(gateway: &Gateway<P>, stored: &StoredSoftware) -> Option<ListedSoftware>
+where
+    P: Platform,
+{
+    let lifetime = stream_lifetime(gateway);
+    let now = gateway.now();
+    let dispatcher = gateway.dispatcher.borrow();
+    let software = &dispatcher.software;
+    software.possible_versions(now, lifetime, &stored.record, stored.era)
+}
+
 // Records which versions are listed now, and returns them.
 fn observe<P>(gateway: &Gateway<P>) -> ListedSoftware
 where
@@ -156,14 +197,12 @@
     let mut stored = read(gateway).await?;
     set_baseline(gateway, &stored).await?;
     let none = Departures::default();
-    if stored.record != stored.record.updated(listed, &none, stored.end) {
+    if stored.record != wanted_record(gateway, &stored, listed, &none) {
         // Others add the same versions, most of them before this instance's turn.
         tokio::time::sleep(spread(gateway)).await;
         stored = read(gateway).await?;
     }
-    let wanted = stored
-        .record
-        .updated(&observe(gateway), departures, stored.end);
+    let wanted = wanted_record(gateway, &stored, &observe(gateway), departures);
     let mut refused = None;
     for service in stored.record.changed_services(&wanted) {
         let changed = wanted.encode(&service);
@@ -197,28 +236,70 @@
     refused.map_or(Ok(()), Err)
 }
 
+fn record_read<P>(gateway: &Gateway<P>, record: &RecordedSoftware)
+where
+    P: Platform,
+{
+    observe_era(gateway);
+    let now = gateway.now();
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    let is_first = dispatcher.config.first_start;
+    dispatcher.software.record_read(now, record, is_first);
+}
+
+// Returns the record as it should be, with the versions that it has lost.
+fn wanted_record<P>(
+    gateway: &Gateway<P>,
+    stored: &StoredSoftware,
+    listed: &ListedSoftware,
+    departures: &Departures,
+) -> RecordedSoftware
+where
+    P: Platform,
+{
+    let dispatcher = gateway.dispatcher.borrow();
+    let software = &dispatcher.software;
+    let mut named = software.owed().clone();
+    for (service, versions) in listed {
+        let named = named.entry(service.clone()).or_default();
+        named.extend(versions.iter().cloned());
+    }
+    let mut wanted = stored.record.updated(&named, departures, stored.end);
+    wanted.vouch(&stored.record, stored.era, software.is_complete());
+    wanted
+}
+
 // Records what was there before this process, and that it has started. Until then it begins no streams.
 async fn set_baseline<P>(gateway: &Gateway<P>, stored: &StoredSoftware) -> Result<(), StoreError>
 where
     P: Platform,
 {
-    let own_id = {
+    let (own_id, has_baseline) = {
         let dispatcher = gateway.dispatcher.borrow();
-        if dispatcher.streams.has_baseline() {
-            return Ok(());
-        }
-        dispatcher.config.id.clone()
+        (
+            dispatcher.config.id.clone(),
+            dispatcher.streams.has_baseline(),
+        )
     };
+    let start_era = &gateway.software_reads.start_era;
+    if has_baseline && start_era.get() == stored.era {
+        return Ok(());
+    }
     gateway.metrics.count_store_call("software");
     let before = gateway.store.started_instances().await?;
-    gateway.metrics.count_store_call("software");
-    gateway.store.record_start(&own_id).await?;
+    // The store may have lost that this process has started.
+    if !has_baseline || before.iter().all(|id| **id != *own_id) {
+        gateway.metrics.count_store_call("software");
+        gateway.store.record_start(&own_id).await?;
+    }
+    start_era.set(stored.era);
     let before = before.iter().map(|id| id.as_str().into()).collect();
     let now = gateway.now();
     let mut dispatcher = gateway.dispatcher.borrow_mut();
+    let is_complete = dispatcher.software.is_complete();
     dispatcher
         .streams
-        .set_baseline(now, &stored.record.versions, before);
+        .set_baseline(now, &stored.record.versions, before, is_complete);
     Ok(())
 }
 
@@ -264,8 +345,10 @@
         });
         stored.insert(service.as_str().into(), &record);
     }
+    record_read(gateway, &stored);
     Ok(StoredSoftware {
         record: stored,
+        era: page.era,
         end: page.end,
     })
 }
--- a/crates/apricotwell_gateway/src/stream_log.rs
+++ b/crates/apricotwell_gateway/src/stream_log.rs
@@ -7,13 +7,13 @@
 
 use apricotwell_dispatch::saved_streams::encode_batch;
 use apricotwell_messages::StreamBatch;
-use apricotwell_types::Offset;
+use apricotwell_types::{Offset, StoreEra};
 use prost::Message;
 use tokio::sync::Mutex;
 
 use crate::adapter::{Platform, Store, StoreError};
 use crate::gateway::Gateway;
-use crate::software::stream_lifetime;
+use crate::software::{observe_era, stream_lifetime};
 
 /// Shortest time between two appends of an instance. A stream that began since the last one is unknown
 /// if its instance is killed.
@@ -38,6 +38,20 @@
     next: Offset,
     // Start of the last read that reached the end of the log.
     begun_at: Option<Instant>,
+    // Era of the store whose log `next` is about.
+    era: Option<StoreEra>,
+}
+
+impl ReadPosition {
+    // Returns whether reading begins anew, as the store gives out offsets again in another era. What was read
+    // before stays known.
+    fn restart_in(&mut self, era: Option<StoreEra>) -> bool {
+        if self.era == era {
+            return false;
+        }
+        self.era = era;
+        std::mem::take(&mut self.next) > 0
+    }
 }
 
 /// Saves streams for as long as the instance runs.
@@ -81,6 +95,7 @@
     P: Platform,
 {
     let _saving = gateway.stream_log_reads.saving.lock().await;
+    observe_era(gateway);
     let lifetime = stream_lifetime(gateway);
     let streams = {
         let now = gateway.now();
@@ -122,9 +137,15 @@
     }
     let begun_at = gateway.now();
     expire(gateway);
+    let era = gateway.store.era();
+    position.restart_in(*era.borrow());
     loop {
         gateway.metrics.count_store_call("streams");
-        let page = gateway.store.streams(position.next).await?;
+        let page = gateway.store.streams(position.next).await;
+        if position.restart_in(*era.borrow()) {
+            continue;
+        }
+        let page = page?;
         position.next = page.next;
         apply(gateway, &page.records);
         if page.is_end {
--- a/crates/apricotwell_messages/src/software.rs
+++ b/crates/apricotwell_messages/src/software.rs
@@ -12,6 +12,15 @@
     /// Versions whose servers have all left the list.
     #[prost(message, repeated, tag = "3")]
     pub leaving: Vec<LeavingVersion>,
+    /// Era of the store in which an instance vouched that no version was lost; [`Self::NO_ERA`] if the writer
+    /// does not know that, absent if the store or the build knows no eras.
+    #[prost(uint64, optional, tag = "4")]
+    pub vouched_era: Option<u64>,
+}
+
+impl SoftwareRecord {
+    /// Value of `vouched_era` of a record for which nobody has vouched.
+    pub const NO_ERA: u64 = u64::MAX;
 }
 
 /// Version that leaves the record unless a server of it is listed again.
