Bound the incomplete events of all streams together

Change: a stream always holds 8 KiB of an incomplete event; what it holds beyond comes from 12 MiB that all streams share. One that gets nothing is given up as broken, and resumed elsewhere if it may be; sound streams, whose events are short, are not touched.

The memory of a process was not measured again here.

--- a/crates/apricotwell_gateway/src/budget.rs
+++ b/crates/apricotwell_gateway/src/budget.rs
@@ -45,6 +45,17 @@
         self.amount += amount;
         true
     }
+
+    /// Changes the reserved amount; returns `false` and changes nothing if less is left.
+    pub fn resize(&mut self, amount: usize) -> bool {
+        let available = self.left.get() + self.amount;
+        let Some(left) = available.checked_sub(amount) else {
+            return false;
+        };
+        self.left.set(left);
+        self.amount = amount;
+        true
+    }
 }
 
 impl Drop for Reservation {
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -31,6 +31,9 @@
 /// Limit on the bytes of plain responses that are being received, well below an instance's memory.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
+/// Limit on the bytes of incomplete events that are held beyond the first ones of each stream.
+const MAX_EVENT_BYTES: usize = 12 << 20;
+
 /// Addresses on which an instance listens.
 #[derive(Clone, Debug)]
 pub struct ListenAddresses {
@@ -120,6 +123,8 @@
     pub body_budget: Budget,
     /// Budget of response bytes.
     pub response_budget: Budget,
+    /// Budget of bytes of incomplete events.
+    pub event_budget: Budget,
     /// Number of requests being served.
     pub active_requests: Cell<usize>,
     /// Time of the request to stop; `None` before it.
@@ -175,6 +180,7 @@
             connection_budget: Budget::new(MAX_CONNECTIONS),
             body_budget: Budget::new(MAX_BODY_BYTES),
             response_budget: Budget::new(MAX_RESPONSE_BYTES),
+            event_budget: Budget::new(MAX_EVENT_BYTES),
             active_requests: Cell::new(0),
             stop_requested: Cell::new(None),
         })
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use hyper::body::Frame;
 
 use crate::adapter::Platform;
+use crate::budget::Reservation;
 use crate::guard::FlightGuard;
 use crate::handler::{BEGINNING_TIME, RequestHandler};
 use crate::resumption::{self, EventOrder, Mismatch, StreamHead};
@@ -18,6 +19,10 @@
 /// Time without data after which a resumable stream is moved to another server.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Bytes of an incomplete event that a stream may always hold, more than a usual event has: 20 MB for all
+/// connections of clients.
+const FREE_EVENT_BYTES: usize = 8 << 10;
+
 /// Error that ends a stream early.
 #[derive(Debug)]
 pub enum RelayError {
@@ -47,6 +52,8 @@
     response: Option<(Box<StreamingResponse>, FlightGuard<P>)>,
     // Bytes of an event that is not yet complete; always empty if the stream can't be resumed.
     incomplete_event: BytesMut,
+    // Reservation for its bytes beyond the free ones.
+    event_bytes: Option<Reservation>,
     // Framing of the last server's response, and the position in it.
     framing: BodyFraming,
     scanner: EventScanner,
@@ -79,6 +86,7 @@
             handler,
             response: Some((response, flight)),
             incomplete_event: BytesMut::new(),
+            event_bytes: None,
             scanner: EventScanner::default(),
             began: None,
             is_sound: false,
@@ -183,17 +191,39 @@
             }
             return Ok(Some(bytes));
         }
-        let end = self.incomplete_event.len() + events_end.unwrap_or(0);
-        self.incomplete_event.extend_from_slice(&bytes);
-        if events_end.is_none() {
+        let held = self.incomplete_event.len();
+        let Some(events_end) = events_end else {
+            if !self.may_hold(held + bytes.len()) {
+                return Err("the incomplete events of all streams are too large".to_owned());
+            }
+            self.incomplete_event.extend_from_slice(&bytes);
             return Ok(None);
-        }
-        let events = self.incomplete_event.split_to(end).freeze();
+        };
+        self.incomplete_event.extend_from_slice(&bytes);
+        let events = self.incomplete_event.split_to(held + events_end).freeze();
+        // What follows the events is shorter than a chunk.
+        self.event_bytes = None;
         let checked = self.order.take(&events);
         checked.map_err(|mismatch| self.reject_events(mismatch))?;
         Ok(Some(events))
     }
 
+    // Returns whether this stream may hold that many bytes of an incomplete event: many large ones at once would
+    // take the memory that the requests of others need.
+    fn may_hold(&mut self, bytes: usize) -> bool {
+        let counted = bytes.saturating_sub(FREE_EVENT_BYTES);
+        if counted == 0 {
+            return true;
+        }
+        match &mut self.event_bytes {
+            Some(reservation) => reservation.resize(counted),
+            None => {
+                self.event_bytes = self.handler.gateway.event_budget.try_reserve(counted);
+                self.event_bytes.is_some()
+            }
+        }
+    }
+
     // A server that ends may send such events before its connection breaks.
     fn reject_events(&mut self, mismatch: Mismatch) -> String {
         if let Some((_, flight)) = &self.response {
@@ -220,7 +250,9 @@
             self.handler.log_not_resumed("unknown", reason);
             return false;
         }
-        self.incomplete_event.clear();
+        // The buffer may be large.
+        self.incomplete_event = BytesMut::new();
+        self.event_bytes = None;
         while self.may_leave(left).await {
             let resumed = self.handler.first_response(self.order.last()).await;
             let (response, flight) = match resumed {
