Limit the bytes that a server may send before the head of its response

Cause: the client of HTTP drops each informational response and waits for the next; only time ended that. Heads that never end are bounded by the read buffer, these were not.

The memory did not grow by it, by how the client works; that was not measured.

--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -14,6 +14,7 @@
 use http::{HeaderMap, Request, response};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming};
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -87,6 +88,17 @@
 }
 
 impl OpenConnection {
+    // Sends a request and returns the head of its response.
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.socket.set_awaiting_head(true);
+        let response = self.sender.try_send_request(request).await;
+        self.socket.set_awaiting_head(false);
+        response
+    }
+
     // A request sent after bytes that belong to no request would get them for its response.
     fn is_ready(&self) -> bool {
         self.sender.is_ready() && self.socket.is_silent()
@@ -187,7 +199,7 @@
             if !may_send() {
                 return Err(withdrawn());
             }
-            match open.sender.try_send_request(request).await {
+            match open.exchange(request).await {
                 Ok(response) => {
                     return self.streaming_response(address, open, response, reuse);
                 }
@@ -202,7 +214,7 @@
         if !may_send() {
             return Err(withdrawn());
         }
-        match open.sender.try_send_request(request).await {
+        match open.exchange(request).await {
             Ok(response) => {
                 let response = self.streaming_response(address, open, response, reuse)?;
                 Ok(StreamingResponse {
