Refuse in a stop what can't be repeated and usually runs longer than the grace period lasts

Cause: a stop admits by the time since the signal alone, whatever the request needs.

Change: an instance learns how long requests of each route usually run. In a stop, one that can't be repeated, has not run and usually takes longer than what is left is refused with `Retry-After: 0`, at once and also while it waits for a server. One whose deadline ends before the cut, or whose route is hardly known, is begun as before.

Evidence: `request_that_usually_outlasts_a_stop_is_refused_while_others_are_served` fails before (closed without an answer) and passes now.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -39,6 +39,7 @@
 use crate::reach::ReachTable;
 use crate::request::{RequestHead, TokenUsage};
 use crate::retries::{RetryBounds, RetryBudget, RetryUsage};
+use crate::run_times::RunTimes;
 use crate::saved_streams::SavedStreams;
 use crate::software::{SoftwareTable, SoftwareVersion};
 use crate::stream_memory::StreamMemory;
@@ -169,6 +170,8 @@
     pub load_notices: LoadNotices,
     /// Software versions that the store's record names.
     pub software: SoftwareTable,
+    /// Usual run times of requests.
+    pub run_times: RunTimes,
     /// Routes of earlier configurations.
     pub former_routes: FormerRoutes,
     /// Versions of the streams that this instance began.
@@ -209,6 +212,7 @@
             planner: PlacementPlanner::new(config.load_aware),
             load_notices: LoadNotices::default(),
             software: SoftwareTable::default(),
+            run_times: RunTimes::default(),
             former_routes: FormerRoutes::default(),
             streams: StreamMemory::default(),
             saved_streams: SavedStreams::default(),
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod reach;
 pub mod request;
 pub mod retries;
+pub mod run_times;
 pub mod saved_streams;
 pub mod software;
 pub mod software_record;
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -33,8 +33,6 @@
 const MAX_HEADER_BYTES: usize = 64 << 10;
 /// Time after which an idle connection to an auxiliary endpoint is closed.
 const AUXILIARY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Part of the grace period reserved for the exit of the process itself.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(900);
 /// Minimum time between a request to stop and the closing of client connections, so that clients
 /// that looked up this instance's address shortly before can still connect.
 const MIN_SHUTDOWN_DELAY: Duration = Duration::from_millis(3200);
@@ -392,7 +390,7 @@
     gateway.heartbeat_due.notify_one();
     let shared = Rc::clone(gateway);
     actix::spawn(async move { membership::leave(&shared).await });
-    let end = gateway.timings.grace.saturating_sub(SHUTDOWN_MARGIN);
+    let end = gateway.stop_time();
     let delay = gateway.timings.grace.mul_f64(SHUTDOWN_DELAY_SHARE);
     let delay = delay.min(MIN_SHUTDOWN_DELAY);
     tokio::time::sleep(delay.saturating_sub(requested.elapsed())).await;
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -34,6 +34,9 @@
 /// Limit on the bytes of incomplete events that are held beyond the first ones of each stream.
 const MAX_EVENT_BYTES: usize = 12 << 20;
 
+/// Part of the grace period reserved for the exit of the process itself.
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(900);
+
 /// Addresses on which an instance listens.
 #[derive(Clone, Debug)]
 pub struct ListenAddresses {
@@ -204,6 +207,11 @@
         dispatcher.feeds.contact.record_failure();
     }
 
+    /// Returns the time after a request to stop at which connections are closed.
+    pub fn stop_time(&self) -> Duration {
+        self.timings.grace.saturating_sub(SHUTDOWN_MARGIN)
+    }
+
     /// Lets a waiting request look for a server again.
     pub fn wake_turn(&self, ticket: TicketId) {
         if let Some(due) = self.turns.borrow().get(&ticket) {
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -141,7 +141,9 @@
         last_event: Option<u64>,
     ) -> Result<(Box<StreamingResponse>, FlightGuard<P>), Refusal> {
         loop {
+            self.check_grace()?;
             let destination = self.find_server().await?;
+            self.check_grace()?;
             let outcome = if destination.is_instance {
                 self.forward(&destination, last_event).await
             } else {
@@ -432,6 +434,18 @@
         self.withdraw_crash(server);
     }
 
+    /// Records how long the last attempt took until its response ended.
+    pub fn record_run_time(&self) {
+        if self.is_refused_elsewhere {
+            return;
+        }
+        let time = self.gateway.now().saturating_duration_since(self.sent_at);
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        dispatcher
+            .run_times
+            .record(&self.admission.route.name, time);
+    }
+
     /// Refunds the request's tokens, once.
     pub fn refund(&mut self) {
         let now = self.gateway.now();
--- a/crates/apricotwell_gateway/src/handler/waiting.rs
+++ b/crates/apricotwell_gateway/src/handler/waiting.rs
@@ -20,6 +20,9 @@
 /// to stop.
 const WAIT_GRACE_FRACTION: f64 = 0.55;
 
+/// Text of a refusal in a stop.
+const SHUTTING_DOWN: &str = "this instance is shutting down; use another one";
+
 impl<P> RequestHandler<P>
 where
     P: Platform,
@@ -71,9 +74,9 @@
                     }
                 }
             }
+            self.check_grace()?;
             if self.must_stop_waiting() {
-                let text = "this instance is shutting down; use another one";
-                return Err(self.refusal(RefusalKind::Unavailable, text));
+                return Err(self.refusal(RefusalKind::Unavailable, SHUTTING_DOWN));
             }
             if waiting.is_none() && !is_behind {
                 waiting = WaitGuard::new(&self.gateway, &self.admission);
@@ -203,6 +206,27 @@
             .is_some_and(|time| time > limit)
     }
 
+    /// Checks that a request that must not be repeated usually ends before a stop would cut it off.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal to send if it does not; the request has not run.
+    pub(super) fn check_grace(&self) -> Result<(), Refusal> {
+        let Some(time) = self.gateway.time_since_stop() else {
+            return Ok(());
+        };
+        let route = &self.admission.route;
+        let left = self.gateway.stop_time().saturating_sub(time);
+        let dispatcher = self.gateway.dispatcher.borrow();
+        let may_end = left >= self.remaining() || dispatcher.run_times.fits(&route.name, left);
+        if self.runs > 0 || route.kind.is_repeatable() || may_end {
+            return Ok(());
+        }
+        self.gateway.connections.count_refused();
+        let refusal = self.refusal(RefusalKind::Unavailable, SHUTTING_DOWN);
+        Err(refusal.with_retry_after(Duration::ZERO))
+    }
+
     fn log_wait(&self) {
         Event::new("request_waits")
             .with("request", self.request.attempt.as_str())
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -325,6 +325,7 @@
         self.ended = true;
         let (_, flight) = self.response.take()?;
         flight.record_outcome(self.status >= 500);
+        self.handler.record_run_time();
         if let Some(began) = self.began {
             self.handler.record_sound(began);
         }
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -347,6 +347,7 @@
     let reason = match collected.await {
         Ok(Ok((head, body))) => {
             handler.end_response(received);
+            handler.record_run_time();
             let failed = head.status.is_server_error();
             flight.record_outcome(failed);
             if !handler.is_refused_elsewhere {
