Read the configuration anew and save spending again when the store's era changes

Cause: a log counts as restarted only if it ends too early for a second. One that is written again up to the known offset looks as if nothing had happened. What the lease holder had saved of the spending was written again only after up to 2.5 s.

Change: another era makes the configuration's log a new one at once, and the holder saves the spending at once. A read that was under way across the change is not used. The list of servers keeps to its end: a first look after a drill could bring a draining server back as ready. That a rewritten list hides an entry until it is written once more, some 1.2 s later, remains possible.

Without a test: the spending.

--- a/crates/apricotwell_dispatch/src/log_position.rs
+++ b/crates/apricotwell_dispatch/src/log_position.rs
@@ -68,11 +68,16 @@
         if start.saturating_duration_since(since) < RESTART_TIME {
             return PageOrder::Behind;
         }
+        self.restart(start);
+        PageOrder::Restarted
+    }
+
+    /// Records that the log restarted, as the store came back from an older copy.
+    pub fn restart(&mut self, now: Instant) {
         *self = Self {
-            restarted_at: Some(start),
+            restarted_at: Some(now),
             ..Self::default()
         };
-        PageOrder::Restarted
     }
 
     /// Returns whether an answer of another instance can be about this log: its view ended at `end` when the
--- a/crates/apricotwell_dispatch/tests/lease.rs
+++ b/crates/apricotwell_dispatch/tests/lease.rs
@@ -38,7 +38,7 @@
         lease.apply_standing(Instant::now(), standing(ClaimStatus::Unclaimed), true),
         LeaseAction::Claim
     );
-    lease.apply_claim(now, 1, 1 - 1, standing(ClaimStatus::Unclaimed));
+    lease.apply_claim(now, 1, 0, standing(ClaimStatus::Unclaimed));
     assert_eq!(lease.fence(now), Some(1));
     lease
 }
@@ -72,7 +72,7 @@
         LeaseAction::Claim
     );
     lease.complete_renewal(now, true, None);
-    lease.apply_claim(now, 5, 5 - 1, standing(ClaimStatus::Own));
+    lease.apply_claim(now, 5, 4, standing(ClaimStatus::Own));
     assert_eq!(lease.fence(now), Some(5));
 }
 
@@ -91,7 +91,7 @@
     ] {
         let mut lease = Lease::new(config);
         lease.complete_renewal(now, true, None);
-        lease.apply_claim(now, 2, 2 - 1, standing(status));
+        lease.apply_claim(now, 2, 1, standing(status));
         let early = now + min_delay - Duration::from_millis(1);
         keep_alive(&mut lease, now, early);
         assert_eq!(lease.fence(early), None, "{status:?}");
@@ -170,7 +170,7 @@
         lease.apply_standing(Instant::now(), standing(ClaimStatus::Own), false),
         LeaseAction::Claim
     );
-    lease.apply_claim(resumed, 2, 2 - 1, standing(ClaimStatus::Own));
+    lease.apply_claim(resumed, 2, 1, standing(ClaimStatus::Own));
     assert_eq!(lease.fence(resumed), Some(2));
     let next = resumed + RENEWAL_INTERVAL;
     assert_eq!(renew(&mut lease, next, false), LeaseAction::Keep);
@@ -213,7 +213,7 @@
     let mut next = Lease::new(FENCED);
     let claimed = now + Duration::from_secs(2);
     next.complete_renewal(claimed, true, None);
-    next.apply_claim(claimed, 2, 2 - 1, standing(ClaimStatus::Dropped));
+    next.apply_claim(claimed, 2, 1, standing(ClaimStatus::Dropped));
     let mut announcement = None;
     let mut at = now;
     while at < claimed {
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -7,10 +7,10 @@
 use apricotwell_dispatch::freshness::{QUERY_INTERVAL, ViewAge};
 use apricotwell_dispatch::log_position::{LogPosition, PageOrder};
 use apricotwell_dispatch::prelude::*;
-use apricotwell_types::{InstanceId, Offset};
+use apricotwell_types::{InstanceId, Offset, StoreEra};
 use tokio::net::UdpSocket;
 
-use crate::adapter::{FeedPage, FeedRecord, Platform, StoreError};
+use crate::adapter::{FeedPage, FeedRecord, Platform, Store, StoreError};
 use crate::evacuation;
 use crate::events::Event;
 use crate::gateway::Gateway;
@@ -57,6 +57,7 @@
         socket,
         feed,
         next: None,
+        era: None,
         reads_newest: false,
         position: LogPosition::default(),
         source: FeedSource::Store,
@@ -107,6 +108,8 @@
     feed: Feed,
     // Offset from which to read; `None` until the newest records have been read.
     next: Option<Offset>,
+    // Era of the store whose log `next` and `position` are about.
+    era: Option<StoreEra>,
     // Whether the newest records are to be read, since newer ones replace those from `next` on.
     reads_newest: bool,
     position: LogPosition,
@@ -133,6 +136,7 @@
 {
     // Fetches new records once; returns the pause before the next step.
     async fn step(&mut self) -> Duration {
+        self.observe_era();
         let Some(from) = self.read_position() else {
             return self.read_store(Duration::ZERO).await;
         };
@@ -282,6 +286,9 @@
         let from = self.read_position();
         let known = self.position.known();
         let page = self.read_page(from, wait).await;
+        if self.observe_era() {
+            return Duration::ZERO;
+        }
         match page.and_then(|page| self.check_position(start, known, page)) {
             Ok(None) => {
                 self.record_success();
@@ -323,6 +330,26 @@
         }
     }
 
+    // Returns whether the store has come back from an older copy. Its log may have been written again up to the
+    // known offset and beyond, so that only the newest records tell what it holds.
+    fn observe_era(&mut self) -> bool {
+        let era = *self.gateway.store.era().borrow();
+        let known = std::mem::replace(&mut self.era, era);
+        // The server list shows by its end that it has restarted: its entries are written again over a while, and a
+        // first look could bring back older states of servers.
+        if known.is_none() || known == era || self.feed == Feed::Servers {
+            return false;
+        }
+        Event::new("log_restarted")
+            .with("feed", format!("{:?}", self.feed))
+            .with("era", era)
+            .with("known", self.position.known())
+            .log();
+        self.position.restart(self.gateway.now());
+        self.next = None;
+        true
+    }
+
     // Refuses a page that ends before what was `known` at `start`, when its read began: entries on it may be older
     // than the known ones. After a restart of the log everything is read again; the version of a configuration
     // keeps an older one from being applied. Returns no page if others have told of later records meanwhile.
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod crash_checks;
 pub mod daemon;
+pub mod era_watch;
 pub mod evacuation;
 pub mod events;
 pub mod explain;
@@ -45,6 +46,7 @@
         Attempt, ClientProtocol, EngineClient, FeedPage, FeedRecord, Membership, Platform,
         ResponseHead, SoftwarePage, Store, StoreError, StreamPage, Transfer,
     };
+    pub use crate::era_watch::EraWatch;
     pub use crate::events::Event;
     pub use crate::gateway::{Gateway, ListenAddresses, Timings};
     pub use apricotwell_http::pool::{ConnectionPool, Reuse, SendError};
--- a/crates/apricotwell_gateway/src/usage.rs
+++ b/crates/apricotwell_gateway/src/usage.rs
@@ -38,6 +38,7 @@
     }
     let mut intervals = 0;
     let mut saved_parts = Vec::new();
+    let mut saved_era = None;
     loop {
         tokio::time::sleep(MIN_SAVE_INTERVAL).await;
         intervals += 1;
@@ -48,7 +49,10 @@
                 dispatcher.is_any_near_limit() || dispatcher.needs_save(),
             )
         };
-        if intervals < INTERVALS_PER_SAVE && !is_urgent && parts == saved_parts {
+        // A store that came back from an older copy has lost what was saved last.
+        let era = *gateway.store.era().borrow();
+        let is_saved = parts == saved_parts && era == saved_era;
+        if intervals < INTERVALS_PER_SAVE && !is_urgent && is_saved {
             continue;
         }
         intervals = 0;
@@ -63,7 +67,7 @@
         };
         gateway.metrics.count_store_call("keep");
         match gateway.store.save_usage(&usage.encode_to_vec()).await {
-            Ok(()) => saved_parts = parts,
+            Ok(()) => (saved_parts, saved_era) = (parts, era),
             Err(error) => log::info!("failed to save the quota usage: {error}"),
         }
     }
