--- /dev/null
+++ b/crates/apricotwell_dispatch/tests/lease_log.rs
@@ -0,0 +1,105 @@
+//! Fencing tokens: beside builds and stores that know no eras, and with eras of any size.
+
+use apricotwell_dispatch::lease::{ClaimStatus, FenceConflict, Lease, LeaseConfig, Standing};
+use apricotwell_dispatch::lease_log::{ClaimContext, ClaimRecord, LastClaim};
+use std::time::{Duration, Instant};
+
+/// Largest whole number that every reader of JSON takes exactly.
+const MAX_JSON_NUMBER: u64 = (1 << 53) - 1;
+const ALONE: ClaimContext = ClaimContext {
+    has_reverted: false,
+    others_know_eras: true,
+    first_start: false,
+};
+const MIXED: ClaimContext = ClaimContext {
+    others_know_eras: false,
+    ..ALONE
+};
+
+fn log(end: u64, era: Option<u64>, claim: Option<ClaimRecord>) -> LastClaim {
+    LastClaim { end, claim, era }
+}
+
+// Claim of a build that knows no eras.
+fn former_claim() -> ClaimRecord {
+    ClaimRecord {
+        holder: "former".to_owned(),
+        era: None,
+        fence: None,
+        waits: false,
+    }
+}
+
+fn fence(last: &LastClaim, context: ClaimContext) -> u64 {
+    last.next_claim("own", context, false).fence_at(last.end)
+}
+
+#[test]
+fn tokens_stay_comparable_while_a_build_without_eras_may_claim() {
+    let beside = log(4, Some(9), Some(former_claim()));
+    assert_eq!(fence(&beside, MIXED), 5);
+    // That build claims next, at offset 5, and must have the higher token.
+    assert!(former_claim().fence_at(5) > fence(&beside, MIXED));
+    assert!(fence(&beside, ALONE) > MAX_JSON_NUMBER >> 21);
+    // After a drill no other token would be unique.
+    let reverted = ClaimContext {
+        has_reverted: true,
+        ..MIXED
+    };
+    assert!(fence(&beside, reverted) > MAX_JSON_NUMBER >> 21);
+    // Once a token has an era, later ones do too.
+    let begun = beside.next_claim("own", ALONE, false);
+    let next = log(5, Some(9), Some(begun.clone()));
+    assert!(fence(&next, MIXED) > begun.fence_at(4));
+}
+
+#[test]
+fn tokens_of_a_store_without_eras_are_offsets() {
+    let last = log(4, None, Some(former_claim()));
+    assert_eq!(fence(&last, ALONE), 5);
+    let record = last.next_claim("own", ALONE, false);
+    assert_eq!((record.era, record.fence), (None, None));
+}
+
+#[test]
+fn tokens_rise_with_the_era_and_are_exact_in_json() {
+    for era in [0, 1, 77, (1 << 21) - 2, 1_700_000_000, u64::MAX - 1] {
+        let before = fence(&log(1_000_000, Some(era), None), ALONE);
+        assert!(before <= MAX_JSON_NUMBER, "era {era}");
+        let is_wrapped = (era + 1).is_multiple_of(1 << 21);
+        let after = fence(&log(0, Some(era + 1), None), ALONE);
+        assert!(after > before || is_wrapped, "era {era}");
+    }
+    // An era that falls does not lower the token of the next claim in the log.
+    let high = log(3, Some(8), None).next_claim("own", ALONE, false);
+    let fallen = log(4, Some(2), Some(high.clone()));
+    assert!(fence(&fallen, ALONE) > high.fence_at(3));
+}
+
+#[test]
+fn equal_token_of_another_instance_ends_the_claim() {
+    let now = Instant::now();
+    let mut lease = Lease::new(LeaseConfig {
+        term: Duration::from_millis(1800),
+        handover_pause: Duration::from_millis(3000),
+        max_renewal_gap: Duration::from_millis(700),
+        fenced: true,
+    });
+    let standing = Standing {
+        status: ClaimStatus::Unclaimed,
+        last: None,
+        is_current: true,
+        waits: false,
+    };
+    for (heard, conflict) in [
+        (6, FenceConflict::None),
+        (7, FenceConflict::Shared),
+        (8, FenceConflict::Superseded),
+    ] {
+        lease.begin_renewal(now);
+        lease.complete_renewal(now, true, None);
+        lease.apply_claim(now, 7, 6, standing);
+        assert_eq!(lease.observe_fence(heard), conflict);
+        assert_eq!(lease.fence(now).is_some(), conflict == FenceConflict::None);
+    }
+}
