Log what tells the hypotheses of LOST, DRAIN and QUOTA apart

An entry of the server list keeps its number (`seq`), also on its way to other instances; `server` names it with the state, process and number before. New lines: `tokens_refunded` with the age of the charge, `quota_changed` with what was spent, `server_silent` with what is left to go on. `request_ended` says for how long the store had answered and how long the server was silent at the end. No decision changes: a renewal that differs in its number alone is still no change for others.

--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -44,6 +44,9 @@
     /// Start time of the server's process, in milliseconds since the Unix epoch. Another one means
     /// that the server was restarted.
     pub started_ms: u64,
+    /// Number of the entry, which rises with each one that the process writes; 0 if it is unknown, as from
+    /// instances of earlier builds.
+    pub number: u64,
     /// Time for which the server can handle only few requests, as it states.
     pub cold_left: Duration,
     /// Version of the server's software, not of the weights; `None` if it is unknown.
@@ -52,6 +55,37 @@
     pub inventory: Inventory,
 }
 
+impl BackendEntry {
+    // Returns whether two entries differ in their numbers at most.
+    fn says_same(&self, other: &Self) -> bool {
+        let Self {
+            id,
+            service,
+            address,
+            zone,
+            slots,
+            draining,
+            remaining,
+            started_ms,
+            number: _,
+            cold_left,
+            software,
+            inventory,
+        } = self;
+        *id == other.id
+            && *service == other.service
+            && *address == other.address
+            && *zone == other.zone
+            && *slots == other.slots
+            && *draining == other.draining
+            && *remaining == other.remaining
+            && *started_ms == other.started_ms
+            && *cold_left == other.cold_left
+            && *software == other.software
+            && *inventory == other.inventory
+    }
+}
+
 /// A model load in progress on a server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Loading {
@@ -274,11 +308,11 @@
         server.entry = entry;
     }
 
-    /// Returns whether an entry differs from the known one.
+    /// Returns whether an entry differs from the known one in more than its number.
     pub fn is_changed(&self, entry: &BackendEntry) -> bool {
         self.servers
             .get(&entry.id)
-            .is_none_or(|server| server.expires_at.is_some() || server.entry != *entry)
+            .is_none_or(|server| server.expires_at.is_some() || !server.entry.says_same(entry))
     }
 
     /// Marks a server as removed from the list.
--- a/crates/apricotwell_dispatch/src/catalog.rs
+++ b/crates/apricotwell_dispatch/src/catalog.rs
@@ -307,6 +307,11 @@
         self.organisations.get(self.keys.get(key)?)
     }
 
+    /// Returns the organisation with a name.
+    pub fn organisation(&self, name: &str) -> Option<&Arc<Organisation>> {
+        self.organisations.get(name)
+    }
+
     /// Returns all organisations.
     pub fn organisations(&self) -> impl Iterator<Item = &Arc<Organisation>> {
         self.organisations.values()
--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -510,6 +510,14 @@
         }
     }
 
+    /// Returns the tokens that an organisation has spent at all instances in the last window, as far as this
+    /// instance knows.
+    pub fn fleet_spending(&self, organisation: &str) -> Tokens {
+        let mut spending = self.quotas.spending();
+        let known = spending.find(|(name, _, _)| ***name == *organisation);
+        known.map_or(0, |(_, _, fleet)| fleet)
+    }
+
     /// Returns whether the request's organisation is so close to its limit that other instances
     /// need its spending at once.
     pub fn is_near_limit(&mut self, now: Instant, admission: &Admission) -> bool {
--- a/crates/apricotwell_dispatch/src/feeds.rs
+++ b/crates/apricotwell_dispatch/src/feeds.rs
@@ -311,6 +311,7 @@
             .remaining
             .map(|left| u32::try_from(left.as_millis()).unwrap_or(u32::MAX)),
         started_ms: entry.started_ms,
+        number: entry.number,
         orders: entry.inventory.orders,
         models: held.collect(),
         in_memory: names(&entry.inventory.in_memory),
@@ -339,6 +340,7 @@
             .remaining_ms
             .map(|left| Duration::from_millis(u64::from(left))),
         started_ms: listed.started_ms,
+        number: listed.number,
         cold_left: Duration::from_millis(u64::from(listed.cold_left_ms)),
         software: listed.software.as_deref().and_then(software::known_version),
         inventory: Inventory {
--- a/crates/apricotwell_dispatch/tests/backends.rs
+++ b/crates/apricotwell_dispatch/tests/backends.rs
@@ -17,6 +17,7 @@
         cold_left: Duration::ZERO,
         software: None,
         started_ms,
+        number: 0,
         inventory: Inventory::default(),
     }
 }
@@ -35,3 +36,19 @@
         }
     }
 }
+
+#[test]
+fn entry_that_differs_in_its_number_alone_is_no_change() {
+    let now = Instant::now();
+    let mut servers = BackendTable::default();
+    servers.apply_entry(now, entry(1000, false));
+    let renewed = BackendEntry {
+        number: 7,
+        ..entry(1000, false)
+    };
+    assert!(!servers.is_changed(&renewed));
+    servers.apply_entry(now, renewed);
+    assert!(!servers.is_changed(&entry(1000, false)));
+    assert!(servers.is_changed(&entry(1000, true)));
+    assert!(servers.is_changed(&entry(1001, false)));
+}
--- a/crates/apricotwell_dispatch/tests/feeds.rs
+++ b/crates/apricotwell_dispatch/tests/feeds.rs
@@ -31,6 +31,7 @@
         cold_left: Duration::ZERO,
         software: None,
         started_ms: 17,
+        number: u64::from(number) + 1,
         inventory: Inventory {
             orders: 3,
             models: vec![("m1".into(), vec!["a1".into()])],
--- a/crates/apricotwell_dispatch/tests/fleet/simulation.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -165,6 +165,7 @@
         cold_left: Duration::ZERO,
         software: None,
         started_ms: 1,
+        number: 0,
         inventory: Inventory::default(),
     }
 }
@@ -343,6 +344,7 @@
         for id in &servers {
             let entry = BackendEntry {
                 started_ms,
+                number: 0,
                 ..entry(id)
             };
             member.dispatcher.apply_entry(now, entry);
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -18,9 +18,11 @@
 
 mod entries;
 mod helpers;
+mod quotas;
 mod reads;
 
 use entries::log_entry;
+use quotas::log_quota_changes;
 
 /// Step of the linear retry backoff, from the second consecutive failure on. The first retry is
 /// immediate, since most often only the connection was broken.
@@ -509,7 +511,11 @@
             FeedRecord::Evacuation { .. } => {}
             FeedRecord::Catalog(catalog) => {
                 let version = catalog.version;
+                let former = dispatcher.catalog.clone();
                 let applied = dispatcher.apply_catalog(*catalog);
+                if let Some(former) = former {
+                    log_quota_changes(&dispatcher, &former);
+                }
                 let apply_time = self.gateway.now().saturating_duration_since(now);
                 Event::new("configuration")
                     .with("version", version)
@@ -518,7 +524,7 @@
                     .log();
             }
             FeedRecord::Entry(entry) => {
-                log_entry(&dispatcher.backends, offset, &entry);
+                log_entry(&dispatcher.backends, now, offset, &entry);
                 let outages = &mut dispatcher.feeds.outages;
                 outages.record_entry(now, offset, &entry.id);
                 if dispatcher.backends.is_changed(&entry) {
@@ -528,10 +534,14 @@
                 dispatcher.apply_entry(now, *entry);
             }
             FeedRecord::Removed(id) => {
+                let former = dispatcher.backends.get(&id).map(|server| &server.entry);
+                let (born, number) = former.map(|it| (it.started_ms, it.number)).unzip();
                 let grace = dispatcher.feeds.outages.removal_grace(now, &id);
                 Event::new("server_removed")
                     .with("server", &*id)
                     .with("offset", offset)
+                    .with("born", born)
+                    .with("number", number)
                     .with("cause", grace.map(|_| "lapse_after_outage"))
                     .with_optional_time("kept_ms", grace)
                     .log();
--- a/crates/apricotwell_gateway/src/feeds/entries.rs
+++ b/crates/apricotwell_gateway/src/feeds/entries.rs
@@ -1,5 +1,7 @@
 //! Log lines about changed entries of the server list.
 
+use std::time::Instant;
+
 use apricotwell_dispatch::prelude::*;
 use apricotwell_types::Offset;
 
@@ -13,13 +15,15 @@
             .all(|(model, _)| other.adapters(model).is_some())
 }
 
-pub(super) fn log_entry(known: &BackendTable, offset: Offset, entry: &BackendEntry) {
+pub(super) fn log_entry(known: &BackendTable, now: Instant, offset: Offset, entry: &BackendEntry) {
     let before = known.get(&entry.id).map(|server| &server.entry);
     let changed = before.is_none_or(|before| {
         before.draining != entry.draining
             || before.started_ms != entry.started_ms
             || !same_models(&before.inventory, &entry.inventory)
     });
+    let former_state = known.state_name(now, &entry.id);
+    let changed = changed || former_state == "removed" || former_state == "kept";
     if changed {
         let models: Vec<&str> = entry
             .inventory
@@ -33,6 +37,10 @@
             .with("leaving", entry.draining)
             .with("offset", offset)
             .with("born", entry.started_ms)
+            .with("number", entry.number)
+            .with("former_state", former_state)
+            .with("former_born", before.map(|before| before.started_ms))
+            .with("former_number", before.map(|before| before.number))
             .with("orders", entry.inventory.orders)
             .with("models", models)
             .with("on_disk", entry.inventory.on_disk.len())
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -186,6 +186,17 @@
             && self.take_retry("lost")
     }
 
+    /// Returns whether [`Self::acquire_retry`] would allow another attempt.
+    pub fn has_retry(&self) -> bool {
+        let route = &self.admission.route;
+        let now = self.gateway.now();
+        let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        route.kind.is_repeatable()
+            && self.runs < route.max_attempts
+            && now < self.admission.deadline
+            && dispatcher.has_retry(now, &self.admission)
+    }
+
     // Returns whether a server error should be retried on another server instead of being forwarded
     // to the client.
     fn should_retry(&self, server: &ServerId, response: &StreamingResponse) -> bool {
@@ -451,9 +462,27 @@
         let now = self.gateway.now();
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         dispatcher.refund(now, &self.admission);
+        drop(dispatcher);
+        self.log_refund(now);
         self.admission.tokens = 0;
     }
 
+    fn log_refund(&self, now: Instant) {
+        let Some(organisation) = &self.admission.organisation else {
+            return;
+        };
+        if organisation.rate == 0 || self.admission.tokens == 0 {
+            return;
+        }
+        let age = now.saturating_duration_since(self.admission.arrived);
+        Event::new("tokens_refunded")
+            .with("request", self.request.attempt.as_str())
+            .with("organisation", &*organisation.name)
+            .with("tokens", self.admission.tokens)
+            .with_time("charge_age_ms", age)
+            .log();
+    }
+
     // Records that the server rejected a request for the requested model.
     fn record_rejection(&self, server: &ServerId) {
         let Some(model) = &self.admission.requested_model else {
@@ -535,6 +564,7 @@
             .with("config", self.admission.version)
             .with_optional_time("config_age_ms", self.admission.config_age)
             .with_optional_time("list_age_ms", self.trace.list_age)
+            .with_optional_time("store_contact_ms", self.trace.store_contact)
             .with("server", server.map_or("", |server| &**server))
             .with("outcome", outcome)
             .with("status", status)
@@ -549,6 +579,7 @@
             .with_optional_time("waited_ms", self.time_to(self.server_found))
             .with_optional_time("first_byte_ms", self.time_to(self.trace.first_byte))
             .with_time("longest_pause_ms", self.trace.longest_pause)
+            .with_optional_time("silence_ms", self.trace.silence(now))
             .with_time("ms", time)
             .log();
     }
--- a/crates/apricotwell_gateway/src/handler/waiting.rs
+++ b/crates/apricotwell_gateway/src/handler/waiting.rs
@@ -52,6 +52,7 @@
                 RoutingDecision::Send(server, address) => {
                     self.server_found = Some(now);
                     self.trace.list_age = self.list_age(now);
+                    self.trace.store_contact = Some(self.store_contact(now));
                     if let Some(turn) = &mut turn {
                         turn.is_served = true;
                         self.observe_wait(now);
@@ -190,6 +191,11 @@
         dispatcher.feeds.age(now, Feed::Servers)
     }
 
+    fn store_contact(&self, now: Instant) -> Duration {
+        let dispatcher = self.gateway.dispatcher.borrow();
+        dispatcher.feeds.contact.duration(now)
+    }
+
     fn observe_wait(&self, now: Instant) {
         let wait = now.saturating_duration_since(self.admission.arrived);
         let priority = self.admission.priority;
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -64,6 +64,8 @@
     began: Option<Instant>,
     // Whether that response showed the request to be sound.
     is_sound: bool,
+    // Whether a silence of that response was logged.
+    is_silence_logged: bool,
     status: u16,
     ended: bool,
 }
@@ -90,6 +92,7 @@
             scanner: EventScanner::default(),
             began: None,
             is_sound: false,
+            is_silence_logged: false,
             ended: false,
         }
     }
@@ -107,7 +110,7 @@
             return None;
         }
         loop {
-            let (response, flight) = self.response.as_mut()?;
+            let (response, _) = self.response.as_mut()?;
             let remaining = self.handler.remaining();
             let is_repeatable = self.handler.admission.route.kind.is_repeatable();
             let resumable = self.has_events && is_repeatable;
@@ -116,7 +119,12 @@
             } else {
                 remaining
             };
-            let reason = match tokio::time::timeout(wait, response.next()).await {
+            let received = tokio::time::timeout(wait, response.next()).await;
+            if received.is_err() && resumable {
+                self.log_silence();
+            }
+            let (_, flight) = self.response.as_ref()?;
+            let reason = match received {
                 Err(_) if remaining <= wait => return self.fail(RelayError::Deadline),
                 // A stalled server is kept while no other one can resume the stream.
                 Err(_) if !self.order.can_resume() => continue,
@@ -149,6 +157,26 @@
         }
     }
 
+    // Logs the first silence of a response, and whether the stream could go on elsewhere.
+    fn log_silence(&mut self) {
+        let Some((_, flight)) = &self.response else {
+            return;
+        };
+        if std::mem::replace(&mut self.is_silence_logged, true) {
+            return;
+        }
+        let handler = &self.handler;
+        let now = handler.gateway.now();
+        crate::events::Event::new("server_silent")
+            .with("request", handler.request.attempt.as_str())
+            .with("server", &*flight.server)
+            .with("after_event", self.order.last())
+            .with_optional_time("silence_ms", handler.trace.silence(now))
+            .with("has_other", handler.has_other_server(&flight.server))
+            .with("retry_left", handler.has_retry())
+            .log();
+    }
+
     // Records the parts of the request as sound once the response has gone on for some time.
     fn record_progress(&mut self) {
         let now = self.handler.gateway.now();
@@ -308,6 +336,7 @@
         self.order.resume();
         self.began = None;
         self.is_sound = false;
+        self.is_silence_logged = false;
         self.response = Some((response, flight));
     }
 
--- a/crates/apricotwell_gateway/src/trace.rs
+++ b/crates/apricotwell_gateway/src/trace.rs
@@ -27,6 +27,8 @@
     pub server_limit: Option<RequestRate>,
     /// Age of the list of servers when the last server was selected.
     pub list_age: Option<Duration>,
+    /// For how long the store had answered this instance by then.
+    pub store_contact: Option<Duration>,
     /// Time at which the first bytes were received.
     pub first_byte: Option<Instant>,
     /// Longest pause between bytes.
@@ -36,6 +38,11 @@
 }
 
 impl ResponseTrace {
+    /// Returns the time since bytes were last received, `None` if none were.
+    pub fn silence(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.last_bytes?))
+    }
+
     /// Records that bytes were received; returns whether they are the first ones.
     pub fn record_bytes(&mut self, now: Instant) -> bool {
         if let Some(last) = self.last_bytes.replace(now) {
