Ignore entries of servers that are executed late

Callers saw: requests reached a server long after it had announced that it drains, or after it was removed, until it exited.

Cause: a server's write without an answer may be executed seconds later, so an older entry can follow a newer one, or the removal, in the log. `apply_entry` took whatever came last for the newest state.

Fix: `EntryOrder` remembers a server's process with its highest entry number, and the processes that it replaced, beyond the server's removal for a minute. An entry that is older by these changes nothing and is logged as `server_outdated`. Start times still order nothing by themselves, so a server that starts on a clock that was set back is new. An equal number is applied, as an entry that lapsed may come back with it, but doesn't make a draining server ready. Numbers are optional, also between instances: what earlier builds tell orders nothing.

Entries that lapsed come back with the same and with a higher number. That this fault is the one that the users saw is not shown: their record has no times.

--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -8,6 +8,7 @@
 
 use crate::catalog::ServiceId;
 use crate::engine_load::ServerLoad;
+use crate::entry_order::{EntryOrder, KnownProcess};
 use crate::evacuation::EvacuationTable;
 use crate::model::{Inventory, ModelName, RequestedModel};
 use crate::prompt_lanes::lane_rank;
@@ -44,9 +45,9 @@
     /// Start time of the server's process, in milliseconds since the Unix epoch. Another one means
     /// that the server was restarted.
     pub started_ms: u64,
-    /// Number of the entry, which rises with each one that the process writes; 0 if it is unknown, as from
-    /// instances of earlier builds.
-    pub number: u64,
+    /// Number of the entry, which rises with each one that the process writes; `None` if it is unknown, as
+    /// from instances of earlier builds.
+    pub number: Option<u64>,
     /// Time for which the server can handle only few requests, as it states.
     pub cold_left: Duration,
     /// Version of the server's software, not of the weights; `None` if it is unknown.
@@ -215,6 +216,7 @@
 #[derive(Debug, Default)]
 pub struct BackendTable {
     servers: Map<ServerId, Backend>,
+    order: EntryOrder,
     /// Zones whose servers get no new requests.
     pub evacuations: EvacuationTable,
 }
@@ -275,10 +277,21 @@
             .filter(move |server| *server.entry.service == *service && self.is_usable(now, server))
     }
 
-    /// Applies an entry of the server list; to be called in the order of the list.
+    /// Returns the server's latest process if an entry was written before what is known of it.
+    ///
+    /// Such an entry changes nothing, though it comes later in the list.
+    pub fn outdated_by(&self, now: Instant, entry: &BackendEntry) -> Option<KnownProcess> {
+        self.order.outdated_by(now, entry)
+    }
+
+    /// Applies an entry of the server list unless it is outdated; to be called in the order of the list.
     ///
     /// Start times don't order entries: a wall clock may be set back between two starts of a server.
     pub fn apply_entry(&mut self, now: Instant, entry: BackendEntry) {
+        if self.outdated_by(now, &entry).is_some() {
+            return;
+        }
+        self.order.record(now, &entry);
         let Some(server) = self.servers.get_mut(&entry.id) else {
             self.servers
                 .insert(entry.id.clone(), Backend::new(now, entry));
@@ -319,6 +332,7 @@
     ///
     /// It is still used for the time `keep`, if given, as its entry may come back after an outage.
     pub fn mark_removed(&mut self, now: Instant, id: &str, keep: Option<Duration>) {
+        self.order.record_removal(now, id);
         if let Some(server) = self.servers.get_mut(id) {
             server.expires_at = Some(now + keep.unwrap_or_default());
         }
@@ -326,6 +340,7 @@
 
     /// Drops removed servers without requests in flight, and outdated inventories.
     pub fn expire(&mut self, now: Instant) {
+        self.order.expire(now);
         self.servers.retain(|_, server| {
             server.own_requests > 0 || server.expires_at.is_none_or(|expiry| now < expiry)
         });
--- a/crates/apricotwell_dispatch/src/dispatcher/warmup.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/warmup.rs
@@ -9,8 +9,11 @@
 use crate::feeds::Feed;
 
 impl Dispatcher {
-    /// Applies an entry of the server list.
+    /// Applies an entry of the server list unless it is outdated.
     pub fn apply_entry(&mut self, now: Instant, entry: BackendEntry) {
+        if self.backends.outdated_by(now, &entry).is_some() {
+            return;
+        }
         self.warmups.record_entry(now, &entry);
         self.backends.apply_entry(now, entry);
     }
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod dispatcher;
 pub mod engine_load;
 pub mod engine_speed;
+pub mod entry_order;
 pub mod evacuation;
 pub mod feeds;
 pub mod former_routes;
--- a/crates/apricotwell_dispatch/tests/backends.rs
+++ b/crates/apricotwell_dispatch/tests/backends.rs
@@ -17,7 +17,7 @@
         cold_left: Duration::ZERO,
         software: None,
         started_ms,
-        number: 0,
+        number: None,
         inventory: Inventory::default(),
     }
 }
@@ -43,7 +43,7 @@
     let mut servers = BackendTable::default();
     servers.apply_entry(now, entry(1000, false));
     let renewed = BackendEntry {
-        number: 7,
+        number: Some(7),
         ..entry(1000, false)
     };
     assert!(!servers.is_changed(&renewed));
--- a/crates/apricotwell_dispatch/tests/dispatcher.rs
+++ b/crates/apricotwell_dispatch/tests/dispatcher.rs
@@ -79,7 +79,7 @@
         cold_left: Duration::ZERO,
         software: None,
         started_ms: 1,
-        number: 0,
+        number: None,
         inventory: Inventory {
             models: models
                 .iter()
--- a/crates/apricotwell_dispatch/tests/engines/chunked.rs
+++ b/crates/apricotwell_dispatch/tests/engines/chunked.rs
@@ -344,7 +344,7 @@
         software: None,
         remaining: None,
         started_ms,
-        number: 0,
+        number: None,
         inventory: Inventory {
             models: [("m".into(), Vec::new())].into(),
             ..Inventory::default()
--- a/crates/apricotwell_dispatch/tests/engines/engines.rs
+++ b/crates/apricotwell_dispatch/tests/engines/engines.rs
@@ -361,7 +361,7 @@
             cold_left: Duration::ZERO,
             software: None,
             started_ms: engine.started_ms,
-            number: 0,
+            number: None,
             inventory: engine.inventory(0),
         }
     }
--- a/crates/apricotwell_dispatch/tests/engines/traffic.rs
+++ b/crates/apricotwell_dispatch/tests/engines/traffic.rs
@@ -611,7 +611,7 @@
                 software: None,
                 remaining: None,
                 started_ms: 1,
-                number: 0,
+                number: None,
                 inventory: server.inventory(),
             };
             for instance in &mut self.instances {
--- a/crates/apricotwell_dispatch/tests/evacuation.rs
+++ b/crates/apricotwell_dispatch/tests/evacuation.rs
@@ -49,7 +49,7 @@
             cold_left: Duration::ZERO,
             software: None,
             started_ms: 1,
-            number: 0,
+            number: None,
             inventory: Inventory::default(),
         };
         dispatcher.backends.apply_entry(now, entry);
--- a/crates/apricotwell_dispatch/tests/explain.rs
+++ b/crates/apricotwell_dispatch/tests/explain.rs
@@ -75,7 +75,7 @@
         software: None,
         remaining: None,
         started_ms: 1,
-        number: 0,
+        number: None,
         inventory: Inventory {
             models: models.iter().map(|it| ((*it).into(), vec![])).collect(),
             on_disk: vec!["on-disk".into()],
--- a/crates/apricotwell_dispatch/tests/feeds.rs
+++ b/crates/apricotwell_dispatch/tests/feeds.rs
@@ -31,7 +31,7 @@
         cold_left: Duration::ZERO,
         software: None,
         started_ms: 17,
-        number: u64::from(number) + 1,
+        number: Some(u64::from(number) + 1),
         inventory: Inventory {
             orders: 3,
             models: vec![("m1".into(), vec!["a1".into()])],
@@ -118,6 +118,19 @@
     assert_eq!(rest.changes, [(279, last)]);
 }
 
+#[test]
+fn unknown_number_of_an_entry_is_told_as_zero() {
+    let now = Instant::now();
+    for number in [None, Some(0), Some(u64::MAX)] {
+        let mut views = FeedViews::new(BOUNDS);
+        let told = BackendEntry { number, ..entry(1) };
+        views.record_change(1, &ServerListChange::Entry(told.clone().into()));
+        views.record_position(Feed::Servers, 1, now);
+        let update = query(&views, now, now, Feed::Servers, 0).unwrap();
+        assert_eq!(update.changes, [(1, ServerListChange::Entry(told.into()))]);
+    }
+}
+
 #[test]
 fn a_query_for_discarded_changes_gets_no_partial_answer() {
     let now = Instant::now();
--- a/crates/apricotwell_dispatch/tests/fleet/simulation.rs
+++ b/crates/apricotwell_dispatch/tests/fleet/simulation.rs
@@ -165,7 +165,7 @@
         cold_left: Duration::ZERO,
         software: None,
         started_ms: 1,
-        number: 0,
+        number: None,
         inventory: Inventory::default(),
     }
 }
@@ -344,7 +344,7 @@
         for id in &servers {
             let entry = BackendEntry {
                 started_ms,
-                number: 0,
+                number: None,
                 ..entry(id)
             };
             member.dispatcher.apply_entry(now, entry);
--- a/crates/apricotwell_dispatch/tests/load_notices.rs
+++ b/crates/apricotwell_dispatch/tests/load_notices.rs
@@ -144,7 +144,7 @@
         software: None,
         remaining: None,
         started_ms: 1,
-        number: 0,
+        number: None,
         inventory,
     }
 }
--- a/crates/apricotwell_dispatch/tests/reach.rs
+++ b/crates/apricotwell_dispatch/tests/reach.rs
@@ -58,7 +58,7 @@
             cold_left: Duration::ZERO,
             software: None,
             started_ms,
-            number: 0,
+            number: None,
             inventory: Inventory::default(),
         };
         self.dispatcher.backends.apply_entry(self.start, entry);
--- a/crates/apricotwell_dispatch/tests/waiting.rs
+++ b/crates/apricotwell_dispatch/tests/waiting.rs
@@ -88,7 +88,7 @@
         software: None,
         remaining: None,
         started_ms: 1,
-        number: 0,
+        number: None,
         inventory: Inventory {
             models: models.iter().map(|it| ((*it).into(), Vec::new())).collect(),
             on_disk: vec!["on-disk".into()],
--- a/crates/apricotwell_dispatch/tests/warmup.rs
+++ b/crates/apricotwell_dispatch/tests/warmup.rs
@@ -49,7 +49,7 @@
             cold_left,
             software: None,
             started_ms: INSTANCE_START - age.as_millis() as u64,
-            number: 0,
+            number: None,
             inventory: Inventory::default(),
         };
         self.dispatcher.apply_entry(self.now, entry);
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -21,7 +21,7 @@
 mod quotas;
 mod reads;
 
-use entries::log_entry;
+use entries::{log_entry, log_outdated};
 use quotas::log_quota_changes;
 
 /// Step of the linear retry backoff, from the second consecutive failure on. The first retry is
@@ -524,6 +524,9 @@
                     .log();
             }
             FeedRecord::Entry(entry) => {
+                if let Some(known) = dispatcher.backends.outdated_by(now, &entry) {
+                    return log_outdated(offset, &entry, &known);
+                }
                 log_entry(&dispatcher.backends, now, offset, &entry);
                 let outages = &mut dispatcher.feeds.outages;
                 outages.record_entry(now, offset, &entry.id);
@@ -535,7 +538,8 @@
             }
             FeedRecord::Removed(id) => {
                 let former = dispatcher.backends.get(&id).map(|server| &server.entry);
-                let (born, number) = former.map(|it| (it.started_ms, it.number)).unzip();
+                let born = former.map(|it| it.started_ms);
+                let number = former.and_then(|it| it.number);
                 let grace = dispatcher.feeds.outages.removal_grace(now, &id);
                 Event::new("server_removed")
                     .with("server", &*id)
--- a/crates/apricotwell_gateway/src/feeds/entries.rs
+++ b/crates/apricotwell_gateway/src/feeds/entries.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use apricotwell_dispatch::entry_order::KnownProcess;
 use apricotwell_dispatch::prelude::*;
 use apricotwell_types::Offset;
 
@@ -15,6 +16,20 @@
             .all(|(model, _)| other.adapters(model).is_some())
 }
 
+// Logs an entry that was written before what is known of its server.
+pub(super) fn log_outdated(offset: Offset, entry: &BackendEntry, known: &KnownProcess) {
+    Event::new("server_outdated")
+        .with("server", &*entry.id)
+        .with("born", entry.started_ms)
+        .with("number", entry.number)
+        .with("leaving", entry.draining)
+        .with("known_born", known.started_ms)
+        .with("known_number", known.number)
+        .with("known_leaving", known.draining)
+        .with("offset", offset)
+        .log();
+}
+
 pub(super) fn log_entry(known: &BackendTable, now: Instant, offset: Offset, entry: &BackendEntry) {
     let before = known.get(&entry.id).map(|server| &server.entry);
     let changed = before.is_none_or(|before| {
@@ -40,7 +55,7 @@
             .with("number", entry.number)
             .with("former_state", former_state)
             .with("former_born", before.map(|before| before.started_ms))
-            .with("former_number", before.map(|before| before.number))
+            .with("former_number", before.and_then(|before| before.number))
             .with("orders", entry.inventory.orders)
             .with("models", models)
             .with("on_disk", entry.inventory.on_disk.len())
--- a/crates/apricotwell_messages/src/feeds.rs
+++ b/crates/apricotwell_messages/src/feeds.rs
@@ -108,10 +108,10 @@
     /// Version of its software; absent if it is unknown, as from instances of earlier builds.
     #[prost(string, optional, tag = "13")]
     pub software: Option<String>,
-    /// Number of the entry, which rises with each one that the process writes; 0 if it is unknown, as from
-    /// instances of earlier builds.
-    #[prost(uint64, tag = "14")]
-    pub number: u64,
+    /// Number of the entry, which rises with each one that the process writes; absent if it is unknown, as
+    /// from instances of earlier builds.
+    #[prost(uint64, optional, tag = "14")]
+    pub number: Option<u64>,
 }
 
 /// Question whether an instance responds, or the response to it.
