Keep a silent server's response until another server goes on with the stream

What callers saw: a 200 and a part of the events, without the end of the stream.

Cause: after 1.5 s without an event the relay dropped the server's response, and only then looked for a retry, an attempt that is left, and a server that answers. If one of them was missing, the stream ended, though its server was alive and would have gone on.

Now the response is kept while another server is asked, and whichever speaks first goes on with the stream. The other one is dropped as soon as one has won; a cancelled attempt that may have been sent counts as a run. One attempt is made in each silence, as it lasts until the client's own timeout; if there is no retry or no room, the relay looks again every 1.5 s and takes nothing from the budget. A response that broke off is left as before. What the handler knows of the former attempt (time and version sent, limit, ages, exclusion) is put back if that one goes on.

A cancelled attempt counts as a run although it may have been in a queue: the budget's rule is kept at the cost of a resumption later on.

--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -63,6 +63,10 @@
     server_found: Option<Instant>,
     // When the last attempt was sent.
     sent_at: Instant,
+    // Where an attempt without a response is under way.
+    under_way: Option<ServerId>,
+    // Whether it may have been sent.
+    is_sent: Cell<bool>,
     // Parts of the request that may crash servers.
     parts: OnceCell<Vec<PartId>>,
     // Number of servers that were lost as they began to answer.
@@ -105,6 +109,8 @@
             rejections: 0,
             server_found: None,
             sent_at: gateway.now(),
+            under_way: None,
+            is_sent: Cell::new(false),
             parts: OnceCell::new(),
             losses: 0,
             origin,
@@ -144,11 +150,14 @@
             self.check_grace()?;
             let destination = self.find_server().await?;
             self.check_grace()?;
+            self.under_way = Some(destination.id.clone());
+            self.is_sent.set(destination.is_instance);
             let outcome = if destination.is_instance {
                 self.forward(&destination, last_event).await
             } else {
                 self.send(&destination, last_event).await
             };
+            self.under_way = None;
             let server = destination.id;
             match outcome {
                 AttemptOutcome::Response(response, flight) => {
@@ -310,7 +319,11 @@
         let pool = &self.gateway.pool;
         let connect_timeout = self.connect_timeout();
         let address = destination.address;
-        let may_send = || self.may_send(destination);
+        let may_send = || {
+            let may_send = self.may_send(destination);
+            self.is_sent.set(may_send || self.is_sent.get());
+            may_send
+        };
         let response = pool.send_while(address, server_request, reuse, connect_timeout, may_send);
         let result = self.await_head(server, response).await;
         self.classify_response(result, destination, flight)
--- a/crates/apricotwell_gateway/src/handler/attempt.rs
+++ b/crates/apricotwell_gateway/src/handler/attempt.rs
@@ -1,9 +1,11 @@
 //! Where an attempt is sent, and how it ends.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use apricotwell_dispatch::prelude::*;
 use apricotwell_http::pool::StreamingResponse;
+use apricotwell_permits::prelude::RequestRate;
 use apricotwell_types::ServerId;
 
 use super::RequestHandler;
@@ -54,10 +56,58 @@
     }
 }
 
+/// What the handler knows of the attempt whose response is being received, kept while another one is made.
+pub struct FormerAttempt {
+    sent_at: Instant,
+    server_found: Option<Instant>,
+    software: Option<SoftwareVersion>,
+    server_limit: Option<RequestRate>,
+    list_age: Option<Duration>,
+    store_contact: Option<Duration>,
+}
+
 impl<P> RequestHandler<P>
 where
     P: Platform,
 {
+    /// Returns what is known of the last attempt.
+    pub fn former_attempt(&self) -> FormerAttempt {
+        FormerAttempt {
+            sent_at: self.sent_at,
+            server_found: self.server_found,
+            software: self.software.sent.clone(),
+            server_limit: self.trace.server_limit,
+            list_age: self.trace.list_age,
+            store_contact: self.trace.store_contact,
+        }
+    }
+
+    /// Goes back to the attempt at `server`, whose response goes on after all.
+    pub fn resume_attempt(&mut self, former: FormerAttempt, server: &ServerId) {
+        self.sent_at = former.sent_at;
+        self.server_found = former.server_found;
+        self.software.sent = former.software;
+        self.trace.server_limit = former.server_limit;
+        self.trace.list_age = former.list_age;
+        self.trace.store_contact = former.store_contact;
+        let position = self.excluded.iter().rposition(|other| other == server);
+        if let Some(position) = position {
+            self.excluded.remove(position);
+        }
+    }
+
+    /// Accounts for an attempt that was dropped before it ended. A server that it was sent to may have begun to run
+    /// it.
+    pub fn cancel_attempt(&mut self, reason: &str) {
+        let Some(server) = self.under_way.take() else {
+            return;
+        };
+        if self.is_sent.get() {
+            self.runs += 1;
+        }
+        self.log_attempt(&server, "cancelled", reason, None);
+    }
+
     // Returns the timeout for a new connection. It ends before the others, so that a request that was
     // not sent is known not to have run.
     pub(super) fn connect_timeout(&self) -> Duration {
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -1,5 +1,8 @@
 //! Relay of event streams from servers to clients.
 
+mod continuation;
+mod silence;
+
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -16,7 +19,11 @@
 use crate::resumption::{self, EventOrder, Mismatch, StreamHead};
 use crate::trace::ReceivedBody;
 
-/// Time without data after which a resumable stream is moved to another server.
+use self::continuation::BegunStream;
+use self::silence::Silence;
+
+/// Time without data after which a server that may go on with a resumable stream is looked for, again and again
+/// while there is none.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Bytes of an incomplete event that a stream may always hold, more than a usual event has: 20 MB for all
@@ -43,6 +50,19 @@
 
 impl std::error::Error for RelayError {}
 
+/// What a response brought: bytes, an error, or its end.
+type Received = Option<Result<Bytes, hyper::Error>>;
+
+/// What is known of bytes or of an end that was received.
+enum Examined {
+    /// Whole events, to be relayed.
+    Events(Bytes),
+    /// Part of an event.
+    Nothing,
+    /// The response is complete.
+    End,
+}
+
 /// Relay of one response stream; resumes it on another server if possible.
 pub struct Relay<P>
 where
@@ -66,6 +86,8 @@
     is_sound: bool,
     // Whether a silence of that response was logged.
     is_silence_logged: bool,
+    // Whether another server was tried since bytes were last received.
+    has_tried: bool,
     status: u16,
     ended: bool,
 }
@@ -93,6 +115,7 @@
             began: None,
             is_sound: false,
             is_silence_logged: false,
+            has_tried: false,
             ended: false,
         }
     }
@@ -110,53 +133,74 @@
             return None;
         }
         loop {
-            let (response, _) = self.response.as_mut()?;
-            let remaining = self.handler.remaining();
-            let is_repeatable = self.handler.admission.route.kind.is_repeatable();
-            let resumable = self.has_events && is_repeatable;
-            let wait = if resumable {
-                remaining.min(STALL_TIMEOUT)
-            } else {
-                remaining
+            let received = match self.receive().await? {
+                Ok(Some(received)) => received,
+                Ok(None) => continue,
+                Err(error) => return self.fail(error),
             };
-            let received = tokio::time::timeout(wait, response.next()).await;
-            if received.is_err() && resumable {
-                self.log_silence();
-            }
-            let (_, flight) = self.response.as_ref()?;
-            let reason = match received {
-                Err(_) if remaining <= wait => return self.fail(RelayError::Deadline),
-                // A stalled server is kept while no other one can resume the stream.
-                Err(_) if !self.order.can_resume() => continue,
-                Err(_) if !self.handler.has_other_server(&flight.server) => continue,
-                Err(_) => "no event in time".to_owned(),
-                Ok(Some(Err(error))) => {
-                    self.handler.check_crash(&flight.server, self.began);
-                    error.to_string()
+            self.has_tried = false;
+            let reason = match self.examine(received) {
+                Ok(Examined::Events(events)) => {
+                    self.handler.bind_delivered();
+                    self.handler.record_bytes();
+                    return Some(Ok(events));
                 }
-                Ok(Some(Ok(bytes))) => match self.take_complete_events(bytes, resumable) {
-                    Ok(Some(events)) => {
-                        self.handler.bind_delivered();
-                        self.handler.record_bytes();
-                        return Some(Ok(events));
-                    }
-                    Ok(None) => continue,
-                    Err(reason) => reason,
-                },
-                Ok(None) => match self.scanner.check_end(self.framing) {
-                    Ok(()) => return self.finish(),
-                    Err(truncation) => {
-                        self.handler.check_crash(&flight.server, self.began);
-                        truncation.to_string()
-                    }
-                },
+                Ok(Examined::Nothing) => continue,
+                Ok(Examined::End) => return self.finish(),
+                Err(reason) => reason,
             };
-            if !resumable || !self.resume(&reason).await {
+            if !self.is_resumable() || !self.resume(&reason).await {
                 return self.fail(RelayError::Broken(reason));
             }
         }
     }
 
+    fn is_resumable(&self) -> bool {
+        self.has_events && self.handler.admission.route.kind.is_repeatable()
+    }
+
+    // Waits for the next bytes; returns `None` if the server was silent, also if another one goes on now.
+    async fn receive(&mut self) -> Option<Result<Option<Received>, RelayError>> {
+        let remaining = self.handler.remaining();
+        let wait = if self.is_resumable() {
+            remaining.min(STALL_TIMEOUT)
+        } else {
+            remaining
+        };
+        let (response, _) = self.response.as_mut()?;
+        if let Ok(received) = tokio::time::timeout(wait, response.next()).await {
+            return Some(Ok(Some(received)));
+        }
+        if remaining <= wait {
+            return Some(Err(RelayError::Deadline));
+        }
+        self.log_silence();
+        Some(match self.await_either().await {
+            Silence::Ended(received) => Ok(Some(received)),
+            Silence::Lasts | Silence::Moved => Ok(None),
+            Silence::Broken(reason) => Err(RelayError::Broken(reason)),
+        })
+    }
+
+    // Returns what was received; the error is the reason for which the response must not go on.
+    fn examine(&mut self, received: Received) -> Result<Examined, String> {
+        let reason = match received {
+            Some(Ok(bytes)) => {
+                let events = self.take_complete_events(bytes, self.is_resumable())?;
+                return Ok(events.map_or(Examined::Nothing, Examined::Events));
+            }
+            Some(Err(error)) => error.to_string(),
+            None => match self.scanner.check_end(self.framing) {
+                Ok(()) => return Ok(Examined::End),
+                Err(truncation) => truncation.to_string(),
+            },
+        };
+        if let Some((_, flight)) = &self.response {
+            self.handler.check_crash(&flight.server, self.began);
+        }
+        Err(reason)
+    }
+
     // Logs the first silence of a response, and whether the stream could go on elsewhere.
     fn log_silence(&mut self) {
         let Some((_, flight)) = &self.response else {
@@ -255,7 +299,8 @@
     // A server that ends may send such events before its connection breaks.
     fn reject_events(&mut self, mismatch: Mismatch) -> String {
         if let Some((_, flight)) = &self.response {
-            self.log_rejected(flight, mismatch);
+            let handler = &self.handler;
+            handler.log_rejected(&flight.server, self.order.last(), mismatch);
             self.handler.check_crash(&flight.server, self.began);
         }
         mismatch.to_string()
@@ -267,7 +312,7 @@
         if !self.order.can_resume() {
             return false;
         }
-        let Some((response, mut left)) = self.response.take() else {
+        let Some((response, left)) = self.response.take() else {
             return false;
         };
         drop(response);
@@ -278,47 +323,32 @@
             self.handler.log_not_resumed("unknown", reason);
             return false;
         }
-        // The buffer may be large.
+        self.clear_incomplete();
+        if !self.handler.may_leave(left).await {
+            return false;
+        }
+        let begun = self.begun();
+        let Some((response, flight)) = self.handler.continue_stream(begun).await else {
+            return false;
+        };
+        self.join(response, flight, reason);
+        true
+    }
+
+    // Drops the bytes of an event that will not be complete; the buffer may be large.
+    fn clear_incomplete(&mut self) {
         self.incomplete_event = BytesMut::new();
         self.event_bytes = None;
-        while self.may_leave(left).await {
-            let resumed = self.handler.first_response(self.order.last()).await;
-            let (response, flight) = match resumed {
-                Ok(resumed) => resumed,
-                Err(refusal) => {
-                    self.handler.log_not_resumed("no_server", &refusal.message);
-                    return false;
-                }
-            };
-            let begun = StreamHead {
-                status: self.status,
-                framing: self.framing,
-            };
-            let checked = resumption::check_head(&response.head, response.framing(), begun);
-            let Err(mismatch) = checked else {
-                self.join(response, flight, reason);
-                return true;
-            };
-            self.log_rejected(&flight, mismatch);
-            flight.record_outcome(!response.head.status.is_client_error());
-            if !self.handler.has_other_server(&flight.server) {
-                return false;
-            }
-            left = flight;
-        }
-        false
     }
 
-    // Returns whether the stream may be resumed elsewhere after the response of a server failed.
-    async fn may_leave(&mut self, flight: FlightGuard<P>) -> bool {
-        let server = flight.server.clone();
-        drop(flight);
-        self.handler.exclude(&server);
-        if !self.handler.may_go_on(&server).await || !self.handler.acquire_retry() {
-            return false;
+    fn begun(&self) -> BegunStream {
+        BegunStream {
+            last_event: self.order.last(),
+            head: StreamHead {
+                status: self.status,
+                framing: self.framing,
+            },
         }
-        self.handler.reset_wait_deadline();
-        true
     }
 
     // Continues the stream with another response.
@@ -337,19 +367,10 @@
         self.began = None;
         self.is_sound = false;
         self.is_silence_logged = false;
+        self.has_tried = false;
         self.response = Some((response, flight));
     }
 
-    // Logs a response that is not joined to the stream.
-    fn log_rejected(&self, flight: &FlightGuard<P>, mismatch: Mismatch) {
-        crate::events::Event::new("resumption_rejected")
-            .with("request", self.handler.request.attempt.as_str())
-            .with("server", &*flight.server)
-            .with("after_event", self.order.last())
-            .with("reason", mismatch.to_string())
-            .log();
-    }
-
     fn finish(&mut self) -> Option<Result<Bytes, RelayError>> {
         self.ended = true;
         let (_, flight) = self.response.take()?;
