Keep a server whose answer is late until it can be replaced

What callers saw: a 502 "no response in time" in place of an answer that was on its way.

Cause: an attempt whose head had not come within half the target (streams) or four targets (plain requests) was dropped before it was known whether a retry is left. Only where requests are scheduled by load was that looked at, and not after the client's timeout for the first event.

Evidence, on with this test (two servers that answer after 800 ms, fresh instance without retries): `attempt_ended` lost, "no response in time" after 600 ms; `retry` granted false; 502 after 600 ms of 1200. The test stopped there, so its stream (2.3 s, timeout 2 s) was not seen to its end on the former code.

Now the attempt is given up only if a repetition is allowed, another server has room, the list of servers is not overdue, the client still waits, the request is not quarantined, and the retry has been taken: once, before the attempt is dropped (reason `late` of `retry`). Otherwise it goes on to the deadline. No two attempts run side by side: that would double the work of an engine that is overloaded. The server that had room may be taken before the request reaches it; then it waits for a turn as before.

--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod crashes;
 mod detours;
+mod late_heads;
 mod limits;
 mod retries;
 mod versions;
@@ -21,6 +22,7 @@
 pub use self::attempt::{AttemptOutcome, Destination};
 pub use self::crashes::BEGINNING_TIME;
 pub use self::detours::NOT_SERVED;
+use self::late_heads::LateHead;
 use self::versions::StreamSoftware;
 use crate::adapter::{Attempt, ClientProtocol, Platform};
 use crate::events::Event;
@@ -32,9 +34,6 @@
 
 /// Maximum idle time of a connection that is reused for a request that must not run twice.
 const MAX_FRESH_IDLE: Duration = Duration::from_millis(1500);
-/// Multiple of the route's latency target after which an attempt of a repeatable request without
-/// streaming is abandoned and retried on another server.
-const PLAIN_TIMEOUT_FACTOR: u32 = 4;
 /// Number of rejections by servers after which a request is refused.
 const MAX_REJECTIONS: usize = 8;
 
@@ -175,6 +174,10 @@
                     self.log_attempt(&server, "not_run", &reason, None);
                     self.on_rejection(&server, false)?;
                 }
+                AttemptOutcome::Late => {
+                    self.log_attempt(&server, "lost", LATE, None);
+                    self.exclude(&server);
+                }
                 AttemptOutcome::Lost(reason) => {
                     self.log_attempt(&server, "lost", &reason, None);
                     let may_go_on = self.may_go_on(&server).await;
@@ -329,38 +332,6 @@
         self.classify_response(result, destination, flight)
     }
 
-    // Waits for the head of a response. Where scheduling follows the load, an attempt that exceeds
-    // `head_timeout` is kept while it can't be retried: if all other servers of the model are full, a
-    // retry would only join another queue, and its prompt would be processed twice.
-    async fn await_head<F>(
-        &self,
-        server: &ServerId,
-        response: F,
-    ) -> Result<F::Output, tokio::time::error::Elapsed>
-    where
-        F: Future,
-    {
-        tokio::pin!(response);
-        loop {
-            let result = tokio::time::timeout(self.head_timeout(), response.as_mut()).await;
-            if result.is_ok() || !self.must_keep_attempt(server) {
-                return result;
-            }
-        }
-    }
-
-    // Returns whether an attempt without a response goes on because no other server has room or the
-    // budget has no retry left.
-    fn must_keep_attempt(&self, server: &ServerId) -> bool {
-        let now = self.gateway.now();
-        let expects_waits = self.gateway.dispatcher.borrow().expects_waits();
-        if !expects_waits || now >= self.admission.silence_deadline {
-            return false;
-        }
-        let may_retry = |dispatcher: &mut Dispatcher| dispatcher.has_retry(now, &self.admission);
-        !self.has_other_server(server) || !may_retry(&mut self.gateway.dispatcher.borrow_mut())
-    }
-
     // Records that the server receives the prompt; returns the prompt tokens not yet in its cache.
     fn record_prompt(&self, server: &ServerId) -> f64 {
         let Some(model) = &self.admission.requested_model else {
@@ -381,7 +352,7 @@
 
     fn classify_response(
         &mut self,
-        result: Result<Result<StreamingResponse, SendError>, tokio::time::error::Elapsed>,
+        result: Result<Result<StreamingResponse, SendError>, LateHead>,
         destination: &Destination,
         flight: FlightGuard<P>,
     ) -> AttemptOutcome<P> {
@@ -401,10 +372,13 @@
                 self.check_close(&flight.server);
                 return AttemptOutcome::Lost(reason);
             }
-            Err(_) => {
+            Err(late) => {
                 self.runs += 1;
                 flight.record_outcome(true);
-                return AttemptOutcome::Lost("no response in time".to_owned());
+                return match late {
+                    LateHead::Retried => AttemptOutcome::Late,
+                    LateHead::Deadline => AttemptOutcome::Lost(LATE.to_owned()),
+                };
             }
         };
         let head = P::ClientProtocol::decode_response(&response.head, &self.request);
@@ -506,37 +480,6 @@
         dispatcher.backends.record_rejection(now, server, model);
     }
 
-    // Returns the timeout for the head of a response. It is shorter than the time to the deadline
-    // if the request can be retried on another server.
-    fn head_timeout(&self) -> Duration {
-        let remaining = self.remaining();
-        let route = &self.admission.route;
-        if !route.kind.is_repeatable() || self.runs + 1 >= route.max_attempts {
-            return remaining;
-        }
-        let retry_timeout = if route.kind.is_stream() {
-            route.target / 2
-        } else {
-            route.target * PLAIN_TIMEOUT_FACTOR
-        };
-        let has_other = {
-            let dispatcher = self.gateway.dispatcher.borrow();
-            let now = self.gateway.now();
-            let mut servers = dispatcher.backends.usable(now, &self.admission.service);
-            servers
-                .by_ref()
-                .filter(|server| self.admission.may_run_at(server))
-                .filter(|server| server.serves(now, self.admission.requested_model.as_ref()))
-                .count()
-                > self.excluded.len() + 1
-        };
-        if has_other {
-            remaining.min(retry_timeout)
-        } else {
-            remaining
-        }
-    }
-
     /// Records how the body of a response ended.
     pub fn end_response(&mut self, received: ReceivedBody) {
         let is_whole = received.failure.is_none();
@@ -619,5 +562,7 @@
 
 /// Reason logged for an attempt that got the response to another one.
 const FOREIGN: &str = "the response belongs to another request";
+/// Reason logged for an attempt that was given up.
+const LATE: &str = "no response in time";
 /// Reason logged for an attempt of which nothing was sent.
 const UNSENT: &str = "not sent";
--- a/crates/apricotwell_gateway/src/handler/attempt.rs
+++ b/crates/apricotwell_gateway/src/handler/attempt.rs
@@ -39,6 +39,8 @@
     NotRun(String),
     /// The server may have run the attempt, but there is no valid response; holds the reason.
     Lost(String),
+    /// The server has not responded in time, and the retry for another one is taken.
+    Late,
 }
 
 impl<P> AttemptOutcome<P>
@@ -52,6 +54,7 @@
             Self::Unsent(_) => "unsent",
             Self::NotRun(_) => "not_run",
             Self::Lost(_) => "lost",
+            Self::Late => "late",
         }
     }
 }
--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -66,7 +66,7 @@
         !pool.is_accepting(address, PROBE_TIMEOUT).await
     }
 
-    fn next_attempt(&self) -> NextAttempt {
+    pub(super) fn next_attempt(&self) -> NextAttempt {
         let dispatcher = self.gateway.dispatcher.borrow();
         let quarantine = &dispatcher.crashes.quarantine;
         quarantine.next_attempt(self.parts())
