Refund tokens where they were charged

Cause: a refund was put into the current bucket of the window, wherever its tokens were charged. Requests wait up to their deadline (12 to 20 s; the window is 8 s); one that is refused without having run returned tokens whose charge had left the window. The refund also set the limit of the configuration that had admitted the request, and thus scaled down what was spent since under a higher one. Buckets below zero went into the saved state, and a restore believed them.

Why this works: a refund names the time of its charge (`Admission::arrived`, the time at which `admit` charges) and lowers that bucket, never below zero; one whose bucket has left the window changes nothing. It no longer touches the limit. Negative saved buckets count as no spending.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -506,7 +506,8 @@
     /// Refunds the tokens of a request that no server ran.
     pub fn refund(&mut self, now: Instant, admission: &Admission) {
         if let Some(organisation) = &admission.organisation {
-            self.quotas.refund(now, organisation, admission.tokens);
+            self.quotas
+                .refund(now, organisation, admission.arrived, admission.tokens);
         }
     }
 
--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -243,16 +243,29 @@
         self.history_known && self.share < 1.0 && is_new
     }
 
-    /// Refunds the tokens of a request that did not run.
-    pub fn refund(&mut self, now: Instant, organisation: &Organisation, tokens: Tokens) {
+    /// Refunds the tokens of a request that did not run and was charged at `charged_at`.
+    ///
+    /// Only the spending of that time is lowered: tokens that have left the window can be spent anyway.
+    /// `organisation` may be that of an earlier configuration, whose limit no longer applies.
+    pub fn refund(
+        &mut self,
+        now: Instant,
+        organisation: &Organisation,
+        charged_at: Instant,
+        tokens: Tokens,
+    ) {
+        let bucket_len = self.bucket_len();
+        let Some(window) = self.windows.get_mut(&organisation.name) else {
+            return;
+        };
         if organisation.rate == 0 {
             return;
         }
-        let window = self.window(now, organisation);
+        window.advance(now, bucket_len);
         let back = tokens.min(window.spent);
+        let back = window.lower(charged_at, bucket_len, back);
         window.spent -= back;
         window.unreported -= back.min(window.unreported);
-        window.add(-(back as f64));
     }
 
     /// Returns whether an organisation is so close to its limit that spending must be reported to the
--- a/crates/apricotwell_dispatch/src/quota/window.rs
+++ b/crates/apricotwell_dispatch/src/quota/window.rs
@@ -20,11 +20,15 @@
 /// Number of buckets per window; the oldest bucket counts until all of it has left the window.
 pub(super) const BUCKETS: u32 = 16;
 
-/// Spending in a part of the window, in tokens; may be negative after a refund.
+/// Spending in a part of the window, in tokens.
 ///
 /// Two groups of instances that no longer hear each other split what is left of the limit. What both
 /// knew of by then, each charges to its share. What one has spent since, the other can't know, so it is
 /// charged in full.
+///
+/// # Invariants
+///
+/// Neither part is negative.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Bucket {
     // Spending that the instances that are not heard know of as well.
@@ -35,9 +39,11 @@
 
 impl Bucket {
     /// Returns a bucket of spending that all instances know of.
+    ///
+    /// Earlier builds may have saved a negative number; it counts as no spending.
     pub(super) fn from_common(tokens: f64) -> Self {
         Self {
-            common: tokens,
+            common: tokens.max(0.0),
             local: 0.0,
         }
     }
@@ -58,6 +64,15 @@
         self.local = 0.0;
     }
 
+    // Takes back up to so many tokens, and returns how many.
+    fn lower(&mut self, tokens: Tokens) -> Tokens {
+        let back = (tokens as f64).min(self.total()).floor();
+        let from_local = back.min(self.local);
+        self.local -= from_local;
+        self.common = (self.common - (back - from_local)).max(0.0);
+        back as Tokens
+    }
+
     fn scale(&mut self, factor: f64) {
         self.common *= factor;
         self.local *= factor;
@@ -178,6 +193,24 @@
         }
     }
 
+    // Takes back up to so many tokens that were charged at `charged_at`, and returns how many.
+    pub(super) fn lower(
+        &mut self,
+        charged_at: Instant,
+        bucket_len: Duration,
+        tokens: Tokens,
+    ) -> Tokens {
+        let age = self.bucket_age(charged_at, bucket_len);
+        let bucket = self.buckets.iter_mut().rev().nth(age);
+        bucket.map_or(0, |bucket| bucket.lower(tokens))
+    }
+
+    // Returns how many buckets before the current one a time lies.
+    fn bucket_age(&self, at: Instant, bucket_len: Duration) -> usize {
+        let before = self.bucket_start.saturating_duration_since(at);
+        before.as_nanos().div_ceil(bucket_len.as_nanos()) as usize
+    }
+
     // Adds spending that all instances know of.
     pub(super) fn add_common(&mut self, tokens: f64) {
         self.unsaved += tokens;
--- a/crates/apricotwell_dispatch/tests/quota.rs
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -402,7 +402,7 @@
     let organisation = organisation(1_000, 1_000);
     let mut table = QuotaTable::new(BOUNDS, true);
     while table.spend(now, &organisation, 1_000).is_ok() {}
-    table.refund(now, &organisation, 1_000);
+    table.refund(now, &organisation, now, 1_000);
     assert!(table.spend(now, &organisation, 1_000).is_ok());
 }
 
