Tell other instances of refunds as state; a reported sum never falls

What callers saw: as with late refunds at one instance, but at each other instance: an organisation could spend its limit again there.

Cause: an instance took refunded tokens off its reported sum, and each other instance put the difference, a negative number, into its current bucket, wherever it had counted the charge.

Why this works: the reported sum (`Spending::tokens`) includes refunded tokens and only grows. Refunds are reported beside it as pairs (sum before the bucket of the charge, tokens refunded so far), as long as the charge is in the window. A receiver remembers in which of its buckets it counted which part of the sum and lowers the first bucket that may hold the charge, never below zero, by what it had not applied yet. So neither clocks nor lost, repeated or late reports matter; a refund that can't be placed is ignored, and then too much counts, never too little. The sum is not lowered for charges that no report named either: the lease holder gets reports that `mark_reported` does not know of.

Beside earlier builds: their falling sum takes nothing back here, and a later rise counts in full; they ignore the new field and count too much.

Size: nothing without refunds; at most the four that changed last in one report (an earlier one was in a report before, unless more than four changed in between). 16 bytes of memory for each half second of the window in which an instance spent, per organisation and instance.

`QuotaTable::spending` and `apply_spending` use the message `Spending` in place of tuples; the tests of quota and quota_faults are changed in their calls only.

--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -514,9 +514,7 @@
     /// Returns the tokens that an organisation has spent at all instances in the last window, as far as this
     /// instance knows.
     pub fn fleet_spending(&self, organisation: &str) -> Tokens {
-        let mut spending = self.quotas.spending();
-        let known = spending.find(|(name, _, _)| ***name == *organisation);
-        known.map_or(0, |(_, _, fleet)| fleet)
+        self.quotas.fleet_tokens(organisation)
     }
 
     /// Returns whether the request's organisation is so close to its limit that other instances
--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use apricotwell_messages::{Heartbeat, InventoryUpdate, ServerUse, Spending};
-use apricotwell_types::{InstanceId, Map, OrgId, Tokens};
+use apricotwell_types::{InstanceId, Map, OrgId};
 
 use super::Dispatcher;
 use crate::catalog::Catalog;
@@ -38,15 +38,7 @@
                     tokens: server.load.own_tokens(),
                 })
                 .collect(),
-            spending: self
-                .quotas
-                .spending()
-                .map(|(organisation, tokens, fleet)| Spending {
-                    organisation: organisation.to_string(),
-                    tokens,
-                    fleet_tokens: fleet,
-                })
-                .collect(),
+            spending: self.quotas.spending().collect(),
             models: Vec::new(),
             fence: fence.unwrap_or_default(),
             zone: self.config.zone.to_string(),
@@ -168,22 +160,17 @@
         instance: &InstanceId,
         heartbeat: &Heartbeat,
     ) {
-        let spending: Map<&str, (Tokens, Tokens)> = heartbeat
-            .spending
-            .iter()
-            .map(|entry| {
-                (
-                    entry.organisation.as_str(),
-                    (entry.tokens, entry.fleet_tokens),
-                )
-            })
+        let reports = heartbeat.spending.iter();
+        let reports: Map<&str, &Spending> = reports
+            .map(|report| (report.organisation.as_str(), report))
             .collect();
+        let nothing = Spending::default();
         for organisation in catalog.organisations() {
             let name: &OrgId = &organisation.name;
-            let (spent, fleet) = spending.get(&**name).copied().unwrap_or_default();
+            let reported = reports.get(&**name).copied().unwrap_or(&nothing);
             let incarnation = heartbeat.incarnation;
             self.quotas
-                .apply_spending(now, instance, incarnation, organisation, spent, fleet);
+                .apply_spending(now, instance, incarnation, organisation, reported);
         }
     }
 }
--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -12,13 +12,15 @@
 //! reported to them. It also staggers the retries of the clients that it refuses, at its share of the
 //! rate.
 
+mod refunds;
 mod window;
 
 use std::time::{Duration, Instant};
 
-use apricotwell_messages::{FleetSpending, OrganisationSpending};
+use apricotwell_messages::{FleetSpending, OrganisationSpending, Spending};
 use apricotwell_types::{InstanceId, Map, OrgId, Tokens};
 
+use self::refunds::CountedSum;
 use self::window::{BUCKETS, Bucket, RefusedRequest, Report, Window};
 use crate::catalog::Organisation;
 
@@ -230,9 +232,7 @@
                 retry_after: UNHEARD_RETRY_AFTER,
             });
         }
-        window.add(cost);
-        window.spent += tokens;
-        window.unreported += tokens;
+        window.spend(tokens);
         Ok(())
     }
 
@@ -262,10 +262,7 @@
             return;
         }
         window.advance(now, bucket_len);
-        let back = tokens.min(window.spent);
-        let back = window.lower(charged_at, bucket_len, back);
-        window.spent -= back;
-        window.unreported -= back.min(window.unreported);
+        window.refund(charged_at, bucket_len, tokens);
     }
 
     /// Returns whether an organisation is so close to its limit that spending must be reported to the
@@ -324,8 +321,8 @@
                 .windows
                 .entry(name)
                 .or_insert_with(|| Window::new(now, f64::MAX, 0.0));
-            window.add(before.spent as f64);
-            window.spent = before.spent;
+            window.add(before.own.net() as f64);
+            window.own = CountedSum::from_total(before.own.sum());
             window.unreported = before.unreported;
             window.reported_at = before.reported_at;
         }
@@ -349,22 +346,31 @@
             .any(|window| window.level(share) < window.limit * NEAR_LIMIT_SHARE)
     }
 
-    /// Returns for each organisation the tokens that this instance has spent since its start and
-    /// those that the fleet spent in the last window, as far as that is known.
-    pub fn spending(&self) -> impl Iterator<Item = (&OrgId, Tokens, Tokens)> {
-        // As long as the limit only counts as spent, that is nothing to tell others.
-        let is_known = self.history_known;
-        let fleet = move |window: &Window| {
-            if is_known {
-                window.total().max(0.0)
-            } else {
-                0.0
-            }
-        };
-        self.windows
-            .iter()
-            .map(move |(name, window)| (name, window.spent, fleet(window) as Tokens))
-            .filter(|(_, spent, fleet)| *spent > 0 || *fleet > 0)
+    /// Returns what to report to the other instances about each organisation.
+    pub fn spending(&self) -> impl Iterator<Item = Spending> {
+        let reports = self.windows.iter().map(|(name, window)| Spending {
+            organisation: name.to_string(),
+            tokens: window.own.sum(),
+            fleet_tokens: self.known_total(window),
+            refunds: window.own.told_refunds().to_vec(),
+        });
+        reports.filter(|report| report.tokens > 0 || report.fleet_tokens > 0)
+    }
+
+    /// Returns the tokens of an organisation that the fleet spent in the last window, as far as that is
+    /// known.
+    pub fn fleet_tokens(&self, organisation: &str) -> Tokens {
+        let window = self.windows.get(organisation);
+        window.map_or(0, |window| self.known_total(window))
+    }
+
+    // As long as the limit only counts as spent, that is nothing to tell others.
+    fn known_total(&self, window: &Window) -> Tokens {
+        if self.history_known {
+            window.total() as Tokens
+        } else {
+            0
+        }
     }
 
     /// Marks all spending of this instance as reported to the others.
@@ -375,53 +381,57 @@
         }
     }
 
-    /// Applies the spending that another instance reports.
+    /// Applies the spending that another instance reports, its sum since its start `incarnation`.
     ///
-    /// `spent` counts from the instance's start `incarnation`. `fleet`, its view of the whole fleet,
-    /// is used only with its first report, as this instance may just have started itself, and with all
-    /// reports until this instance has restored the fleet's earlier spending.
+    /// A sum that falls, as earlier builds report after a refund, takes nothing back: where they charged
+    /// those tokens is not known. Its view of the whole fleet is used only with its first report, as this
+    /// instance may just have started itself, and with all reports until this instance has restored the
+    /// fleet's earlier spending.
     pub fn apply_spending(
         &mut self,
         now: Instant,
         instance: &InstanceId,
         incarnation: u64,
         organisation: &Organisation,
-        spent: Tokens,
-        fleet: Tokens,
+        reported: &Spending,
     ) {
         if organisation.rate == 0 {
             return;
         }
         let is_new = self.is_new(now);
-        let own_recent = |window: &Window| if is_new { window.spent as f64 } else { 0.0 };
+        let own_recent = |window: &Window| if is_new { window.own.net() as f64 } else { 0.0 };
         let starts_together = self.starts_with(incarnation);
         let is_history_known = self.history_known;
         if !starts_together {
             self.assumes_until = None;
         }
         let window = self.window(now, organisation);
-        let before = match window.reports.get(instance) {
-            Some(report) if report.incarnation > incarnation => return,
-            Some(report) if report.incarnation == incarnation => report.spent,
+        let known = window.reports.get(instance);
+        if known.is_some_and(|known| known.incarnation > incarnation) {
+            return;
+        }
+        let known = window.reports.remove(instance);
+        let is_first = known.is_none();
+        let mut counted = match known {
+            Some(known) if known.incarnation == incarnation => known.counted,
             // What an instance spent before its first report is in its view of the fleet, unless
             // it started with this one: then each of them may know its own spending only.
-            None if !starts_together => spent,
-            None | Some(_) => 0,
+            None if !starts_together => CountedSum::from_total(reported.tokens),
+            None | Some(_) => CountedSum::default(),
         };
-        let is_first = !window.reports.contains_key(instance);
-        window.add(spent as f64 - before as f64);
+        window.count(&mut counted, reported);
         // An instance that has not restored the earlier spending yet reports no view, so the first report
         // of each is not enough after a restart of all.
         if is_first || !is_history_known {
             // What was spent since a recent start may be unknown to that instance.
-            let missing = fleet as f64 - (window.total() - own_recent(window));
+            let missing = reported.fleet_tokens as f64 - (window.total() - own_recent(window));
             window.add_common(missing.max(0.0));
         }
         let report = Report {
             incarnation,
-            spent,
+            counted,
             at: now,
-            own_spent: window.spent,
+            own_spent: window.own.sum(),
         };
         window.reports.insert(instance.clone(), report);
     }
--- a/crates/apricotwell_dispatch/src/quota/window.rs
+++ b/crates/apricotwell_dispatch/src/quota/window.rs
@@ -3,8 +3,11 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use apricotwell_messages::Spending;
 use apricotwell_types::{InstanceId, Map, Tokens};
 
+use super::refunds::{BucketNumber, CountedSum};
+
 /// Share of the other instances that are assumed to admit a similar request before they receive a
 /// report of the current one.
 const CONCURRENT_SHARE: f64 = 0.25;
@@ -86,10 +89,11 @@
     pub(super) limit: f64,
     // The window's parts, the current one last. Never empty.
     pub(super) buckets: VecDeque<Bucket>,
-    // Start of the current bucket.
+    // Start of the current bucket, and its number.
     pub(super) bucket_start: Instant,
+    pub(super) number: BucketNumber,
     // Tokens that this instance has spent since its start.
-    pub(super) spent: Tokens,
+    pub(super) own: CountedSum,
     // Those of them that are not yet reported to the other instances, and the last report's time.
     pub(super) unreported: Tokens,
     pub(super) reported_at: Instant,
@@ -104,12 +108,12 @@
 }
 
 /// Last report of another instance's spending.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub(super) struct Report {
     // Incarnation of the instance.
     pub(super) incarnation: u64,
     // Tokens that it has spent since its start.
-    pub(super) spent: Tokens,
+    pub(super) counted: CountedSum,
     // When the report was received, and what this instance had spent by then.
     pub(super) at: Instant,
     pub(super) own_spent: Tokens,
@@ -126,7 +130,8 @@
             limit,
             buckets,
             bucket_start: now,
-            spent: 0,
+            number: BUCKETS,
+            own: CountedSum::default(),
             unreported: 0,
             reported_at: now,
             unsaved: 0.0,
@@ -139,11 +144,13 @@
     pub(super) fn advance(&mut self, now: Instant, bucket_len: Duration) {
         while now.saturating_duration_since(self.bucket_start) >= bucket_len {
             self.bucket_start += bucket_len;
+            self.number += 1;
             self.buckets.push_back(Bucket::default());
             if self.buckets.len() > BUCKETS as usize + 1 {
                 self.buckets.pop_front();
             }
         }
+        self.own.forget_before(self.number - BUCKETS);
     }
 
     // Sets the limit; earlier spending is scaled down with a lower limit, so that the limit applies to
@@ -193,22 +200,63 @@
         }
     }
 
-    // Takes back up to so many tokens that were charged at `charged_at`, and returns how many.
-    pub(super) fn lower(
-        &mut self,
-        charged_at: Instant,
-        bucket_len: Duration,
-        tokens: Tokens,
-    ) -> Tokens {
+    // Spends tokens at this instance.
+    pub(super) fn spend(&mut self, tokens: Tokens) {
+        self.add(tokens as f64);
+        self.own.add(self.number, tokens);
+        self.unreported += tokens;
+    }
+
+    // Takes back tokens that this instance charged at `charged_at`. Those that have left the window, or whose
+    // bucket is not known, count as spent.
+    pub(super) fn refund(&mut self, charged_at: Instant, bucket_len: Duration, tokens: Tokens) {
         let age = self.bucket_age(charged_at, bucket_len);
-        let bucket = self.buckets.iter_mut().rev().nth(age);
+        let Some(number) = self.number.checked_sub(age) else {
+            return;
+        };
+        let Some(before) = self.own.before_bucket(number) else {
+            return;
+        };
+        let back = self.lower(number, tokens);
+        if back > 0 {
+            self.own.add_refund(before, back);
+        }
+        if charged_at > self.reported_at {
+            self.unreported = self.unreported.saturating_sub(back);
+        }
+    }
+
+    // Counts what another instance reports.
+    pub(super) fn count(&mut self, counted: &mut CountedSum, reported: &Spending) {
+        counted.forget_before(self.number - BUCKETS);
+        match reported.tokens.checked_sub(counted.sum()) {
+            Some(rise) => {
+                self.add(rise as f64);
+                counted.add(self.number, rise);
+            }
+            None => *counted = CountedSum::from_total(reported.tokens),
+        }
+        for refund in &reported.refunds {
+            // One that has left the window must not be noted either, as a repeat would lower another.
+            if let Some(number) = counted.bucket_after(refund.before) {
+                let missing = counted.raise_refund(refund);
+                self.lower(number, missing);
+            }
+        }
+    }
+
+    // Takes back up to so many tokens of a bucket, and returns how many.
+    fn lower(&mut self, number: BucketNumber, tokens: Tokens) -> Tokens {
+        let age = self.number.checked_sub(number);
+        let bucket = age.and_then(|age| self.buckets.iter_mut().rev().nth(age as usize));
         bucket.map_or(0, |bucket| bucket.lower(tokens))
     }
 
     // Returns how many buckets before the current one a time lies.
-    fn bucket_age(&self, at: Instant, bucket_len: Duration) -> usize {
+    fn bucket_age(&self, at: Instant, bucket_len: Duration) -> BucketNumber {
         let before = self.bucket_start.saturating_duration_since(at);
-        before.as_nanos().div_ceil(bucket_len.as_nanos()) as usize
+        let age = before.as_nanos().div_ceil(bucket_len.as_nanos());
+        BucketNumber::try_from(age).unwrap_or(BucketNumber::MAX)
     }
 
     // Adds spending that all instances know of.
@@ -225,7 +273,7 @@
         let reports = self.reports.values();
         let current = reports.filter(|it| now.saturating_duration_since(it.at) < timeout);
         let heard = current.map(|it| it.own_spent).min();
-        heard.map_or(0.0, |heard| self.spent.saturating_sub(heard) as f64)
+        heard.map_or(0.0, |heard| self.own.sum().saturating_sub(heard) as f64)
     }
 
     // Returns the fleet's recent spending in tokens per second.
--- a/crates/apricotwell_dispatch/tests/quota.rs
+++ b/crates/apricotwell_dispatch/tests/quota.rs
@@ -4,6 +4,7 @@
 
 use apricotwell_dispatch::catalog::Organisation;
 use apricotwell_dispatch::quota::{QuotaBounds, QuotaTable, ReportingFleet};
+use apricotwell_messages::Spending;
 use apricotwell_types::{InstanceId, Tokens};
 use proptest::prelude::*;
 
@@ -38,6 +39,15 @@
     }
 }
 
+fn spending(tokens: Tokens, fleet_tokens: Tokens) -> Spending {
+    Spending {
+        organisation: "kitchens".to_owned(),
+        tokens,
+        fleet_tokens,
+        refunds: Vec::new(),
+    }
+}
+
 struct Fleet {
     start: Instant,
     organisation: Organisation,
@@ -88,16 +98,12 @@
     }
 
     fn send_heartbeat(&mut self, at: Duration, from: usize) {
-        let spending: Vec<(Tokens, Tokens)> = self.tables[from]
-            .spending()
-            .map(|(_, spent, fleet)| (spent, fleet))
-            .collect();
-        let (spent, fleet) = spending.first().copied().unwrap_or_default();
+        let spending = self.tables[from].spending().next().unwrap_or_default();
         let name: InstanceId = format!("instance-{from}").into();
         let now = self.start + at;
         self.tables[from].mark_reported(now);
         for to in (0..self.tables.len()).filter(|to| *to != from) {
-            self.tables[to].apply_spending(now, &name, 1, &self.organisation, spent, fleet);
+            self.tables[to].apply_spending(now, &name, 1, &self.organisation, &spending);
         }
     }
 
@@ -377,9 +383,9 @@
     let organisation = organisation(10_000, 10_000);
     let mut table = QuotaTable::new(BOUNDS, false).with_incarnation(1000);
     let other = InstanceId::from("other");
-    table.apply_spending(now, &other, 1000, &organisation, 100, 0);
+    table.apply_spending(now, &other, 1000, &organisation, &spending(100, 0));
     assert!(table.spend(now, &organisation, 200).is_ok());
-    table.apply_spending(now, &other, 1000, &organisation, 100, 100_000);
+    table.apply_spending(now, &other, 1000, &organisation, &spending(100, 100_000));
     assert!(table.spend(now, &organisation, 200).is_err());
 }
 
@@ -428,9 +434,9 @@
         let sums = [0, 500, 900, 900, 2_500, 4_000];
         let mut table = QuotaTable::new(BOUNDS, true);
         let name: InstanceId = "other".into();
-        table.apply_spending(now, &name, 1, &organisation, 0, 0);
+        table.apply_spending(now, &name, 1, &organisation, &spending(0, 0));
         for index in &order {
-            table.apply_spending(now, &name, 1, &organisation, sums[*index], 0);
+            table.apply_spending(now, &name, 1, &organisation, &spending(sums[*index], 0));
         }
         let last = order.last().map_or(0, |index| sums[*index]);
         let mut spent = 0;
--- a/crates/apricotwell_dispatch/tests/quota_faults.rs
+++ b/crates/apricotwell_dispatch/tests/quota_faults.rs
@@ -212,8 +212,7 @@
                 continue;
             }
             instance.sent = self.now;
-            let spending = instance.table.spending().next();
-            let (spent, fleet) = spending.map_or((0, 0), |(_, spent, fleet)| (spent, fleet));
+            let spending = instance.table.spending().next().unwrap_or_default();
             let incarnation = instance.incarnation;
             instance.table.mark_reported(now);
             let name: InstanceId = format!("instance-{from}").into();
@@ -224,7 +223,7 @@
                 let receiver = &mut self.instances[to];
                 receiver.heard[from] = Some(self.now);
                 let table = &mut receiver.table;
-                table.apply_spending(now, &name, incarnation, &organisation, spent, fleet);
+                table.apply_spending(now, &name, incarnation, &organisation, &spending);
             }
         }
     }
--- a/crates/apricotwell_dispatch/tests/quota_refunds.rs
+++ b/crates/apricotwell_dispatch/tests/quota_refunds.rs
@@ -4,8 +4,9 @@
 
 use apricotwell_dispatch::catalog::Organisation;
 use apricotwell_dispatch::quota::{QuotaBounds, QuotaTable, ReportingFleet};
-use apricotwell_messages::{FleetSpending, OrganisationSpending};
+use apricotwell_messages::{FleetSpending, OrganisationSpending, Spending};
 use apricotwell_types::{InstanceId, Tokens};
+use prost::Message;
 
 const BOUNDS: QuotaBounds = QuotaBounds {
     window: Duration::from_secs(8),
@@ -81,11 +82,27 @@
 
     fn report(&mut self, ms: u64, from: usize, to: usize) {
         let now = self.at(ms);
-        let spending = self.tables[from].spending().next();
-        let (spent, fleet) = spending.map_or((0, 0), |(_, spent, fleet)| (spent, fleet));
-        let name = InstanceId::from(format!("instance-{from}"));
+        let spending = self.tables[from].spending().next().unwrap_or_default();
         self.tables[from].mark_reported(now);
-        self.tables[to].apply_spending(now, &name, 1, &organisation(RATE), spent, fleet);
+        self.apply(ms, from, to, &spending);
+    }
+
+    fn apply(&mut self, ms: u64, from: usize, to: usize, spending: &Spending) {
+        let now = self.at(ms);
+        let name = InstanceId::from(format!("instance-{from}"));
+        self.tables[to].apply_spending(now, &name, 1, &organisation(RATE), spending);
+    }
+
+    // Spends as much as an instance allows that reports to the others all the while.
+    fn flood_until(&mut self, from_ms: u64, until_ms: u64, instance: usize) -> Tokens {
+        let organisation = organisation(RATE);
+        let mut spent = 0;
+        for ms in (from_ms..until_ms).step_by(20) {
+            spent += self.flood(ms, instance, &organisation);
+            let now = self.at(ms);
+            self.tables[instance].mark_reported(now);
+        }
+        spent
     }
 }
 
@@ -140,3 +157,86 @@
     let spent = fleet.flood(0, 0, &organisation(RATE));
     assert!(spent <= allowed(), "{spent} of {} tokens", allowed());
 }
+
+#[test]
+fn reported_refund_is_not_spent_again_once_its_charge_leaves() {
+    let mut fleet = Fleet::new(2);
+    fleet.report(0, 0, 1);
+    let charged = fleet.flood(0, 0, &organisation(RATE));
+    fleet.report(0, 0, 1);
+    fleet.refund(7_000, 0, 0, charged);
+    fleet.report(7_000, 0, 1);
+    let spent = fleet.flood_until(7_000, 12_000, 1);
+    assert!(spent <= allowed(), "{spent} of {} tokens", allowed());
+}
+
+#[test]
+fn refund_that_others_hear_of_after_its_charge_has_left_is_not_spent_again() {
+    let mut fleet = Fleet::new(2);
+    fleet.report(0, 0, 1);
+    let charged = fleet.flood(0, 0, &organisation(RATE));
+    fleet.report(0, 0, 1);
+    fleet.refund(6_000, 0, 0, charged);
+    fleet.report(9_000, 0, 1);
+    let spent = fleet.flood_until(9_000, 12_000, 1);
+    assert!(spent <= allowed(), "{spent} of {} tokens", allowed());
+}
+
+#[test]
+fn falling_sum_of_an_earlier_build_is_not_spent_again() {
+    let mut fleet = Fleet::new(2);
+    let report = |tokens| Spending {
+        organisation: "kitchens".to_owned(),
+        tokens,
+        ..Spending::default()
+    };
+    fleet.apply(0, 0, 1, &report(0));
+    fleet.apply(0, 0, 1, &report(160_000));
+    fleet.apply(9_000, 0, 1, &report(10_000));
+    let before = fleet.flood_until(9_000, 12_000, 1);
+    assert!(before <= allowed(), "{before} of {} tokens", allowed());
+    fleet.apply(18_000, 0, 1, &report(150_000));
+    let spent = 140_000 + fleet.flood_until(18_000, 20_000, 1);
+    assert!(spent <= allowed(), "{spent} of {} tokens", allowed());
+}
+
+#[test]
+fn refund_within_the_window_can_be_spent_at_other_instances() {
+    let mut fleet = Fleet::new(2);
+    fleet.report(0, 0, 1);
+    let charged = fleet.flood(0, 0, &organisation(RATE));
+    fleet.report(0, 0, 1);
+    fleet.refund(2_000, 0, 0, charged);
+    // The first report is lost, and the next one arrives twice.
+    fleet.tables[0].mark_reported(fleet.start + Duration::from_millis(2_000));
+    fleet.report(2_400, 0, 1);
+    fleet.report(2_800, 0, 1);
+    let before = fleet.flood_until(2_800, 6_000, 1);
+    assert!(before >= charged, "{before} tokens, {charged} refunded");
+    let spent = before + fleet.flood_until(6_000, 10_800, 1);
+    assert!(spent <= allowed(), "{spent} of {} tokens", allowed());
+}
+
+#[test]
+fn report_without_refunds_has_no_bytes_for_them() {
+    let mut fleet = Fleet::new(1);
+    fleet.flood(0, 0, &organisation(RATE));
+    let spending = fleet.tables[0].spending().next().unwrap_or_default();
+    assert!(spending.tokens > 0 && spending.refunds.is_empty());
+}
+
+#[test]
+fn report_of_many_refunds_stays_short() {
+    let mut fleet = Fleet::new(1);
+    let organisation = organisation(RATE);
+    for second in 0..7 {
+        let now = fleet.at(second * 1_000);
+        assert!(fleet.tables[0].spend(now, &organisation, COST).is_ok());
+    }
+    for second in 0..7 {
+        fleet.refund(7_000, second * 1_000, 0, COST);
+    }
+    let spending = fleet.tables[0].spending().next().unwrap_or_default();
+    let bytes: usize = spending.refunds.iter().map(|it| it.encoded_len() + 2).sum();
+    assert!(!spending.refunds.is_empty() && bytes <= 40, "{bytes} bytes");
+}
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -54,12 +54,27 @@
     /// Organisation.
     #[prost(string, tag = "1")]
     pub organisation: String,
-    /// Tokens spent since the instance started.
+    /// Tokens spent since the instance started, those included that were refunded later. Earlier builds
+    /// take refunded tokens off, so that it may fall.
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
     /// Tokens spent at all instances in the last window, as far as this instance knows.
     #[prost(uint64, tag = "3")]
     pub fleet_tokens: u64,
+    /// Refunds of tokens that are still in the window; earlier builds ignore them and count too much.
+    #[prost(message, repeated, tag = "4")]
+    pub refunds: Vec<SpendingRefund>,
+}
+
+/// Tokens of one organisation that one instance charged within a part of the window and refunded later.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct SpendingRefund {
+    /// Tokens that the instance had spent since its start before that part of the window.
+    #[prost(uint64, tag = "1")]
+    pub before: u64,
+    /// Tokens refunded so far.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
 }
 
 /// Demand for one model or adapter at one instance.
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -34,6 +34,7 @@
 pub use heartbeat::{
     FleetSpending, FleetState, Heartbeat, HeldModel, InventoryUpdate, ModelRun, ModelUse,
     OrganisationSpending, PromptWork, ServerInventory, ServerUse, SlowServer, Spending,
+    SpendingRefund,
 };
 pub use member_update::MemberUpdate;
 pub use permits::{PermitRequest, PermitResponse, ServerLimit};
