Keep what was spent when a limit falls and rises again

What callers saw: an organisation whose limit was lowered and raised again within a window could spend it twice.

Cause: `set_limit` scaled the window's spending down with a lower limit and nothing scaled it up again. Scaled numbers were saved and reported as the fleet's spending, too.

Why this works: buckets keep the tokens that were really spent, by the limit in force when they were; against a limit L counts tokens x min(1, L / that limit). So a lower limit applies to spending from then on, as before, and a limit that comes back counts all of it. A bucket has one amount per limit, so a change within a bucket loses nothing. What is restored, or learnt from another instance's view, is of unknown limits and counts in full; what others report counts under the limit in force here when the report comes.

As counted against the limit: `level` and what builds on it, `time_to_free`, and `recent_rate`, which estimates what others spend now under the new limit. A rate of 0 in between touches nothing: spending is not counted meanwhile, and what was spent before counts once the limit is back.

--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -12,6 +12,7 @@
 //! reported to them. It also staggers the retries of the clients that it refuses, at its share of the
 //! rate.
 
+mod bucket;
 mod refunds;
 mod window;
 
@@ -20,8 +21,9 @@
 use apricotwell_messages::{FleetSpending, OrganisationSpending, Spending};
 use apricotwell_types::{InstanceId, Map, OrgId, Tokens};
 
+use self::bucket::{Bucket, UNKNOWN_LIMIT};
 use self::refunds::CountedSum;
-use self::window::{BUCKETS, Bucket, RefusedRequest, Report, Window};
+use self::window::{BUCKETS, RefusedRequest, Report, Window};
 use crate::catalog::Organisation;
 
 /// Difference of start times, in ms, up to which two instances may have heard of no third one that knows
@@ -310,7 +312,8 @@
             let mut window = Window::new(now, f64::MAX, 0.0);
             let skipped = saved.buckets.len().saturating_sub(BUCKETS as usize);
             let buckets = saved.buckets.iter().skip(skipped).copied();
-            window.buckets = buckets.chain([0.0]).map(Bucket::from_common).collect();
+            let restored = |tokens| Bucket::from_common(UNKNOWN_LIMIT, tokens);
+            window.buckets = buckets.chain([0.0]).map(restored).collect();
             self.windows
                 .insert(saved.organisation.as_str().into(), window);
         }
@@ -478,7 +481,7 @@
             .entry(organisation.name.clone())
             .or_insert_with(|| Window::new(now, limit, spent));
         window.advance(now, bucket_len);
-        window.set_limit(limit);
+        window.limit = limit;
         window.assumed = organisation.rate as f64 * UNSAVED_TIME.as_secs_f64();
         window
     }
--- a/crates/apricotwell_dispatch/src/quota/window.rs
+++ b/crates/apricotwell_dispatch/src/quota/window.rs
@@ -6,6 +6,7 @@
 use apricotwell_messages::Spending;
 use apricotwell_types::{InstanceId, Map, Tokens};
 
+use super::bucket::{Bucket, UNKNOWN_LIMIT};
 use super::refunds::{BucketNumber, CountedSum};
 
 /// Share of the other instances that are assumed to admit a similar request before they receive a
@@ -23,65 +24,6 @@
 /// Number of buckets per window; the oldest bucket counts until all of it has left the window.
 pub(super) const BUCKETS: u32 = 16;
 
-/// Spending in a part of the window, in tokens.
-///
-/// Two groups of instances that no longer hear each other split what is left of the limit. What both
-/// knew of by then, each charges to its share. What one has spent since, the other can't know, so it is
-/// charged in full.
-///
-/// # Invariants
-///
-/// Neither part is negative.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Bucket {
-    // Spending that the instances that are not heard know of as well.
-    common: f64,
-    // Spending that they may not know of.
-    local: f64,
-}
-
-impl Bucket {
-    /// Returns a bucket of spending that all instances know of.
-    ///
-    /// Earlier builds may have saved a negative number; it counts as no spending.
-    pub(super) fn from_common(tokens: f64) -> Self {
-        Self {
-            common: tokens.max(0.0),
-            local: 0.0,
-        }
-    }
-
-    /// Returns all spending.
-    pub(super) fn total(self) -> f64 {
-        self.common + self.local
-    }
-
-    // Returns what counts against the share of the limit that applies.
-    fn charged(self, share: f64) -> f64 {
-        self.common * share + self.local
-    }
-
-    // Makes the spending known to instances that are not heard from now on; `share` applied so far.
-    fn settle(&mut self, share: f64) {
-        self.common += self.local / share;
-        self.local = 0.0;
-    }
-
-    // Takes back up to so many tokens, and returns how many.
-    fn lower(&mut self, tokens: Tokens) -> Tokens {
-        let back = (tokens as f64).min(self.total()).floor();
-        let from_local = back.min(self.local);
-        self.local -= from_local;
-        self.common = (self.common - (back - from_local)).max(0.0);
-        back as Tokens
-    }
-
-    fn scale(&mut self, factor: f64) {
-        self.common *= factor;
-        self.local *= factor;
-    }
-}
-
 /// Spending of an organisation in the last window and its limit.
 #[derive(Debug)]
 pub(super) struct Window {
@@ -123,8 +65,8 @@
     /// Returns the window of a fleet that has spent `share` of its limit, evenly over the window.
     pub(super) fn new(now: Instant, limit: f64, share: f64) -> Self {
         let per_bucket = limit * share / f64::from(BUCKETS);
-        let spent = Bucket::from_common(per_bucket);
-        let mut buckets: VecDeque<Bucket> = (0..BUCKETS).map(|_| spent).collect();
+        let spent = |_| Bucket::from_common(limit, per_bucket);
+        let mut buckets: VecDeque<Bucket> = (0..BUCKETS).map(spent).collect();
         buckets.push_back(Bucket::default());
         Self {
             limit,
@@ -153,18 +95,6 @@
         self.own.forget_before(self.number - BUCKETS);
     }
 
-    // Sets the limit; earlier spending is scaled down with a lower limit, so that the limit applies to
-    // spending from now on.
-    pub(super) fn set_limit(&mut self, limit: f64) {
-        if limit < self.limit && self.limit < f64::MAX {
-            let scale = limit / self.limit;
-            self.buckets
-                .iter_mut()
-                .for_each(|bucket| bucket.scale(scale));
-        }
-        self.limit = limit;
-    }
-
     // Notes that the share of the limit that applies falls from `share`, since some instances were not
     // heard for the time `unheard`: what was spent before that is known to them.
     pub(super) fn lower_share(
@@ -184,19 +114,25 @@
     }
 
     pub(super) fn level(&self, share: f64) -> f64 {
-        let charged = self.buckets.iter().map(|bucket| bucket.charged(share));
+        let buckets = self.buckets.iter();
+        let charged = buckets.map(|bucket| bucket.charged(self.limit, share));
         self.limit * share - charged.sum::<f64>()
     }
 
-    // Returns all known spending.
+    // Returns all known spending, whatever limits were in force.
     pub(super) fn total(&self) -> f64 {
         self.buckets.iter().map(|bucket| bucket.total()).sum()
     }
 
     pub(super) fn add(&mut self, tokens: f64) {
         self.unsaved += tokens;
+        let limit = if self.limit < f64::MAX {
+            self.limit
+        } else {
+            UNKNOWN_LIMIT
+        };
         if let Some(current) = self.buckets.back_mut() {
-            current.local += tokens;
+            current.add_local(limit, tokens);
         }
     }
 
@@ -259,11 +195,11 @@
         BucketNumber::try_from(age).unwrap_or(BucketNumber::MAX)
     }
 
-    // Adds spending that all instances know of.
+    // Adds spending that all instances know of, under limits that this one does not know.
     pub(super) fn add_common(&mut self, tokens: f64) {
         self.unsaved += tokens;
         if let Some(current) = self.buckets.back_mut() {
-            current.common += tokens;
+            current.add_common(UNKNOWN_LIMIT, tokens);
         }
     }
 
@@ -276,11 +212,12 @@
         heard.map_or(0.0, |heard| self.own.sum().saturating_sub(heard) as f64)
     }
 
-    // Returns the fleet's recent spending in tokens per second.
+    // Returns the fleet's recent spending in tokens per second, as it counts against the limit: after the
+    // limit has fallen, the rate does so as well.
     pub(super) fn recent_rate(&self, now: Instant, bucket_len: Duration) -> f64 {
         let passed = now.saturating_duration_since(self.bucket_start);
         let recent = self.buckets.iter().rev().take(2);
-        let recent: f64 = recent.map(|bucket| bucket.total()).sum();
+        let recent: f64 = recent.map(|bucket| bucket.counted(self.limit)).sum();
         recent / (bucket_len + passed).as_secs_f64()
     }
 
@@ -342,7 +279,7 @@
         let mut freed = 0.0;
         let mut time = bucket_len.saturating_sub(passed);
         for bucket in &self.buckets {
-            freed += bucket.charged(share);
+            freed += bucket.charged(self.limit, share);
             if freed >= missing {
                 break;
             }
--- a/crates/apricotwell_dispatch/tests/quota_refunds.rs
+++ b/crates/apricotwell_dispatch/tests/quota_refunds.rs
@@ -240,3 +240,61 @@
     let bytes: usize = spending.refunds.iter().map(|it| it.encoded_len() + 2).sum();
     assert!(!spending.refunds.is_empty() && bytes <= 40, "{bytes} bytes");
 }
+
+#[test]
+fn limit_that_falls_and_rises_within_the_window_is_not_spent_twice() {
+    let mut fleet = Fleet::new(1);
+    let (high, low) = (organisation(RATE), organisation(RATE / 10));
+    let before = fleet.flood(0, 0, &high);
+    let lowered = fleet.flood(2_000, 0, &low);
+    let after = fleet.flood(4_000, 0, &high);
+    let spent = before + lowered + after;
+    assert!(spent <= allowed(), "{spent} of {} tokens", allowed());
+}
+
+#[test]
+fn limit_that_falls_and_rises_within_a_bucket_is_not_spent_twice() {
+    let mut fleet = Fleet::new(1);
+    let (high, low) = (organisation(RATE), organisation(RATE / 10));
+    let mut spent = 0;
+    for round in 0..4 {
+        spent += fleet.flood(round * 100, 0, &high);
+        spent += fleet.flood(round * 100 + 50, 0, &low);
+    }
+    assert!(spent <= allowed(), "{spent} of {} tokens", allowed());
+}
+
+#[test]
+fn limit_that_is_lifted_for_a_moment_is_not_spent_twice() {
+    let mut fleet = Fleet::new(1);
+    let high = organisation(RATE);
+    let before = fleet.flood(0, 0, &high);
+    let now = fleet.at(1_000);
+    assert!(fleet.tables[0].spend(now, &organisation(0), COST).is_ok());
+    let spent = before + fleet.flood(2_000, 0, &high);
+    assert!(spent <= allowed(), "{spent} of {} tokens", allowed());
+}
+
+#[test]
+fn lower_limit_admits_its_own_tokens_at_once() {
+    let mut fleet = Fleet::new(1);
+    let (high, low) = (organisation(RATE), organisation(RATE / 10));
+    for _ in 0..90 {
+        assert!(fleet.tables[0].spend(fleet.start, &high, COST).is_ok());
+    }
+    let lowered = fleet.flood(1_000, 0, &low);
+    assert!(lowered >= RATE / 10 * 4, "{lowered} tokens");
+}
+
+#[test]
+fn spending_under_a_higher_limit_is_saved_and_reported_in_full() {
+    let mut fleet = Fleet::new(1);
+    let spent = fleet.flood(0, 0, &organisation(RATE));
+    fleet.flood(1_000, 0, &organisation(RATE / 10));
+    let now = fleet.at(1_000);
+    let saved = fleet.tables[0].snapshot(now);
+    let saved: f64 = saved.organisations[0].buckets.iter().sum();
+    let reported = fleet.tables[0].spending().next().unwrap_or_default();
+    assert!(saved >= spent as f64, "{saved} of {spent} tokens saved");
+    assert!(reported.fleet_tokens >= spent, "{reported:?}");
+}
