--- a/crates/apricotwell_dispatch/src/quota.rs
+++ b/crates/apricotwell_dispatch/src/quota.rs
@@ -11,6 +11,10 @@
 //! spread evenly, so each instance assumes that the others have spent as much as itself since it last
 //! reported to them. It also staggers the retries of the clients that it refuses, at its share of the
 //! rate.
+//!
+//! Tokens of requests that did not run are refunded where they were charged, here and at the other
+//! instances. A lower limit applies to spending from then on; what was spent before counts in full again
+//! once the limit is back.
 
 mod bucket;
 mod refunds;
