--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -506,16 +506,15 @@
     /// Refunds the tokens of a request that no server ran.
     pub fn refund(&mut self, now: Instant, admission: &Admission) {
         if let Some(organisation) = &admission.organisation {
-            self.quotas.refund(now, organisation, admission.tokens);
+            self.quotas
+                .refund(now, organisation, admission.arrived, admission.tokens);
         }
     }
 
     /// Returns the tokens that an organisation has spent at all instances in the last window, as far as this
     /// instance knows.
     pub fn fleet_spending(&self, organisation: &str) -> Tokens {
-        let mut spending = self.quotas.spending();
-        let known = spending.find(|(name, _, _)| ***name == *organisation);
-        known.map_or(0, |(_, _, fleet)| fleet)
+        self.quotas.fleet_tokens(organisation)
     }
 
     /// Returns whether the request's organisation is so close to its limit that other instances
--- a/crates/apricotwell_dispatch/src/quota/window.rs
+++ b/crates/apricotwell_dispatch/src/quota/window.rs
@@ -3,8 +3,12 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use apricotwell_messages::Spending;
 use apricotwell_types::{InstanceId, Map, Tokens};
 
+use super::bucket::{Bucket, UNKNOWN_LIMIT};
+use super::refunds::{BucketNumber, CountedSum};
+
 /// Share of the other instances that are assumed to admit a similar request before they receive a
 /// report of the current one.
 const CONCURRENT_SHARE: f64 = 0.25;
@@ -20,50 +24,6 @@
 /// Number of buckets per window; the oldest bucket counts until all of it has left the window.
 pub(super) const BUCKETS: u32 = 16;
 
-/// Spending in a part of the window, in tokens; may be negative after a refund.
-///
-/// Two groups of instances that no longer hear each other split what is left of the limit. What both
-/// knew of by then, each charges to its share. What one has spent since, the other can't know, so it is
-/// charged in full.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Bucket {
-    // Spending that the instances that are not heard know of as well.
-    common: f64,
-    // Spending that they may not know of.
-    local: f64,
-}
-
-impl Bucket {
-    /// Returns a bucket of spending that all instances know of.
-    pub(super) fn from_common(tokens: f64) -> Self {
-        Self {
-            common: tokens,
-            local: 0.0,
-        }
-    }
-
-    /// Returns all spending.
-    pub(super) fn total(self) -> f64 {
-        self.common + self.local
-    }
-
-    // Returns what counts against the share of the limit that applies.
-    fn charged(self, share: f64) -> f64 {
-        self.common * share + self.local
-    }
-
-    // Makes the spending known to instances that are not heard from now on; `share` applied so far.
-    fn settle(&mut self, share: f64) {
-        self.common += self.local / share;
-        self.local = 0.0;
-    }
-
-    fn scale(&mut self, factor: f64) {
-        self.common *= factor;
-        self.local *= factor;
-    }
-}
-
 /// Spending of an organisation in the last window and its limit.
 #[derive(Debug)]
 pub(super) struct Window {
@@ -71,10 +31,11 @@
     pub(super) limit: f64,
     // The window's parts, the current one last. Never empty.
     pub(super) buckets: VecDeque<Bucket>,
-    // Start of the current bucket.
+    // Start of the current bucket, and its number.
     pub(super) bucket_start: Instant,
+    pub(super) number: BucketNumber,
     // Tokens that this instance has spent since its start.
-    pub(super) spent: Tokens,
+    pub(super) own: CountedSum,
     // Those of them that are not yet reported to the other instances, and the last report's time.
     pub(super) unreported: Tokens,
     pub(super) reported_at: Instant,
@@ -89,12 +50,12 @@
 }
 
 /// Last report of another instance's spending.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub(super) struct Report {
     // Incarnation of the instance.
     pub(super) incarnation: u64,
     // Tokens that it has spent since its start.
-    pub(super) spent: Tokens,
+    pub(super) counted: CountedSum,
     // When the report was received, and what this instance had spent by then.
     pub(super) at: Instant,
     pub(super) own_spent: Tokens,
@@ -104,14 +65,15 @@
     /// Returns the window of a fleet that has spent `share` of its limit, evenly over the window.
     pub(super) fn new(now: Instant, limit: f64, share: f64) -> Self {
         let per_bucket = limit * share / f64::from(BUCKETS);
-        let spent = Bucket::from_common(per_bucket);
-        let mut buckets: VecDeque<Bucket> = (0..BUCKETS).map(|_| spent).collect();
+        let spent = |_| Bucket::from_common(limit, per_bucket);
+        let mut buckets: VecDeque<Bucket> = (0..BUCKETS).map(spent).collect();
         buckets.push_back(Bucket::default());
         Self {
             limit,
             buckets,
             bucket_start: now,
-            spent: 0,
+            number: BUCKETS,
+            own: CountedSum::default(),
             unreported: 0,
             reported_at: now,
             unsaved: 0.0,
@@ -124,23 +86,13 @@
     pub(super) fn advance(&mut self, now: Instant, bucket_len: Duration) {
         while now.saturating_duration_since(self.bucket_start) >= bucket_len {
             self.bucket_start += bucket_len;
+            self.number += 1;
             self.buckets.push_back(Bucket::default());
             if self.buckets.len() > BUCKETS as usize + 1 {
                 self.buckets.pop_front();
             }
         }
-    }
-
-    // Sets the limit; earlier spending is scaled down with a lower limit, so that the limit applies to
-    // spending from now on.
-    pub(super) fn set_limit(&mut self, limit: f64) {
-        if limit < self.limit && self.limit < f64::MAX {
-            let scale = limit / self.limit;
-            self.buckets
-                .iter_mut()
-                .for_each(|bucket| bucket.scale(scale));
-        }
-        self.limit = limit;
+        self.own.forget_before(self.number - BUCKETS);
     }
 
     // Notes that the share of the limit that applies falls from `share`, since some instances were not
@@ -162,27 +114,92 @@
     }
 
     pub(super) fn level(&self, share: f64) -> f64 {
-        let charged = self.buckets.iter().map(|bucket| bucket.charged(share));
+        let buckets = self.buckets.iter();
+        let charged = buckets.map(|bucket| bucket.charged(self.limit, share));
         self.limit * share - charged.sum::<f64>()
     }
 
-    // Returns all known spending.
+    // Returns all known spending, whatever limits were in force.
     pub(super) fn total(&self) -> f64 {
         self.buckets.iter().map(|bucket| bucket.total()).sum()
     }
 
     pub(super) fn add(&mut self, tokens: f64) {
         self.unsaved += tokens;
+        let limit = if self.limit < f64::MAX {
+            self.limit
+        } else {
+            UNKNOWN_LIMIT
+        };
         if let Some(current) = self.buckets.back_mut() {
-            current.local += tokens;
+            current.add_local(limit, tokens);
+        }
+    }
+
+    // Spends tokens at this instance.
+    pub(super) fn spend(&mut self, tokens: Tokens) {
+        self.add(tokens as f64);
+        self.own.add(self.number, tokens);
+        self.unreported += tokens;
+    }
+
+    // Takes back tokens that this instance charged at `charged_at`. Those that have left the window, or whose
+    // bucket is not known, count as spent.
+    pub(super) fn refund(&mut self, charged_at: Instant, bucket_len: Duration, tokens: Tokens) {
+        let age = self.bucket_age(charged_at, bucket_len);
+        let Some(number) = self.number.checked_sub(age) else {
+            return;
+        };
+        let Some(before) = self.own.before_bucket(number) else {
+            return;
+        };
+        let back = self.lower(number, tokens);
+        if back > 0 {
+            self.own.add_refund(before, back);
+        }
+        if charged_at > self.reported_at {
+            self.unreported = self.unreported.saturating_sub(back);
+        }
+    }
+
+    // Counts what another instance reports.
+    pub(super) fn count(&mut self, counted: &mut CountedSum, reported: &Spending) {
+        counted.forget_before(self.number - BUCKETS);
+        match reported.tokens.checked_sub(counted.sum()) {
+            Some(rise) => {
+                self.add(rise as f64);
+                counted.add(self.number, rise);
+            }
+            None => *counted = CountedSum::from_total(reported.tokens),
+        }
+        for refund in &reported.refunds {
+            // One that has left the window must not be noted either, as a repeat would lower another.
+            if let Some(number) = counted.bucket_after(refund.before) {
+                let missing = counted.raise_refund(refund);
+                self.lower(number, missing);
+            }
         }
     }
 
-    // Adds spending that all instances know of.
+    // Takes back up to so many tokens of a bucket, and returns how many.
+    fn lower(&mut self, number: BucketNumber, tokens: Tokens) -> Tokens {
+        let age = self.number.checked_sub(number);
+        let bucket = age.and_then(|age| self.buckets.iter_mut().rev().nth(age as usize));
+        bucket.map_or(0, |bucket| bucket.lower(tokens))
+    }
+
+    // Returns how many buckets before the current one a time lies.
+    fn bucket_age(&self, at: Instant, bucket_len: Duration) -> BucketNumber {
+        let before = self.bucket_start.saturating_duration_since(at);
+        let age = before.as_nanos().div_ceil(bucket_len.as_nanos());
+        BucketNumber::try_from(age).unwrap_or(BucketNumber::MAX)
+    }
+
+    // Adds spending that all instances know of, under limits that this one does not know.
     pub(super) fn add_common(&mut self, tokens: f64) {
         self.unsaved += tokens;
         if let Some(current) = self.buckets.back_mut() {
-            current.common += tokens;
+            current.add_common(UNKNOWN_LIMIT, tokens);
         }
     }
 
@@ -192,14 +209,15 @@
         let reports = self.reports.values();
         let current = reports.filter(|it| now.saturating_duration_since(it.at) < timeout);
         let heard = current.map(|it| it.own_spent).min();
-        heard.map_or(0.0, |heard| self.spent.saturating_sub(heard) as f64)
+        heard.map_or(0.0, |heard| self.own.sum().saturating_sub(heard) as f64)
     }
 
-    // Returns the fleet's recent spending in tokens per second.
+    // Returns the fleet's recent spending in tokens per second, as it counts against the limit: after the
+    // limit has fallen, the rate does so as well.
     pub(super) fn recent_rate(&self, now: Instant, bucket_len: Duration) -> f64 {
         let passed = now.saturating_duration_since(self.bucket_start);
         let recent = self.buckets.iter().rev().take(2);
-        let recent: f64 = recent.map(|bucket| bucket.total()).sum();
+        let recent: f64 = recent.map(|bucket| bucket.counted(self.limit)).sum();
         recent / (bucket_len + passed).as_secs_f64()
     }
 
@@ -261,7 +279,7 @@
         let mut freed = 0.0;
         let mut time = bucket_len.saturating_sub(passed);
         for bucket in &self.buckets {
-            freed += bucket.charged(share);
+            freed += bucket.charged(self.limit, share);
             if freed >= missing {
                 break;
             }
