Failures in a standstill of the process say nothing of the store

Cause: both feeds were being read. After the standstill their time-outs are due before the answers are looked at, so both reads fail, and two failures after 1.1 s count as a store that answers nobody: then an old list is used on. In the same way the 1.5 s without a confirmed view counted as an outage in `StoreOutages`, and a removal as a lapse.

Evidence: a test in which the store takes 400 ms for each answer and the process stands still for 2 s from eight different times on; requests by the list of before, on the code before: [0, 0, 19, 19, 19, 0, 0, 0]. Without the detection of standstills, two of the six tests in virtual time fail: a second failed call ends the series of answers, and a removal counts as a lapse.

Fix: `Standstills` learns by a beat each 100 ms when the process was not scheduled for 300 ms. A call that failed over such a time is not counted, unless that happens in three standstills in a row: a process that is always short of processor time must notice a silent store as well. That time is taken out of the one that counts as an outage.

--- a/crates/apricotwell_dispatch/src/feeds.rs
+++ b/crates/apricotwell_dispatch/src/feeds.rs
@@ -18,6 +18,7 @@
 use crate::model::{Inventory, ModelName};
 use crate::outages::StoreOutages;
 use crate::software;
+use crate::standstills::Standstills;
 use crate::store_contact::StoreContact;
 
 /// Maximum number of server list changes that are retained for other instances.
@@ -98,6 +99,8 @@
     pub outages: StoreOutages,
     /// Answers of the store to this instance.
     pub contact: StoreContact,
+    /// Times in which this process was not scheduled.
+    pub standstills: Standstills,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -120,6 +123,7 @@
             sources: Map::default(),
             outages: StoreOutages::default(),
             contact: StoreContact::default(),
+            standstills: Standstills::default(),
         }
     }
 
@@ -137,6 +141,16 @@
         }
     }
 
+    /// Records that a call of the store that began at `start` has failed.
+    pub fn record_failure(&mut self, now: Instant, start: Instant) {
+        self.contact.record_failure(now, start, &self.standstills);
+    }
+
+    /// Records that the store answered this or another instance at `at`.
+    pub fn record_seen(&mut self, now: Instant, at: Instant) {
+        self.outages.record_seen(now, at, &self.standstills);
+    }
+
     /// Records where a feed's view was last confirmed from.
     pub fn record_source(&mut self, feed: Feed, source: FeedSource) {
         self.sources.insert(feed, source);
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod saved_streams;
 pub mod software;
 pub mod software_record;
+pub mod standstills;
 pub mod store_contact;
 pub mod store_era;
 pub mod stream_memory;
--- a/crates/apricotwell_dispatch/src/outages.rs
+++ b/crates/apricotwell_dispatch/src/outages.rs
@@ -3,12 +3,14 @@
 //! While the store is away, servers can't renew their entries, and some lapse. A server removed after an
 //! outage is still used for a while, as its entry may come back. An instance that alone lost its connection
 //! must not take a removal for such a lapse: only a time in which no view was confirmed, its own or one of
-//! the instances that it queries, counts as an outage.
+//! the instances that it queries, counts as an outage. Nor does a time in which this process stood still.
 
 use std::time::{Duration, Instant};
 
 use apricotwell_types::{Offset, ServerId, Set};
 
+use crate::standstills::Standstills;
+
 /// Time without any confirmed view from which on the store counts as having been away. A single read that
 /// times out, between two reads by the zone's reader, takes less.
 const MIN_OUTAGE: Duration = Duration::from_millis(1500);
@@ -36,10 +38,11 @@
 
 impl StoreOutages {
     /// Records that the store answered this or another instance at `at`.
-    pub fn record_seen(&mut self, at: Instant) {
-        let is_return = self
-            .last_seen
-            .is_some_and(|last| at.saturating_duration_since(last) >= MIN_OUTAGE);
+    pub fn record_seen(&mut self, now: Instant, at: Instant, standstills: &Standstills) {
+        let is_return = self.last_seen.is_some_and(|last| {
+            let unseen = at.saturating_duration_since(last);
+            unseen.saturating_sub(standstills.time_within(now, last, at)) >= MIN_OUTAGE
+        });
         if is_return {
             self.last_return = Some(StoreReturn {
                 at,
--- a/crates/apricotwell_dispatch/tests/feeds.rs
+++ b/crates/apricotwell_dispatch/tests/feeds.rs
@@ -282,9 +282,9 @@
         assert!(views.is_overdue(at(16_510), feed));
         // Without processor time the instance hears nothing, but asks for nothing either.
         assert!(views.is_overdue(at(30_000), feed));
-        views.contact.record_failure();
+        views.record_failure(at(30_000), at(29_400));
         assert!(views.is_overdue(at(30_000), feed));
-        views.contact.record_failure();
+        views.record_failure(at(30_000), at(29_400));
         assert!(!views.is_overdue(at(30_000), feed));
         views.contact.record_answer(at(30_000));
         assert!(!views.is_overdue(at(31_990), feed));
--- a/crates/apricotwell_gateway/src/daemon.rs
+++ b/crates/apricotwell_gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::prelude::*;
+use apricotwell_dispatch::standstills::BEAT_INTERVAL;
 use apricotwell_http::backlog::accept_waiting;
 use apricotwell_http::connections::{self, TrackedStream};
 use apricotwell_http::pool;
@@ -115,6 +116,7 @@
         instances,
         serve_instance::<P>,
     ));
+    actix::spawn(run_beats(Rc::clone(&gateway)));
     actix::spawn(run_maintenance(Rc::clone(&gateway), lines.clone()));
     let requested = signals::wait_for_stop(stop).await?;
     shut_down(&gateway, requested).await;
@@ -319,6 +321,26 @@
     status_response(StatusCode::NOT_FOUND)
 }
 
+// Records at short intervals that the process is scheduled.
+async fn run_beats<P>(gateway: Rc<Gateway<P>>)
+where
+    P: Platform,
+{
+    loop {
+        record_beat(&gateway);
+        tokio::time::sleep(BEAT_INTERVAL).await;
+    }
+}
+
+fn record_beat<P>(gateway: &Gateway<P>)
+where
+    P: Platform,
+{
+    let now = gateway.now();
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    dispatcher.feeds.standstills.record_beat(now);
+}
+
 // Flushes the log, closes expired connections and logs the status at intervals.
 async fn run_maintenance<P>(gateway: Rc<Gateway<P>>, lines: LineWriter)
 where
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -326,7 +326,7 @@
             }
             Err(error) => {
                 self.log_failed_read(start, &error);
-                self.record_failure(&error);
+                self.record_failure(start, &error);
                 RETRY_DELAY_STEP * (self.failures.min(MAX_BACKOFF_FAILURES) - 1)
             }
         }
@@ -579,13 +579,14 @@
 
     // Records that the store answered this or another instance; to be called before its records are applied.
     fn record_seen(&self, at: Instant) {
+        let now = self.gateway.now();
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        dispatcher.feeds.outages.record_seen(at);
+        dispatcher.feeds.record_seen(now, at);
     }
 
-    fn record_failure(&mut self, error: &StoreError) {
+    fn record_failure(&mut self, start: Instant, error: &StoreError) {
         self.gateway.metrics.count_store_call("failed");
-        self.gateway.record_store_failure();
+        self.gateway.record_store_failure(start);
         self.failures += 1;
         let now = self.gateway.now();
         if self.failures > 1 {
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -201,10 +201,11 @@
         dispatcher.feeds.contact.record_answer(now);
     }
 
-    /// Records that a call of the store failed.
-    pub fn record_store_failure(&self) {
+    /// Records that a call of the store that began at `start` has failed.
+    pub fn record_store_failure(&self, start: Instant) {
+        let now = self.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        dispatcher.feeds.contact.record_failure();
+        dispatcher.feeds.record_failure(now, start);
     }
 
     /// Returns the time after a request to stop at which connections are closed.
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -50,6 +50,7 @@
         gateway,
     };
     while renewer.may_renew() {
+        let start = renewer.gateway.now();
         let result = if renewer.must_step_aside() {
             renewer.step_aside().await
         } else {
@@ -57,7 +58,7 @@
         };
         if let Err(error) = result {
             renewer.gateway.metrics.count_store_call("failed");
-            renewer.gateway.record_store_failure();
+            renewer.gateway.record_store_failure(start);
             log::info!("failed to renew the membership: {error}");
         }
         renewer.pause().await;
