Never take a stream that broke off for a complete one at its deadline

The body would have been read once more after its error, and its end might have passed for a proper one. The reason is now kept, and the check for a crash uses the time at which the request was sent to the server that broke off.

--- a/crates/apricotwell_gateway/src/handler/attempt.rs
+++ b/crates/apricotwell_gateway/src/handler/attempt.rs
@@ -61,7 +61,8 @@
 
 /// What the handler knows of the attempt whose response is being received, kept while another one is made.
 pub struct FormerAttempt {
-    sent_at: Instant,
+    /// When it was sent.
+    pub sent_at: Instant,
     server_found: Option<Instant>,
     software: Option<SoftwareVersion>,
     server_limit: Option<RequestRate>,
--- a/crates/apricotwell_gateway/src/handler/crashes.rs
+++ b/crates/apricotwell_gateway/src/handler/crashes.rs
@@ -24,6 +24,16 @@
     /// Checks whether a server that broke off its response, whose first bytes came at `began`, has
     /// ended as it began to answer.
     pub fn check_crash(&mut self, server: &ServerId, began: Option<Instant>) {
+        self.check_crash_since(self.sent_at, server, began);
+    }
+
+    /// Checks the same of a server that the request was sent to at `sent_at`, before the last attempt.
+    pub fn check_crash_since(
+        &mut self,
+        sent_at: Instant,
+        server: &ServerId,
+        began: Option<Instant>,
+    ) {
         let is_server = {
             let dispatcher = self.gateway.dispatcher.borrow();
             dispatcher.backends.get(server).is_some()
@@ -34,7 +44,7 @@
         if is_beginning {
             let request = CrashedRequest {
                 parts: self.parts().to_vec(),
-                sent_at: self.sent_at,
+                sent_at,
                 is_retry: self.losses > 0,
             };
             self.losses += 1;
--- a/crates/apricotwell_gateway/src/relay/silence.rs
+++ b/crates/apricotwell_gateway/src/relay/silence.rs
@@ -4,6 +4,8 @@
 //! answer the resumption. Whichever speaks first goes on with the stream; if no other one can, the silent server
 //! is kept until it speaks, breaks off or the deadline passes.
 
+use std::time::Instant;
+
 use apricotwell_http::pool::StreamingResponse;
 use apricotwell_types::ServerId;
 
@@ -35,15 +37,30 @@
 {
     /// The silent server spoke; the other attempt is cancelled.
     Silent(Received),
-    /// The other attempt has ended.
+    /// The other attempt has ended, at the latest at the deadline of the request.
     Other {
         /// The response that goes on with the stream, if there is one.
         continued: Option<(Box<StreamingResponse>, FlightGuard<P>)>,
         /// Why the response of the silent server broke off meanwhile, if it did.
         failure: Option<String>,
     },
-    /// The request's deadline passed.
-    Deadline,
+}
+
+impl<P> First<P>
+where
+    P: Platform,
+{
+    fn is_continued(&self) -> bool {
+        matches!(self, Self::Other { continued, .. } if continued.is_some())
+    }
+
+    // Returns why the other attempt is cancelled if it has not ended.
+    fn cancel_reason(&self) -> &'static str {
+        match self {
+            Self::Silent(_) => "the silent server went on",
+            Self::Other { .. } => "the deadline passed",
+        }
+    }
 }
 
 impl<P> Relay<P>
@@ -68,22 +85,14 @@
         handler.excluded.push(flight.server.clone());
         let truncation = truncation.map(|truncation| truncation.to_string());
         let first = first_of(handler, &flight.server, response, truncation, begun).await;
-        if matches!(first, First::Silent(_) | First::Deadline) {
-            handler.cancel_attempt("the silent server went on");
-        }
-        if !matches!(
-            first,
-            First::Other {
-                continued: Some(_),
-                ..
-            }
-        ) {
+        let sent_at = former.sent_at;
+        handler.cancel_attempt(first.cancel_reason());
+        if !first.is_continued() {
             handler.resume_attempt(former, &flight.server);
         }
         match first {
             First::Silent(received) => Silence::Ended(received),
-            First::Deadline => Silence::Lasts,
-            First::Other { continued, failure } => self.settle(continued, failure),
+            First::Other { continued, failure } => self.settle(continued, failure, sent_at),
         }
     }
 
@@ -92,9 +101,11 @@
         &mut self,
         continued: Option<(Box<StreamingResponse>, FlightGuard<P>)>,
         failure: Option<String>,
+        sent_at: Instant,
     ) -> Silence {
         if let (Some(_), Some((_, flight))) = (&failure, &self.response) {
-            self.handler.check_crash(&flight.server, self.began);
+            let handler = &mut self.handler;
+            handler.check_crash_since(sent_at, &flight.server, self.began);
         }
         let Some((response, flight)) = continued else {
             return failure.map_or(Silence::Lasts, Silence::Broken);
@@ -147,7 +158,7 @@
                 }
             }
             continued = &mut attempt => return First::Other { continued, failure },
-            () = &mut deadline => return First::Deadline,
+            () = &mut deadline => return First::Other { continued: None, failure },
         }
     }
 }
