Let each piece of a whole body take the time for progress, not all of it

What callers saw, in the OpenAI interface: a client of HTTP/1.0 gets an event stream as a whole body; if the stream lasted longer than `progress_ms`, it got 502 "the backend server made no progress in time", though events came all the while.

Cause: the limit, "time between two pieces of an answer" in the settings, held for the whole body.

`truncation`, `sessions`, `processes` and `stops` of this crate were not run.

--- a/crates/apricotwell_entry/src/relay.rs
+++ b/crates/apricotwell_entry/src/relay.rs
@@ -1,5 +1,6 @@
 //! Sends requests to backend servers and relays the responses.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,12 +9,12 @@
 use actix_web::http::{Method, StatusCode};
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use bytes::Bytes;
-use http::Request;
+use http::{Request, response};
 use http_body_util::Full;
 use log::warn;
 use serde::Deserialize;
 use tokio::task::spawn_local;
-use tokio::time::{interval, timeout};
+use tokio::time::{interval, timeout, timeout_at};
 
 use apricotwell_framing::BodyFraming;
 use apricotwell_http::pool::{ConnectionPool, Reuse, SendError, StreamingResponse};
@@ -290,11 +291,7 @@
 ) -> Result<HttpResponse, AttemptOutcome> {
     let progress = Duration::from_millis(driver.settings().requests.progress_ms);
     let mut builder = response_builder(&response);
-    let (head, body) = match timeout(progress, response.collect(limit)).await {
-        Ok(Ok(collected)) => collected,
-        Ok(Err(_)) => return Err(AttemptOutcome::Disconnected { partial: false }),
-        Err(_) => return Err(AttemptOutcome::Stalled { partial: false }),
-    };
+    let (head, body) = collect_steadily(response, limit, progress).await?;
     if content_type.starts_with(EVENT_STREAM) && !streams::is_done(&body) {
         return Err(AttemptOutcome::Disconnected { partial: false });
     }
@@ -315,6 +312,30 @@
     Ok(builder.body(body))
 }
 
+// Reads the whole body, each piece of which may take `progress`.
+async fn collect_steadily(
+    response: StreamingResponse,
+    limit: usize,
+    progress: Duration,
+) -> Result<(response::Parts, Bytes), AttemptOutcome> {
+    let last_piece = Cell::new(Instant::now());
+    let collected = response.collect_while(limit, |_| {
+        last_piece.set(Instant::now());
+        true
+    });
+    tokio::pin!(collected);
+    loop {
+        let deadline = last_piece.get() + progress;
+        match timeout_at(deadline.into(), collected.as_mut()).await {
+            Ok(Ok(collected)) => return Ok(collected),
+            Ok(Err(_)) => return Err(AttemptOutcome::Disconnected { partial: false }),
+            // A piece has come meanwhile.
+            Err(_) if last_piece.get() + progress > deadline => {}
+            Err(_) => return Err(AttemptOutcome::Stalled { partial: false }),
+        }
+    }
+}
+
 // Returns the start of the response to the client, with the headers that are forwarded.
 fn response_builder(response: &StreamingResponse) -> HttpResponseBuilder {
     // Both libraries accept the same status codes.
--- a/crates/apricotwell_entry/tests/connections.rs
+++ b/crates/apricotwell_entry/tests/connections.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use apricotwell_local::{FleetOptions, LocalFleet};
+use apricotwell_local::{FleetOptions, LocalFleet, send_raw};
 use socket2::{Domain, Socket, Type};
 
 /// Receive buffer of a client that stops reading.
@@ -15,9 +15,14 @@
 const CHAT: &str = r#"{"model":"menu-writer","max_tokens":2,"messages":[]}"#;
 
 fn fleet(name: &str) -> LocalFleet {
+    fleet_of_pace(name, 2)
+}
+
+fn fleet_of_pace(name: &str, token_ms: u64) -> LocalFleet {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_apricotwell-entry"));
     let mut options = FleetOptions::basic(program, name);
     options.instances = 1;
+    options.token_ms = token_ms;
     options.settings = "[requests]\nfirst_byte_ms = 500\nprogress_ms = 500\n\
                         [callers]\nstalled_caller_ms = 700\nhead_timeout_ms = 500\n\
                         body_timeout_ms = 500\nmax_body_bytes = 100000\n"
@@ -41,6 +46,23 @@
     assert!(started.elapsed() < Duration::from_secs(5));
 }
 
+#[test]
+fn a_steady_answer_that_lasts_longer_than_a_pause_may_is_cut_off_for_a_client_without_chunks() {
+    let fleet = fleet_of_pace("steady", 100);
+    let key = LocalFleet::api_key("hadegisbru");
+    let body = r#"{"model":"menu-writer","stream":true,"max_tokens":12,"messages":[]}"#;
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.0\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let started = Instant::now();
+    let answer = send_raw(fleet.address(0), request.as_bytes());
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.body.ends_with("data: [DONE]\n\n"), "{answer:?}");
+    assert!(started.elapsed() > Duration::from_secs(1));
+}
+
 #[test]
 fn a_response_to_another_attempt_reaches_no_client() {
     let fleet = fleet("crossed");
