Let no single late write undo the order of a server's processes

Found by the review. What callers would have seen: a server that restarted on a clock that had been set back gets requests after it drained, or none any more, after a late write of its former process; beside instances of earlier builds, which tell no numbers, a live process stays shut out for a minute that a late write seemed to replace.

Cause: a former process returned if it had started later and its number had risen; the known number is that of the last change in the list, so that any late write has a higher one. And an entry without a number of a former process was outdated.

Now a former process returns only while its successor has shown one entry alone, and entries without a number order nothing between processes either.

--- a/crates/apricotwell_dispatch/src/entry_order.rs
+++ b/crates/apricotwell_dispatch/src/entry_order.rs
@@ -23,7 +23,8 @@
 pub struct KnownProcess {
     /// Start time of the process, in milliseconds since the Unix epoch.
     pub started_ms: u64,
-    /// Highest number of its entries, `None` while no entry stated one.
+    /// Highest number of its known entries, `None` while no entry stated one. The list holds changes only, so the
+    /// process may have written higher numbers.
     pub number: Option<u64>,
     /// Whether an entry with this number, or a later one without a number, announced that it drains.
     pub draining: bool,
@@ -77,6 +78,8 @@
 #[derive(Debug)]
 struct Processes {
     latest: KnownProcess,
+    // Whether the latest process was seen to write a second entry.
+    is_confirmed: bool,
     former: Vec<FormerProcess>,
     // When the server was removed from the list, `None` while it is listed.
     removed_at: Option<Instant>,
@@ -86,6 +89,7 @@
     fn new(entry: &BackendEntry) -> Self {
         Self {
             latest: KnownProcess::new(entry),
+            is_confirmed: false,
             former: Vec::new(),
             removed_at: None,
         }
@@ -95,6 +99,10 @@
         if entry.started_ms == self.latest.started_ms {
             return self.latest.outdates(entry);
         }
+        // Instances of earlier builds state no numbers, and may tell of a late write first.
+        if entry.number.is_none() {
+            return false;
+        }
         let former = self.former.iter().find(|former| {
             former.process.started_ms == entry.started_ms && former.is_remembered(now)
         });
@@ -104,15 +112,19 @@
     // Returns whether a former process is the latest one after all: a late write of the process before it,
     // which was not known, seemed to replace it.
     fn is_successor(&self, former: &FormerProcess, entry: &BackendEntry) -> bool {
-        entry.started_ms > self.latest.started_ms && entry.number > former.process.number
+        !self.is_confirmed
+            && entry.started_ms > self.latest.started_ms
+            && entry.number > former.process.number
     }
 
     fn record(&mut self, now: Instant, entry: &BackendEntry) {
         self.removed_at = None;
         if entry.started_ms == self.latest.started_ms {
+            self.is_confirmed |= entry.number > self.latest.number;
             self.latest.update(entry);
             return;
         }
+        self.is_confirmed = false;
         self.former
             .retain(|former| former.process.started_ms != entry.started_ms);
         if self.former.len() == MAX_FORMER {
--- a/crates/apricotwell_dispatch/tests/entry_order.rs
+++ b/crates/apricotwell_dispatch/tests/entry_order.rs
@@ -266,3 +266,21 @@
     assert!(order.len() <= SERVERS + LATE_WRITE_TIME.as_secs() as usize);
     assert!(order.len() >= SERVERS);
 }
+
+#[test]
+fn late_write_replaces_a_confirmed_successor_that_started_on_a_clock_that_was_set_back() {
+    let mut list = List::follow(&[ready(100, 2), ready(50, 1), ready(50, 2), ready(100, 57)]);
+    list.apply(draining(50, 3));
+    assert!(!list.is_used());
+    let mut list = List::follow(&[ready(100, 2), ready(50, 1), ready(50, 2)]);
+    list.apply(draining(100, 57));
+    assert!(list.is_used());
+}
+
+#[test]
+fn entry_without_a_number_shuts_out_a_process_that_a_late_write_seemed_to_replace() {
+    let told = |started_ms, draining| entry(started_ms, None, draining);
+    let mut list = List::follow(&[told(200, false), told(100, true)]);
+    list.apply(told(200, false));
+    assert!(list.is_used());
+}
