Charge a request that may have run before another instance refused it

What callers could do: an organisation's request that may have run at a server here, was then passed on and refused by the other instance got all its tokens back, though the other one had charged none; so did a response that belongs to another request.

Cause: the refund came before the response was checked. Now it comes after: for a response that is used, and for a refusal of a request that no server can have run.

--- a/crates/apricotwell_gateway/src/handler/detours.rs
+++ b/crates/apricotwell_gateway/src/handler/detours.rs
@@ -1,8 +1,9 @@
 //! Requests that are passed on to another instance, since this one reaches no server.
 //!
 //! The other instance admits the request anew, by the client's own key, and charges its tokens; what
-//! was charged here is refunded once it responds. It passes the request on to no third instance. Whether
-//! it responds at all is asked first: a suspended process accepts connections.
+//! was charged here is refunded once it responds, unless it refuses a request that may have run here. It
+//! passes the request on to no third instance. Whether it responds at all is asked first: a suspended
+//! process accepts connections.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -184,7 +185,6 @@
         if response.head.headers.contains_key(NOT_SERVED) {
             return AttemptOutcome::Unsent("the other instance can't serve it either".to_owned());
         }
-        self.refund();
         let may_have_run = self.runs > 0;
         let head: ResponseHead = P::ClientProtocol::decode_response(&response.head, &self.request);
         if head.is_sealed {
@@ -203,6 +203,8 @@
             // Its refusal may state that the request has not run, but it knows of its own attempts only.
             return AttemptOutcome::Lost("the other instance refused it".to_owned());
         }
+        // The other instance has charged the tokens, or no server ran the request.
+        self.refund();
         let bound = &self.admission.bound;
         if head.is_sealed && bound.is_some() && self.software.sent != *bound {
             // An instance of an earlier build does not keep to the version.
