--- a/crates/apricotwell_dispatch/src/standstills.rs
+++ b/crates/apricotwell_dispatch/src/standstills.rs
@@ -35,7 +35,7 @@
 ///
 /// # Invariants
 ///
-/// `recent` holds at most [`MAX_STANDSTILLS`], oldest first, none of which overlap.
+/// `recent` holds at most `MAX_STANDSTILLS`, oldest first, none of which overlap.
 #[derive(Debug, Default)]
 pub struct Standstills {
     last_beat: Option<Instant>,
