--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -31,10 +31,14 @@
 
 
 class Group:
-    """Consumer group: partitions are distributed evenly over its members, in the order of their names."""
+    """Consumer group: partitions are distributed evenly over its members, in the order of their names or of joining.
+
+    A partition goes over from one member to another when the former one joins in the new generation.
+    """
 
     def __init__(self, parts):
         self.parts = parts
+        self.by_name = True
         self.topics = []
         self.members = {}
         self.generation = 0
@@ -44,7 +48,7 @@
 
     def _spread(self):
         names = [(topic, part) for topic in self.topics for part in range(self.parts)]
-        members = sorted(self.members)
+        members = sorted(self.members) if self.by_name else list(self.members)
         if not members:
             self.target = {}
             self.owner = {}
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -21,6 +21,7 @@
         self.on_disk = list(options.get("on_disk", []))
         self.capacity = options.get("capacity", 3)
         self.load_s = options.get("load_s", 0.4)
+        self.checks_fences = options.get("checks_fences", True)
         self.run_s = options.get("run_s", 0.03)
         self.events = options.get("events", 8)
         self.event_s = options.get("event_s", 0.02)
@@ -57,6 +58,10 @@
         if not self.listed or self.store.mode != "serving":
             return
         self.number += 1
+        self.store.put("keyed.servers", self.name, json.dumps(self.entry()).encode())
+
+    def entry(self):
+        """Returns the entry with the number of the last write."""
         entry = {
             "service": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
@@ -73,7 +78,7 @@
         }
         if self.remaining_ms is not None:
             entry["remaining-ms"] = self.remaining_ms
-        self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
+        return entry
 
     def remove_entry(self):
         """Removes the entry from the list; the worker serves on."""
@@ -159,7 +164,7 @@
         return status
 
     def _decide(self, order):
-        if order["fence"] < self.fence:
+        if self.checks_fences and order["fence"] < self.fence:
             return "412 Precondition Failed"
         self.fence = order["fence"]
         model = order["model"]
