--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -305,12 +305,19 @@
     return json.dumps(value).encode()
 
 
+async def run_until_stopped(run, log):
+    """Runs a case; a SIGTERM ends it, so that it ends the processes that it started."""
+    case = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, case.cancel)
+    return await run(log)
+
+
 def main(folder, run):
     """Runs a case and returns its exit code; 2 if it could not run."""
     log = Record(folder)
     try:
-        code = asyncio.run(run(log))
-    except Exception as error:
+        code = asyncio.run(run_until_stopped(run, log))
+    except (Exception, asyncio.CancelledError) as error:
         log("error", what=repr(error))
         code = 2
     log("exit", code=code)
