--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -1,11 +1,12 @@
 //! Heartbeats and server inventories that instances exchange.
 
+use std::cmp::Reverse;
 use std::time::Instant;
 
 use apricotwell_messages::{Heartbeat, InventoryUpdate, ServerUse, Spending};
-use apricotwell_types::{InstanceId, Map, OrgId};
+use apricotwell_types::{InstanceId, Map, OrgId, rendezvous_rank};
 
-use super::Dispatcher;
+use super::{Dispatcher, hash};
 use crate::catalog::Catalog;
 use crate::lease::FenceConflict;
 use crate::load_notices::LoadNotice;
@@ -153,6 +154,22 @@
         zones.remove(&self.config.zone).unwrap_or_default()
     }
 
+    /// Returns the instances to tell of streams that this one begins, the best one first.
+    ///
+    /// Those of other zones come first, as a zone may be lost as a whole. Each instance has an order of its own,
+    /// so that all of them get as many notices.
+    pub fn notice_targets(&self, now: Instant) -> Vec<InstanceId> {
+        let sender = hash(&[&self.config.id]);
+        let zone = &self.config.zone;
+        let rank = |target: &InstanceId| Reverse(rendezvous_rank(sender, target));
+        let mut targets = self.peers.ready_where(now, |other| other != zone);
+        targets.sort_by_key(rank);
+        let mut near = self.peers.ready_where(now, |other| other == zone);
+        near.sort_by_key(rank);
+        targets.extend(near);
+        targets
+    }
+
     fn apply_spending(
         &mut self,
         now: Instant,
--- a/crates/apricotwell_dispatch/src/saved_streams.rs
+++ b/crates/apricotwell_dispatch/src/saved_streams.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Returns whether too many streams were saved to be kept.
+    pub fn has_overflowed(&self) -> bool {
+        self.has_overflowed
+    }
+
     /// Returns the versions that began streams with a key; none if too many streams were saved.
     pub fn versions(&self, key: StreamKey) -> VersionSet {
         if self.has_overflowed {
--- a/crates/apricotwell_dispatch/src/stream_memory.rs
+++ b/crates/apricotwell_dispatch/src/stream_memory.rs
@@ -3,12 +3,15 @@
 //!
 //! A stream is known by its request, which a resumption repeats, and by its attempt id. Equal requests
 //! may have begun streams at different versions, so what one instance remembers of a request counts
-//! only together with what all others remember.
+//! only together with what all others remember, and only for clients that do not name the attempt.
+//!
+//! Before an instance delivers the first event of a stream, it tells another one of it, which remembers it
+//! if the first one is killed before the stream is in the store's log.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use apricotwell_messages::{SoftwareRecord, StreamAnswer, StreamQuery};
+use apricotwell_messages::{SoftwareRecord, StreamAnswer, StreamBatch, StreamQuery};
 use apricotwell_types::{InstanceId, Map};
 
 use crate::saved_streams::SavedStreams;
@@ -17,6 +20,9 @@
 /// Hash of a request or of an attempt id.
 pub type StreamKey = u64;
 
+/// Key of an attempt that a client did not name.
+pub const UNNAMED: StreamKey = 0;
+
 /// Largest number of remembered hashes, two for each stream. At the target size an instance begins 120
 /// streams per second, which are remembered for 77 s: 18,480 hashes. One takes less than 400 bytes, so
 /// all of them take less than 26 MB of the 256 MB of a process.
@@ -61,6 +67,8 @@
     order: VecDeque<(StreamKey, Instant)>,
     baseline: Option<Baseline>,
     others: Vec<InstanceId>,
+    // Streams of other instances, as they told of them.
+    told: SavedStreams,
     // Streams that are not yet in the store's log, oldest first.
     unsaved: VecDeque<BegunStream>,
     // When another instance was last lost with the streams that it knew.
@@ -124,6 +132,11 @@
         self.bound_unsaved(now);
     }
 
+    /// Records streams that another instance is about to deliver.
+    pub fn record_told(&mut self, now: Instant, streams: &StreamBatch) {
+        self.told.add(now, streams);
+    }
+
     // An unsaved stream that is forgotten is missing from the log, which then tells nothing of its key.
     fn bound_unsaved(&mut self, now: Instant) {
         while self.unsaved.len() > MAX_STREAMS {
@@ -139,6 +152,7 @@
             self.forget_oldest();
         }
         self.unsaved.retain(|stream| !is_old(stream.began));
+        self.told.expire(now, lifetime);
     }
 
     /// Takes the streams that are not yet in the store's log.
@@ -204,7 +218,8 @@
     ) -> Option<StreamAnswer> {
         let baseline = self.baseline.as_ref()?;
         let is_recent = |at: Instant| now.saturating_duration_since(at) < lifetime;
-        let has_overflowed = self.overflowed_at.is_some_and(is_recent);
+        let has_overflowed =
+            self.overflowed_at.is_some_and(is_recent) || self.told.has_overflowed();
         let is_unsure = baseline.is_incomplete && is_recent(baseline.started_at);
         let mut earlier = VersionSet::new();
         // Those that still run answer for themselves.
@@ -225,10 +240,11 @@
     }
 
     fn versions(&self, key: StreamKey) -> VersionSet {
-        let known = self.streams.get(&key);
-        known
-            .map(|(versions, _)| versions.clone())
-            .unwrap_or_default()
+        let mut versions = self.told.versions(key);
+        if let Some((known, _)) = self.streams.get(&key) {
+            versions.extend(known.iter().cloned());
+        }
+        versions
     }
 }
 
@@ -240,9 +256,7 @@
     if !by_attempt.is_empty() {
         return only(by_attempt);
     }
-    let is_complete =
-        |answer: &Option<StreamAnswer>| answer.as_ref().is_some_and(|answer| !answer.is_incomplete);
-    if !answers.iter().all(is_complete) {
+    if !are_complete(answers) {
         return None;
     }
     only(merged(known().flat_map(|answer| {
@@ -254,9 +268,10 @@
 /// Returns the version of a stream by the answers and by the streams that instances saved, which outlive
 /// them.
 ///
-/// What an instance began just before it was killed is in neither, so only an equal request that was
-/// saved tells the version. That of a request is unknown if an instance has forgotten streams, or if the log
-/// may have lost some (`has_reverted`): an equal one may be among them.
+/// An attempt that the client names counts alone: if nobody knows it, an equal request says nothing, as it may
+/// have begun at another version. If no stream is missing otherwise, an earlier process of an instance began it,
+/// at a version that was recorded when the instance started again. Without a name the version of the request is taken, unless an instance has
+/// forgotten streams or the log may have lost some (`has_reverted`): an equal one may be among them.
 pub fn known_stream(
     answers: &[Option<StreamAnswer>],
     saved: &SavedStreams,
@@ -264,20 +279,41 @@
     has_reverted: bool,
 ) -> Option<SoftwareVersion> {
     let known = || answers.iter().flatten();
-    let saved_attempt = saved.versions(query.attempt);
-    if !saved_attempt.is_empty() {
+    if query.attempt != UNNAMED {
         let told = known().filter_map(|answer| answer.attempt_versions.as_ref());
-        return only(merged(told).into_iter().chain(saved_attempt).collect());
+        let saved = saved.versions(query.attempt);
+        let versions: VersionSet = merged(told).into_iter().chain(saved).collect();
+        return if versions.is_empty() {
+            earlier_version(answers)
+        } else {
+            only(versions)
+        };
     }
     if has_reverted || known().any(|answer| answer.has_overflowed) {
         return remembered_version(answers);
     }
-    let saved_request = saved.versions(query.request);
-    if !saved_request.is_empty() {
-        let told = known().filter_map(|answer| answer.versions.as_ref());
-        return only(merged(told).into_iter().chain(saved_request).collect());
+    let saved = saved.versions(query.request);
+    if saved.is_empty() {
+        return remembered_version(answers);
     }
-    remembered_version(answers)
+    let told = known().filter_map(|answer| answer.versions.as_ref());
+    only(merged(told).into_iter().chain(saved).collect())
+}
+
+// Returns the version of a stream that no process of today began, `None` if there may be several.
+fn earlier_version(answers: &[Option<StreamAnswer>]) -> Option<SoftwareVersion> {
+    if !are_complete(answers) {
+        return None;
+    }
+    let known = answers.iter().flatten();
+    only(merged(known.filter_map(|it| it.earlier_versions.as_ref())))
+}
+
+// Returns whether all instances answered, and no stream that began in their time can be missing.
+fn are_complete(answers: &[Option<StreamAnswer>]) -> bool {
+    let is_complete =
+        |answer: &Option<StreamAnswer>| answer.as_ref().is_some_and(|answer| !answer.is_incomplete);
+    answers.iter().all(is_complete)
 }
 
 fn merged<'a, I>(records: I) -> VersionSet
--- a/crates/apricotwell_dispatch/tests/stream_memory.rs
+++ b/crates/apricotwell_dispatch/tests/stream_memory.rs
@@ -119,6 +119,69 @@
     assert_eq!(version(&saved, ATTEMPT), None);
 }
 
+#[test]
+fn version_of_a_named_attempt_is_not_that_of_an_equal_request() {
+    // The instance that began the stream was killed before it saved it; equal requests are known everywhere.
+    let now = Instant::now();
+    let mut memory = started(now, &[]);
+    memory.record(now, REQUEST, known_version("1"));
+    let mut saved = SavedStreams::default();
+    let answers = |attempt| [answer(&memory, now, attempt)];
+    let known =
+        |saved: &SavedStreams| known_stream(&answers(ATTEMPT), saved, &query(ATTEMPT), false);
+    assert_eq!(known(&saved), None);
+    save(&mut saved, now, REQUEST, "1");
+    assert_eq!(known(&saved), None);
+    let unnamed = known_stream(&answers(0), &saved, &query(0), false);
+    assert_eq!(unnamed.as_deref(), Some("1"));
+}
+
+#[test]
+fn stream_from_before_a_restart_goes_on_at_the_only_version_of_that_time() {
+    let now = Instant::now();
+    let saved = SavedStreams::default();
+    let known = |answers: &[Option<StreamAnswer>]| {
+        known_stream(answers, &saved, &query(ATTEMPT), false).map(|it| it.to_string())
+    };
+    let mut restarted = started(now, &["1"]);
+    // An equal request began at the version that came later.
+    restarted.record(now, REQUEST, known_version("2"));
+    let all = [&restarted, &restarted].map(|it| answer(it, now, ATTEMPT));
+    assert_eq!(known(&all).as_deref(), Some("1"));
+    // An instance that does not answer may have begun it, or another process at another version.
+    assert_eq!(known(&[answer(&restarted, now, ATTEMPT), None]), None);
+    let other = started(now, &["1", "2"]);
+    let both = [&restarted, &other].map(|it| answer(it, now, ATTEMPT));
+    assert_eq!(known(&both), None);
+}
+
+#[test]
+fn stream_that_another_instance_told_of_outlives_that_instance() {
+    let now = Instant::now();
+    let mut killed = started(now, &[]);
+    let mut told = started(now, &[]);
+    for key in [REQUEST, ATTEMPT] {
+        killed.record(now, key, known_version("2"));
+    }
+    told.record_told(now, &encode_batch(&killed.take_unsaved()));
+    told.observe(now, vec!["killed".into()]);
+    told.observe(now, Vec::new());
+    let saved = SavedStreams::default();
+    let known = |now| {
+        let answers = [answer(&told, now, ATTEMPT), None];
+        known_stream(&answers, &saved, &query(ATTEMPT), false).map(|it| it.to_string())
+    };
+    assert_eq!(known(now).as_deref(), Some("2"));
+    // What others told counts for requests as well: an equal one began elsewhere.
+    told.record(now, REQUEST, known_version("1"));
+    let later = now + LIFETIME;
+    let unnamed = |now| known_stream(&[answer(&told, now, 0)], &saved, &query(0), false);
+    assert_eq!(unnamed(later), None);
+    told.expire(later, LIFETIME);
+    let known = answer(&told, later, ATTEMPT).unwrap();
+    assert!(known.attempt_versions.unwrap().versions.is_empty());
+}
+
 #[test]
 fn saved_version_does_not_hide_another_one_that_an_instance_remembers() {
     let now = Instant::now();
--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::pending::PendingQuestions;
 use crate::software::SoftwareReads;
 use crate::stream_log::StreamLogReads;
+use crate::stream_notices::StreamNotices;
 
 /// Limit on open client connections. The process has about 4000 file descriptors; the remaining
 /// ones are for connections to servers.
@@ -112,6 +113,8 @@
     pub liveness: PendingQuestions<()>,
     /// Questions to other instances at which versions streams began.
     pub stream_queries: PendingQuestions<StreamAnswer>,
+    /// Notices of streams to other instances.
+    pub stream_notices: StreamNotices,
     /// Reads of the record of software versions for clients that resume streams.
     pub software_reads: SoftwareReads,
     /// Position up to which the saved streams were read.
@@ -149,6 +152,7 @@
     ) -> Rc<Self> {
         let feed_queries = FeedQueries::new(config.incarnation);
         let stream_queries = PendingQuestions::new(config.incarnation);
+        let stream_notices = StreamNotices::new(config.incarnation);
         let liveness = PendingQuestions::new(config.incarnation);
         let mut dispatcher = Dispatcher::new(config);
         dispatcher.software.require_record();
@@ -176,6 +180,7 @@
             feed_queries,
             liveness,
             stream_queries,
+            stream_notices,
             software_reads: SoftwareReads::default(),
             stream_log_reads: StreamLogReads::default(),
             peer_socket: OnceCell::new(),
--- a/crates/apricotwell_gateway/src/handler/versions.rs
+++ b/crates/apricotwell_gateway/src/handler/versions.rs
@@ -9,7 +9,7 @@
 
 use apricotwell_dispatch::prelude::*;
 use apricotwell_dispatch::software::{RecordedVersion, recorded_version};
-use apricotwell_dispatch::stream_memory::{StreamKey, known_stream};
+use apricotwell_dispatch::stream_memory::{BegunStream, StreamKey, UNNAMED, known_stream};
 use apricotwell_messages::StreamQuery;
 use apricotwell_types::{BodyDigest, Refusal, RefusalKind};
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -18,7 +18,7 @@
 use crate::adapter::Platform;
 use crate::events::Event;
 use crate::requests::Origin;
-use crate::{feeds, software, stream_log, stream_queries};
+use crate::{feeds, software, stream_log, stream_notices, stream_queries};
 
 /// Header with the version that a stream is bound to, in hexadecimal, between instances only.
 const SOFTWARE: HeaderName = HeaderName::from_static("apricotwell-software");
@@ -34,6 +34,8 @@
     pub has_delivered: bool,
     /// Whether this instance remembers the version for a resumption.
     pub is_remembered: bool,
+    // What it remembers and has not told to another instance.
+    untold: Vec<BegunStream>,
 }
 
 impl<P> RequestHandler<P>
@@ -127,7 +129,7 @@
                 .request
                 .resumes
                 .as_ref()
-                .map_or(0, |id| self.attempt_key(id)),
+                .map_or(UNNAMED, |id| self.attempt_key(id)),
             services: vec![service.to_string()],
         }
     }
@@ -155,16 +157,21 @@
         organisation.map_or("", |organisation| &*organisation.name)
     }
 
-    // Remembers the version of a stream for the case that its client resumes it.
-    fn remember(&self) {
+    // Remembers the version of a stream for the case that its client resumes it. Returns what is remembered.
+    fn remember(&self) -> Vec<BegunStream> {
         let first = self.request.resumes.as_ref();
         let attempt = self.attempt_key(first.unwrap_or(&self.request.attempt));
-        let version = &self.admission.bound;
         let now = self.gateway.now();
+        let streams = [self.request_key(), attempt].map(|key| BegunStream {
+            key,
+            version: self.admission.bound.clone(),
+            began: now,
+        });
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
-        for key in [self.request_key(), attempt] {
-            dispatcher.streams.record(now, key, version.clone());
+        for stream in streams.clone() {
+            dispatcher.streams.record(now, stream.key, stream.version);
         }
+        streams.into()
     }
 
     // Returns the service and the version that instances remember; they don't remember the service. `is_lossy` is
@@ -230,7 +237,24 @@
         }
         if !self.software.is_remembered && self.admission.route.kind.is_stream() {
             self.software.is_remembered = true;
-            self.remember();
+            self.software.untold = self.remember();
+        }
+    }
+
+    /// Tells another instance of a stream that has just begun, while a client that resumes it would need to know
+    /// its version. To be called before the client receives its first events.
+    pub async fn tell_stream(&mut self) {
+        let untold = std::mem::take(&mut self.software.untold);
+        // An instance that passed the request on tells of the stream itself.
+        let is_own = self.origin == Origin::Client;
+        if untold.is_empty() || !is_own || !self.admission.route.kind.is_repeatable() {
+            return;
+        }
+        if !stream_notices::tell(&self.gateway, &untold).await {
+            Event::new("stream_untold")
+                .with("request", self.request.attempt.as_str())
+                .with("software", self.admission.bound.as_deref())
+                .log();
         }
     }
 
--- a/crates/apricotwell_gateway/src/heartbeats.rs
+++ b/crates/apricotwell_gateway/src/heartbeats.rs
@@ -14,7 +14,7 @@
 use crate::adapter::Platform;
 use crate::events::Event;
 use crate::gateway::Gateway;
-use crate::{crash_checks, permits, stream_queries};
+use crate::{crash_checks, permits, stream_notices, stream_queries};
 
 /// Minimum interval between heartbeats sent because of a change.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(30);
@@ -273,6 +273,12 @@
         if let Some(answer) = datagram.stream_answer {
             gateway.stream_queries.deliver(answer.number, answer);
         }
+        if let Some(notice) = datagram.stream_notice {
+            stream_notices::receive(&gateway, &socket, sender, &notice).await;
+        }
+        if let Some(receipt) = datagram.stream_receipt {
+            gateway.stream_notices.deliver(&receipt);
+        }
         if let Some(request) = datagram.permit_request {
             permits::answer(&gateway, &socket, sender, &request).await;
         }
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -52,6 +52,7 @@
     crash_checks: Family<OutcomeLabels, Counter>,
     quarantine: Family<OutcomeLabels, Counter>,
     reach: Family<OutcomeLabels, Counter>,
+    stream_notices: Family<OutcomeLabels, Counter>,
     detours: Family<OutcomeLabels, Counter>,
     resumptions: Family<OutcomeLabels, Counter>,
     waiting: Gauge,
@@ -126,6 +127,12 @@
             "Services that became unreachable or reachable from this instance",
             reach.clone(),
         );
+        let stream_notices = Family::default();
+        registry.register(
+            "stream_notices",
+            "Begun streams that another instance was told of, by outcome",
+            stream_notices.clone(),
+        );
         let detours = Family::default();
         registry.register(
             "detours",
@@ -245,6 +252,7 @@
             crash_checks,
             quarantine,
             reach,
+            stream_notices,
             detours,
             resumptions,
             waiting,
@@ -322,6 +330,11 @@
         count(&self.reach, change);
     }
 
+    /// Counts a begun stream that another instance `received` notice of, or that is `unknown` to others.
+    pub fn count_stream_notice(&self, outcome: &str) {
+        count(&self.stream_notices, outcome);
+    }
+
     /// Counts a request that was passed on to another instance, by outcome.
     pub fn count_detour(&self, outcome: &str) {
         count(&self.detours, outcome);
--- a/crates/apricotwell_gateway/src/stream_queries.rs
+++ b/crates/apricotwell_gateway/src/stream_queries.rs
@@ -14,7 +14,7 @@
 
 /// Largest number of other instances that are asked. More would need more than an instance may send
 /// where many clients resume streams.
-const MAX_ASKED: usize = 16;
+pub(crate) const MAX_ASKED: usize = 16;
 /// Time limit for the answer to one question.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Questions to one instance; one datagram may be lost.
--- a/crates/apricotwell_messages/src/feeds.rs
+++ b/crates/apricotwell_messages/src/feeds.rs
@@ -5,7 +5,7 @@
 
 use crate::heartbeat::{Heartbeat, HeldModel, InventoryUpdate};
 use crate::permits::{PermitRequest, PermitResponse};
-use crate::software::{StreamAnswer, StreamQuery};
+use crate::software::{StreamAnswer, StreamNotice, StreamQuery, StreamReceipt};
 
 /// Query for the changes on a feed after an offset.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -155,4 +155,10 @@
     /// Answer to such a question.
     #[prost(message, optional, tag = "10")]
     pub stream_answer: Option<StreamAnswer>,
+    /// Notice of streams that are about to be delivered.
+    #[prost(message, optional, tag = "11")]
+    pub stream_notice: Option<StreamNotice>,
+    /// Receipt of such a notice.
+    #[prost(message, optional, tag = "12")]
+    pub stream_receipt: Option<StreamReceipt>,
 }
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -39,7 +39,8 @@
 pub use member_update::MemberUpdate;
 pub use permits::{PermitRequest, PermitResponse, ServerLimit};
 pub use software::{
-    LeavingVersion, SoftwareRecord, StreamAnswer, StreamBatch, StreamQuery, VersionStreams,
+    LeavingVersion, SoftwareRecord, StreamAnswer, StreamBatch, StreamNotice, StreamQuery,
+    StreamReceipt, VersionStreams,
 };
 pub use tokens::{BucketState, GrantBalance, TokenGrant, TokenRequest};
 
--- a/crates/apricotwell_messages/src/software.rs
+++ b/crates/apricotwell_messages/src/software.rs
@@ -92,3 +92,22 @@
     #[prost(message, repeated, tag = "1")]
     pub versions: Vec<VersionStreams>,
 }
+
+/// Notice of streams whose first events the sender is about to deliver, for the receiver to remember.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StreamNotice {
+    /// Number that the receipt repeats.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The streams.
+    #[prost(message, optional, tag = "2")]
+    pub streams: Option<StreamBatch>,
+}
+
+/// Receipt of a [`StreamNotice`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StreamReceipt {
+    /// Number of the notice.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+}
