--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -12,6 +12,7 @@
 use crate::evacuation::EvacuationTable;
 use crate::model::{Inventory, ModelName, RequestedModel};
 use crate::prompt_lanes::lane_rank;
+use crate::returned_servers::ReturnedServers;
 use crate::software::SoftwareVersion;
 
 /// Weight of a new outcome in the moving average of a server's failure rate.
@@ -130,6 +131,8 @@
     failure_rate_at: Instant,
     // When a server that was removed from the list is no longer used.
     expires_at: Option<Instant>,
+    // Whether its entry has come back after a removal, and may have been written before it.
+    is_held: bool,
 }
 
 impl Backend {
@@ -151,12 +154,13 @@
             failure_rate: 0.0,
             failure_rate_at: now,
             expires_at: None,
+            is_held: false,
         }
     }
 
     /// Returns whether the server itself accepts new requests; see [`BackendTable::is_usable`].
     pub fn is_available(&self, now: Instant) -> bool {
-        !self.entry.draining && self.expires_at.is_none_or(|expiry| now < expiry)
+        !self.entry.draining && !self.is_held && self.expires_at.is_none_or(|expiry| now < expiry)
     }
 
     /// Returns whether the lease holder is about to unload a model.
@@ -217,11 +221,22 @@
 pub struct BackendTable {
     servers: Map<ServerId, Backend>,
     order: EntryOrder,
+    returned: ReturnedServers,
+    // Whether servers appear in the list that have run for some time.
+    expects_servers: bool,
     /// Zones whose servers get no new requests.
     pub evacuations: EvacuationTable,
 }
 
 impl BackendTable {
+    /// Returns an empty table of servers that renew their entries each `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        Self {
+            returned: ReturnedServers::new(heartbeat),
+            ..Self::default()
+        }
+    }
+
     /// Returns a server.
     pub fn get(&self, id: &str) -> Option<&Backend> {
         self.servers.get(id)
@@ -253,11 +268,12 @@
     }
 
     /// Returns the state of a server for log records: `ready`, `draining`, `kept` for a removed server
-    /// that is still used, `removed` or `unknown`.
+    /// that is still used, `held` for one that came back and is not used yet, `removed` or `unknown`.
     pub fn state_name(&self, now: Instant, id: &str) -> &'static str {
         match self.servers.get(id) {
             None => "unknown",
             Some(server) if server.entry.draining => "draining",
+            Some(server) if server.is_held && server.expires_at.is_none() => "held",
             Some(server) if !server.is_available(now) => "removed",
             Some(server) if server.expires_at.is_some() => "kept",
             Some(_) => "ready",
@@ -292,9 +308,16 @@
             return;
         }
         self.order.record(now, &entry);
+        let known = self.servers.get(&entry.id);
+        let is_listed = known.is_some_and(|server| server.expires_at.is_none());
+        let is_expected = self.expects_servers;
+        let is_held = self
+            .returned
+            .record_entry(now, &entry, is_listed, is_expected);
         let Some(server) = self.servers.get_mut(&entry.id) else {
-            self.servers
-                .insert(entry.id.clone(), Backend::new(now, entry));
+            let mut server = Backend::new(now, entry);
+            server.is_held = is_held;
+            self.servers.insert(server.entry.id.clone(), server);
             return;
         };
         let restarted = entry.started_ms != server.entry.started_ms;
@@ -304,9 +327,11 @@
             *server = Backend::new(now, entry);
             server.own_requests = own;
             server.load = load;
+            server.is_held = is_held;
             return;
         }
         server.expires_at = None;
+        server.is_held = is_held;
         let has_inventory = server
             .inventory_at
             .is_some_and(|at| now.saturating_duration_since(at) < INVENTORY_LIFETIME);
@@ -334,13 +359,39 @@
     pub fn mark_removed(&mut self, now: Instant, id: &str, keep: Option<Duration>) {
         self.order.record_removal(now, id);
         if let Some(server) = self.servers.get_mut(id) {
+            let (id, started_ms) = (&server.entry.id, server.entry.started_ms);
+            self.returned
+                .record_removal(now, id, started_ms, keep.is_some());
             server.expires_at = Some(now + keep.unwrap_or_default());
         }
     }
 
+    /// Sets whether servers may appear in the list that have run for some time, since it is read anew or the
+    /// store was away.
+    pub fn expect_servers(&mut self, is_expected: bool) {
+        self.expects_servers = is_expected;
+    }
+
+    /// Records that the list was complete up to `at`; returns the servers that came back and are used from now on.
+    pub fn confirm_list(&mut self, at: Instant) -> Vec<ServerId> {
+        let released = self.returned.confirm(at);
+        for id in &released {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.is_held = false;
+            }
+        }
+        released
+    }
+
+    /// Records that the store has come back from an outage.
+    pub fn record_store_return(&mut self, now: Instant) {
+        self.returned.record_return(now);
+    }
+
     /// Drops removed servers without requests in flight, and outdated inventories.
     pub fn expire(&mut self, now: Instant) {
         self.order.expire(now);
+        self.returned.expire(now);
         self.servers.retain(|_, server| {
             server.own_requests > 0 || server.expires_at.is_none_or(|expiry| now < expiry)
         });
--- a/crates/apricotwell_dispatch/src/dispatcher.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher.rs
@@ -71,6 +71,8 @@
     pub revocation_bound: Duration,
     /// Times within which changes of the feeds must be in force.
     pub change_bounds: ChangeBounds,
+    /// Interval at which servers renew their list entries.
+    pub server_heartbeat: Duration,
     /// Permitted excess over the quotas.
     pub quota: QuotaBounds,
     /// Permitted number of retries.
@@ -201,7 +203,7 @@
             catalog: None,
             freshness: Freshness::new(config.revocation_bound),
             feeds: FeedViews::new(config.change_bounds),
-            backends: BackendTable::default(),
+            backends: BackendTable::new(config.server_heartbeat),
             crashes: SharedQuarantine::default(),
             reach: ReachTable::default(),
             limited: LimitedServers::new(config.incarnation),
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod reach;
 pub mod request;
 pub mod retries;
+pub mod returned_servers;
 pub mod run_times;
 pub mod saved_streams;
 pub mod software;
--- a/crates/apricotwell_dispatch/src/outages.rs
+++ b/crates/apricotwell_dispatch/src/outages.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Returns when the store last came back, while servers' entries may still come back with it.
+    pub fn returned_at(&self, now: Instant) -> Option<Instant> {
+        let last_return = self.last_return.as_ref()?;
+        (now < last_return.at + REJOIN_TIME).then_some(last_return.at)
+    }
+
     /// Returns how long a server that is removed now is still used; `None` if it has not lapsed in an
     /// outage.
     pub fn removal_grace(&self, now: Instant, server: &str) -> Option<Duration> {
--- a/crates/apricotwell_dispatch/tests/support/config.rs
+++ b/crates/apricotwell_dispatch/tests/support/config.rs
@@ -21,6 +21,7 @@
             configuration: Duration::from_secs(2),
             servers: Duration::from_secs(2),
         },
+        server_heartbeat: Duration::from_millis(1200),
         quota: QuotaBounds {
             window: Duration::from_secs(8),
             excess: 0.1,
--- a/crates/apricotwell_gateway/src/feeds.rs
+++ b/crates/apricotwell_gateway/src/feeds.rs
@@ -21,7 +21,7 @@
 mod quotas;
 mod reads;
 
-use entries::{log_entry, log_outdated};
+use entries::{confirm_list, log_entry, log_held, log_outdated};
 use quotas::log_quota_changes;
 
 /// Step of the linear retry backoff, from the second consecutive failure on. The first retry is
@@ -251,7 +251,7 @@
         });
         // What this instance knows already may be older than its newest entries.
         let records = records.filter(|(offset, _)| *offset > from);
-        self.apply(confirmed_at, next, records.collect());
+        self.apply(confirmed_at, next, records.collect(), false);
         self.record_source(FeedSource::Peer(peer.clone()));
         Some(match confirmed_at {
             Some(_) => UpdateExtent::Complete,
@@ -410,7 +410,7 @@
         let known = from.and(self.next).unwrap_or_default();
         let records = offsets.zip(page.records);
         let records = records.filter(|(offset, _)| *offset > known);
-        self.apply(confirmed_at, page.next, records.collect());
+        self.apply(confirmed_at, page.next, records.collect(), from.is_none());
     }
 
     // Records that configurations before the newest one were not read, whose routes streams may have begun on.
@@ -428,16 +428,24 @@
         dispatcher.former_routes.record_gap(now);
     }
 
-    // Applies records with the offsets up to which the feed is known with them; `next` is that of all.
+    // Applies records with the offsets up to which the feed is known with them; `next` is that of all. `is_anew` states
+    // whether these are the newest records of all keys.
     fn apply(
         &mut self,
         confirmed_at: Option<Instant>,
         next: Offset,
         records: Vec<(Offset, FeedRecord)>,
+        is_anew: bool,
     ) {
+        let now = self.gateway.now();
         self.next = Some(next);
-        self.position.advance(self.gateway.now(), next);
+        self.position.advance(now, next);
         self.has_changed |= !records.is_empty();
+        if self.feed == Feed::Servers {
+            let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+            let is_expected = is_anew || dispatcher.feeds.outages.returned_at(now).is_some();
+            dispatcher.backends.expect_servers(is_expected);
+        }
         for (offset, record) in records {
             self.apply_record(offset, record);
         }
@@ -445,6 +453,9 @@
         let Some(confirmed_at) = confirmed_at else {
             return;
         };
+        if self.feed == Feed::Servers {
+            self.has_changed |= confirm_list(&self.gateway, confirmed_at);
+        }
         self.announce_changes();
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
         dispatcher
@@ -534,7 +545,10 @@
                     let change = ServerListChange::Entry(entry.clone());
                     dispatcher.feeds.record_change(offset, &change);
                 }
+                let former_state = dispatcher.backends.state_name(now, &entry.id);
+                let id = entry.id.clone();
                 dispatcher.apply_entry(now, *entry);
+                log_held(&dispatcher.backends, now, &id, former_state);
             }
             FeedRecord::Removed(id) => {
                 let former = dispatcher.backends.get(&id).map(|server| &server.entry);
@@ -581,7 +595,12 @@
     fn record_seen(&self, at: Instant) {
         let now = self.gateway.now();
         let mut dispatcher = self.gateway.dispatcher.borrow_mut();
+        let known = dispatcher.feeds.outages.returned_at(now);
         dispatcher.feeds.record_seen(now, at);
+        let returned = dispatcher.feeds.outages.returned_at(now);
+        if returned.is_some() && returned != known {
+            dispatcher.backends.record_store_return(now);
+        }
     }
 
     fn record_failure(&mut self, start: Instant, error: &StoreError) {
--- a/crates/apricotwell_gateway/src/feeds/entries.rs
+++ b/crates/apricotwell_gateway/src/feeds/entries.rs
@@ -4,9 +4,11 @@
 
 use apricotwell_dispatch::entry_order::KnownProcess;
 use apricotwell_dispatch::prelude::*;
-use apricotwell_types::Offset;
+use apricotwell_types::{Offset, ServerId};
 
+use crate::adapter::Platform;
 use crate::events::Event;
+use crate::gateway::Gateway;
 
 fn same_models(one: &Inventory, other: &Inventory) -> bool {
     one.models.len() == other.models.len()
@@ -62,3 +64,29 @@
             .log();
     }
 }
+
+// Logs that a server whose entry was just applied is held back from now on.
+pub(super) fn log_held(known: &BackendTable, now: Instant, server: &ServerId, former_state: &str) {
+    if former_state == "held" || known.state_name(now, server) != "held" {
+        return;
+    }
+    Event::new("server_held")
+        .with("server", &**server)
+        .with("former_state", former_state)
+        .log();
+}
+
+// Records up to when the list is complete; returns whether servers that came back are used from now on.
+pub(super) fn confirm_list<P>(gateway: &Gateway<P>, confirmed_at: Instant) -> bool
+where
+    P: Platform,
+{
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    let released = dispatcher.backends.confirm_list(confirmed_at);
+    for server in &released {
+        Event::new("server_released")
+            .with("server", &**server)
+            .log();
+    }
+    !released.is_empty()
+}
