--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use apricotwell_messages::{ServerInventory, ServerUse, SlowServer};
+use apricotwell_messages::{LeavingServer, ServerInventory, ServerUse, SlowServer};
 use apricotwell_types::{Fence, InstanceId, Map, ServerId, ZoneId};
 
 use crate::catalog::ServiceId;
 use crate::engine_load::ServerLoad;
 use crate::entry_order::{EntryOrder, KnownProcess};
 use crate::evacuation::EvacuationTable;
+use crate::leaving_servers::LeavingServers;
 use crate::model::{Inventory, ModelName, RequestedModel};
 use crate::prompt_lanes::lane_rank;
 use crate::returned_servers::ReturnedServers;
@@ -133,6 +134,8 @@
     expires_at: Option<Instant>,
     // Whether its entry has come back after a removal, and may have been written before it.
     is_held: bool,
+    // Whether its process said in an answer that it leaves.
+    is_going: bool,
 }
 
 impl Backend {
@@ -155,12 +158,14 @@
             failure_rate_at: now,
             expires_at: None,
             is_held: false,
+            is_going: false,
         }
     }
 
     /// Returns whether the server itself accepts new requests; see [`BackendTable::is_usable`].
     pub fn is_available(&self, now: Instant) -> bool {
-        !self.entry.draining && !self.is_held && self.expires_at.is_none_or(|expiry| now < expiry)
+        let is_leaving = self.entry.draining || self.is_going;
+        !is_leaving && !self.is_held && self.expires_at.is_none_or(|expiry| now < expiry)
     }
 
     /// Returns whether the lease holder is about to unload a model.
@@ -222,6 +227,7 @@
     servers: Map<ServerId, Backend>,
     order: EntryOrder,
     returned: ReturnedServers,
+    leaving: LeavingServers,
     // Whether servers appear in the list that have run for some time.
     expects_servers: bool,
     /// Zones whose servers get no new requests.
@@ -268,12 +274,14 @@
     }
 
     /// Returns the state of a server for log records: `ready`, `draining`, `kept` for a removed server
-    /// that is still used, `held` for one that came back and is not used yet, `removed` or `unknown`.
+    /// that is still used, `held` for one that came back and is not used yet, `leaving` for one that said so in
+    /// an answer, `removed` or `unknown`.
     pub fn state_name(&self, now: Instant, id: &str) -> &'static str {
         match self.servers.get(id) {
             None => "unknown",
             Some(server) if server.entry.draining => "draining",
             Some(server) if server.is_held && server.expires_at.is_none() => "held",
+            Some(server) if server.is_going && server.expires_at.is_none() => "leaving",
             Some(server) if !server.is_available(now) => "removed",
             Some(server) if server.expires_at.is_some() => "kept",
             Some(_) => "ready",
@@ -314,9 +322,11 @@
         let is_held = self
             .returned
             .record_entry(now, &entry, is_listed, is_expected);
+        let is_going = self.leaving.contains(&entry.id, entry.started_ms);
         let Some(server) = self.servers.get_mut(&entry.id) else {
             let mut server = Backend::new(now, entry);
             server.is_held = is_held;
+            server.is_going = is_going;
             self.servers.insert(server.entry.id.clone(), server);
             return;
         };
@@ -328,6 +338,7 @@
             server.own_requests = own;
             server.load = load;
             server.is_held = is_held;
+            server.is_going = is_going;
             return;
         }
         server.expires_at = None;
@@ -383,6 +394,32 @@
         released
     }
 
+    /// Records that a server's process said that it leaves: to this instance, or to another one if `is_heard`.
+    /// Returns whether that is the known process, and was unknown.
+    pub fn record_leaving(
+        &mut self,
+        now: Instant,
+        id: &str,
+        started_ms: u64,
+        is_heard: bool,
+    ) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        // A late answer of a former process says nothing of its successor.
+        if server.entry.started_ms != started_ms {
+            return false;
+        }
+        server.is_going = true;
+        self.leaving
+            .record(now, &server.entry.id, started_ms, is_heard)
+    }
+
+    /// Returns the servers that said to this instance within `time` that they leave.
+    pub fn recently_leaving(&self, now: Instant, time: Duration) -> Vec<LeavingServer> {
+        self.leaving.recent(now, time)
+    }
+
     /// Records that the store has come back from an outage.
     pub fn record_store_return(&mut self, now: Instant) {
         self.returned.record_return(now);
@@ -395,6 +432,9 @@
         self.servers.retain(|_, server| {
             server.own_requests > 0 || server.expires_at.is_none_or(|expiry| now < expiry)
         });
+        let servers = &self.servers;
+        self.leaving
+            .expire(now, |server| servers.contains_key(server));
         let is_old = |at: Instant| now.saturating_duration_since(at) >= INVENTORY_LIFETIME;
         for server in self.servers.values_mut() {
             // Without a recent inventory the list entry applies.
--- a/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/messaging.rs
@@ -54,6 +54,9 @@
                 .map(|service| service.to_string())
                 .collect(),
             knows_eras: true,
+            leaving: self
+                .backends
+                .recently_leaving(now, self.limit_report_time()),
         }
     }
 
@@ -91,6 +94,10 @@
         for limit in &heartbeat.limits {
             self.limited.limits.apply_limit(now, limit);
         }
+        for leaving in &heartbeat.leaving {
+            let (server, started_ms) = (&leaving.server, leaving.started_ms);
+            self.backends.record_leaving(now, server, started_ms, true);
+        }
         Some(conflict)
     }
 
--- a/crates/apricotwell_dispatch/src/dispatcher/permits.rs
+++ b/crates/apricotwell_dispatch/src/dispatcher/permits.rs
@@ -10,7 +10,7 @@
 use super::{Admission, Dispatcher, hash};
 use crate::peers::{PeerTable, heartbeat_interval};
 
-/// Heartbeat intervals for which a changed limit is reported.
+/// Heartbeat intervals for which a changed limit or a server that leaves is reported.
 const REPORTED_INTERVALS: u32 = 3;
 /// Interval per instance of the fleet at which an instance uses a limited server although others
 /// can run its requests, to learn whether the limit still holds.
@@ -55,7 +55,7 @@
 }
 
 impl Dispatcher {
-    /// Returns the time for which the heartbeats report a changed limit.
+    /// Returns the time for which the heartbeats report a changed limit or a server that leaves.
     pub(super) fn limit_report_time(&self) -> Duration {
         heartbeat_interval(self.peers.possible_count() as u32) * REPORTED_INTERVALS
     }
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod inventory_updates;
 pub mod lease;
 pub mod lease_log;
+pub mod leaving_servers;
 pub mod load_notices;
 pub mod log_position;
 pub mod model;
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -54,6 +54,8 @@
     pub is_sealed: bool,
     /// Requests per second that the server accepts from all instances together, if it names a limit.
     pub rate_limit: Option<RequestRate>,
+    /// Whether the server states that it leaves.
+    pub is_leaving: bool,
 }
 
 impl ResponseHead {
@@ -317,14 +319,23 @@
     ) -> impl Future<Output = Result<ClaimReceipt, StoreError>>;
 }
 
+/// What a server answered to a call that is no client's request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineAnswer<T> {
+    /// The answer.
+    pub value: T,
+    /// Whether the server states in it that it leaves.
+    pub is_leaving: bool,
+}
+
 /// Client of the model engines on servers.
 pub trait EngineClient: 'static {
-    /// Requests a server's report; returns `None` if there is no valid response.
+    /// Requests a server's report; its value is `None` if there is no valid response.
     fn report(
         &self,
         address: SocketAddr,
         server: &ServerId,
-    ) -> impl Future<Output = Option<StatusReport>>;
+    ) -> impl Future<Output = EngineAnswer<Option<StatusReport>>>;
 
     /// Sends an order to a server, with the lease holder and its fencing token.
     fn order(
@@ -333,5 +344,5 @@
         order: &apricotwell_dispatch::placement::Order,
         holder: &str,
         fence: Fence,
-    ) -> impl Future<Output = OrderReply>;
+    ) -> impl Future<Output = EngineAnswer<OrderReply>>;
 }
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -28,6 +28,7 @@
 use crate::events::Event;
 use crate::gateway::Gateway;
 use crate::guard::{ActiveGuard, FlightGuard};
+use crate::leaving::{self, ServerProcess};
 use crate::reach;
 use crate::requests::{BufferedBody, Origin};
 use crate::trace::{ReceivedBody, ResponseTrace};
@@ -289,6 +290,7 @@
         last_event: Option<u64>,
     ) -> AttemptOutcome<P> {
         let server = &destination.id;
+        let process = ServerProcess::of(&self.gateway, server);
         self.record_sent(server);
         let tokens = self.record_prompt(server);
         let load = self.request_load(tokens);
@@ -329,7 +331,7 @@
         };
         let response = pool.send_while(address, server_request, reuse, connect_timeout, may_send);
         let result = self.await_head(server, response).await;
-        self.classify_response(result, destination, flight)
+        self.classify_response(result, destination, process.as_ref(), flight)
     }
 
     // Records that the server receives the prompt; returns the prompt tokens not yet in its cache.
@@ -354,6 +356,7 @@
         &mut self,
         result: Result<Result<StreamingResponse, SendError>, LateHead>,
         destination: &Destination,
+        process: Option<&ServerProcess>,
         flight: FlightGuard<P>,
     ) -> AttemptOutcome<P> {
         let response = match result {
@@ -395,6 +398,10 @@
             self.record_rejection(&flight.server);
             return AttemptOutcome::NotRun("misdirected".to_owned());
         }
+        // One that is misdirected may come from another server.
+        if let (true, Some(process)) = (head.is_leaving, process) {
+            leaving::record(&self.gateway, process);
+        }
         // Only an answer of the server itself says that a limit no longer holds.
         if head.rate_limit.is_some() || (head.matches_attempt && head.is_sealed) {
             self.record_limit(&flight.server, head.rate_limit);
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod guard;
 pub mod handler;
 pub mod heartbeats;
+pub mod leaving;
 pub mod liveness;
 pub mod load_notices;
 pub mod membership;
@@ -44,8 +45,8 @@
 /// Re-exports of the most commonly used types and traits.
 pub mod prelude {
     pub use crate::adapter::{
-        Attempt, ClientProtocol, EngineClient, FeedPage, FeedRecord, Membership, Platform,
-        ResponseHead, SoftwarePage, Store, StoreError, StreamPage, Transfer,
+        Attempt, ClientProtocol, EngineAnswer, EngineClient, FeedPage, FeedRecord, Membership,
+        Platform, ResponseHead, SoftwarePage, Store, StoreError, StreamPage, Transfer,
     };
     pub use crate::era_watch::EraWatch;
     pub use crate::events::Event;
--- a/crates/apricotwell_gateway/src/placement.rs
+++ b/crates/apricotwell_gateway/src/placement.rs
@@ -7,9 +7,10 @@
 use apricotwell_dispatch::prelude::*;
 use apricotwell_types::{Fence, ServerId};
 
-use crate::adapter::{EngineClient, Platform};
+use crate::adapter::{EngineAnswer, EngineClient, Platform};
 use crate::events::Event;
 use crate::gateway::Gateway;
+use crate::leaving::{self, ServerProcess};
 
 /// Maximum interval between plans, applied when nothing changes.
 const MAX_PLAN_INTERVAL: Duration = Duration::from_millis(200);
@@ -101,8 +102,12 @@
             .get(&server)
             .map(|server| server.entry.address)
     };
+    let process = ServerProcess::of(&gateway, &server);
     let report = match address {
-        Some(address) => gateway.engines.report(address, &server).await,
+        Some(address) => {
+            let answer = gateway.engines.report(address, &server).await;
+            take_answer(&gateway, process.as_ref(), answer)
+        }
         None => None,
     };
     let now = gateway.now();
@@ -115,6 +120,21 @@
     notify_inventory(&gateway);
 }
 
+// Returns the value of an answer, and records whether its server leaves.
+fn take_answer<P, T>(
+    gateway: &Gateway<P>,
+    process: Option<&ServerProcess>,
+    answer: EngineAnswer<T>,
+) -> T
+where
+    P: Platform,
+{
+    if let (true, Some(process)) = (answer.is_leaving, process) {
+        leaving::record(gateway, process);
+    }
+    answer.value
+}
+
 // Sends an order, unless the lease was lost since it was planned, and applies the reply.
 async fn send_order<P>(gateway: Rc<Gateway<P>>, order: Order, fence: Fence)
 where
@@ -129,8 +149,12 @@
             .filter(|_| is_current)
             .map(|server| (server.entry.address, dispatcher.config.id.clone()))
     };
+    let process = ServerProcess::of(&gateway, &order.server);
     let reply = match target {
-        Some((address, holder)) => gateway.engines.order(address, &order, &holder, fence).await,
+        Some((address, holder)) => {
+            let answer = gateway.engines.order(address, &order, &holder, fence).await;
+            take_answer(&gateway, process.as_ref(), answer)
+        }
         None => OrderReply::Refused,
     };
     let now = gateway.now();
--- a/crates/apricotwell_messages/src/heartbeat.rs
+++ b/crates/apricotwell_messages/src/heartbeat.rs
@@ -34,6 +34,17 @@
     pub hundredths: u32,
 }
 
+/// Process of a backend server that said in an answer that it leaves.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LeavingServer {
+    /// Backend server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Start of its process, in milliseconds since the epoch.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+}
+
 /// Work of model engines for the recent requests of one instance to one service.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PromptWork {
@@ -227,6 +238,9 @@
     /// Whether the sender's fencing tokens follow the eras of the store; earlier builds don't send this.
     #[prost(bool, tag = "18")]
     pub knows_eras: bool,
+    /// Servers that recently said to the sender that they leave; earlier builds ignore them.
+    #[prost(message, repeated, tag = "19")]
+    pub leaving: Vec<LeavingServer>,
 }
 
 /// Tokens that one organisation spent at all instances in the last window.
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -32,8 +32,8 @@
 };
 pub use feeds::{Datagram, FeedQuery, FeedResponse, Liveness, ServerChange, ServerEntry};
 pub use heartbeat::{
-    FleetSpending, FleetState, Heartbeat, HeldModel, InventoryUpdate, ModelRun, ModelUse,
-    OrganisationSpending, PromptWork, ServerInventory, ServerUse, SlowServer, Spending,
+    FleetSpending, FleetState, Heartbeat, HeldModel, InventoryUpdate, LeavingServer, ModelRun,
+    ModelUse, OrganisationSpending, PromptWork, ServerInventory, ServerUse, SlowServer, Spending,
     SpendingRefund,
 };
 pub use member_update::MemberUpdate;
