--- a/crates/apricotwell_adapters/src/engine.rs
+++ b/crates/apricotwell_adapters/src/engine.rs
@@ -115,7 +115,7 @@
         let (status, reply) = match self.call(Method::POST, (address, "/orders"), body).await {
             Ok(reply) => reply,
             Err(SendError::Unsent(_)) => return OrderOutcome::Failed,
-            Err(SendError::Lost(_)) => return OrderOutcome::Unknown,
+            Err(SendError::Lost(_) | SendError::Invalid(_)) => return OrderOutcome::Unknown,
         };
         if status != StatusCode::OK && !status.is_client_error() {
             return OrderOutcome::Unknown;
--- a/crates/apricotwell_adapters/src/log_store.rs
+++ b/crates/apricotwell_adapters/src/log_store.rs
@@ -122,7 +122,7 @@
         let (status, body) = match self.call(Method::POST, &path(stream), body).await {
             Ok(reply) => reply,
             Err(SendError::Unsent(_)) => return Err(AppendError::NotAppended),
-            Err(SendError::Lost(_)) => return Err(AppendError::Unknown),
+            Err(SendError::Lost(_) | SendError::Invalid(_)) => return Err(AppendError::Unknown),
         };
         match status {
             StatusCode::OK => serde_json::from_slice::<AppendReply>(&body)
--- a/crates/apricotwell_entry/src/relay.rs
+++ b/crates/apricotwell_entry/src/relay.rs
@@ -220,7 +220,9 @@
     match timeout(limit, connections.0.send(address, request, reuse)).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(SendError::Unsent(_))) => Err(unsent),
-        Ok(Err(SendError::Lost(_))) => Err(AttemptOutcome::Disconnected { partial: false }),
+        Ok(Err(SendError::Lost(_) | SendError::Invalid(_))) => {
+            Err(AttemptOutcome::Disconnected { partial: false })
+        }
         Err(_) => Err(AttemptOutcome::Stalled { partial: false }),
     }
 }
--- a/crates/apricotwell_gateway/src/handler.rs
+++ b/crates/apricotwell_gateway/src/handler.rs
@@ -375,6 +375,12 @@
                 self.check_close(&flight.server);
                 return AttemptOutcome::Lost(reason);
             }
+            Ok(Err(SendError::Invalid(reason))) => {
+                // The server took the connection, and answers after all.
+                self.runs += 1;
+                flight.record_outcome(true);
+                return AttemptOutcome::Lost(reason);
+            }
             Err(late) => {
                 self.runs += 1;
                 flight.record_outcome(true);
--- a/crates/apricotwell_gateway/src/handler/detours.rs
+++ b/crates/apricotwell_gateway/src/handler/detours.rs
@@ -143,7 +143,7 @@
         let outcome = match result {
             Ok(Ok(response)) => self.classify_forwarded(response, flight),
             Ok(Err(SendError::Unsent(reason))) => AttemptOutcome::Unsent(reason),
-            Ok(Err(SendError::Lost(reason))) => {
+            Ok(Err(SendError::Lost(reason) | SendError::Invalid(reason))) => {
                 self.runs += 1;
                 AttemptOutcome::Lost(reason)
             }
--- a/crates/apricotwell_http/src/pool.rs
+++ b/crates/apricotwell_http/src/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -46,6 +47,11 @@
 /// Size limit of the read buffer of one connection.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
+/// Statuses that end a request: others are interim (RFC 9110, section 15), of no class, or answer an upgrade, which
+/// no request asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+/// Error text of a response with another status.
+const NOT_FINAL: &str = "the status is none that ends a request";
 /// Error text of a response whose head was received together with that of another one.
 const JOINED: &str = "the head holds parts of two responses";
 
@@ -68,6 +74,19 @@
     Unsent(String),
     /// The request was sent at least in part, but no response was received.
     Lost(String),
+    /// The server sent bytes that are no response, or one whose status ends no request. It may have run the request.
+    Invalid(String),
+}
+
+impl SendError {
+    // Returns the error of a request that was sent.
+    fn after_sending(error: &hyper::Error) -> Self {
+        if error.is_parse() {
+            Self::Invalid(error.to_string())
+        } else {
+            Self::Lost(error.to_string())
+        }
+    }
 }
 
 impl fmt::Display for SendError {
@@ -75,6 +94,7 @@
         match self {
             Self::Unsent(text) => write!(f, "not sent: {text}; another server can be tried"),
             Self::Lost(text) => write!(f, "no response: {text}; the request may have run"),
+            Self::Invalid(text) => write!(f, "invalid response: {text}; the request may have run"),
         }
     }
 }
@@ -148,8 +168,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError::Lost`] if the server may have received the request, else
-    /// [`SendError::Unsent`].
+    /// Returns [`SendError::Unsent`] only if the server can't have received the request.
     pub async fn send(
         self: &Rc<Self>,
         address: SocketAddr,
@@ -205,7 +224,7 @@
                 }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::Lost(error.into_error().to_string())),
+                    None => return Err(SendError::after_sending(&error.into_error())),
                 },
             }
         }
@@ -224,11 +243,11 @@
             }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
-                let text = error.into_error().to_string();
+                let error = error.into_error();
                 Err(if unsent {
-                    SendError::Unsent(text)
+                    SendError::Unsent(error.to_string())
                 } else {
-                    SendError::Lost(text)
+                    SendError::after_sending(&error)
                 })
             }
         }
@@ -238,8 +257,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError::Lost`] if the server may have received the request, else
-    /// [`SendError::Unsent`].
+    /// Returns [`SendError::Unsent`] only if the server can't have received the request.
     pub async fn call(
         self: &Rc<Self>,
         address: SocketAddr,
@@ -353,6 +371,9 @@
         reuse: Reuse,
     ) -> Result<StreamingResponse, SendError> {
         let (head, body) = response.into_parts();
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            return Err(SendError::Invalid(NOT_FINAL.to_owned()));
+        }
         if is_joined(&head) {
             return Err(SendError::Lost(JOINED.to_owned()));
         }
--- a/crates/apricotwell_http/tests/pool.rs
+++ b/crates/apricotwell_http/tests/pool.rs
@@ -48,6 +48,45 @@
     });
 }
 
+#[test]
+fn response_without_a_final_status_is_none() {
+    actix::System::new().block_on(async {
+        for (status, is_response) in [
+            ("200", true),
+            ("599", true),
+            ("000", false),
+            ("101", false),
+            ("199", false),
+            ("600", false),
+            ("999", false),
+        ] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let pool = ConnectionPool::new();
+            let serve = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut request = [0; 1024];
+                assert!(stream.read(&mut request).await.unwrap() > 0);
+                let head = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n");
+                stream.write_all(head.as_bytes()).await.unwrap();
+                stream.shutdown().await.unwrap();
+            };
+            let request = Request::get("/").header("host", "x");
+            let request = request.body(Full::new(Bytes::new())).unwrap();
+            let calls = pool.call(address, request, Reuse::Any, 10);
+            let (result, ()) = tokio::join!(calls, serve);
+            match result {
+                Ok(_) => assert!(is_response, "{status}"),
+                // The server may have executed the call.
+                Err(error) => assert!(
+                    !is_response && !matches!(error, SendError::Unsent(_)),
+                    "{status}"
+                ),
+            }
+        }
+    });
+}
+
 #[test]
 fn connection_that_ended_a_response_is_never_used_again() {
     actix::System::new().block_on(async {
