Relay the reason phrase of statuses without a standard one

Clients saw <none> as the phrase of 299, 399 or 499: the phrase that the server chose was dropped, and the library writes that for a status that it does not know. The server's phrase is passed on now, as its status and body are. Test: valid_status_reaches_the_client_with_the_phrase_of_its_server (failed before).

--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -10,9 +10,10 @@
 use apricotwell_types::{Refusal, RefusalKind, RunOutcome};
 use bytes::Bytes;
 use futures_util::Stream;
-use http::{HeaderName, HeaderValue, Request, Response, request};
+use http::{HeaderName, HeaderValue, Request, Response, request, response};
 use http_body_util::{BodyExt, Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::ext::ReasonPhrase;
 
 use crate::adapter::{ClientProtocol, Platform};
 use crate::budget::{Budget, Reservation};
@@ -313,6 +314,7 @@
     let mut response = Response::new(());
     *response.status_mut() = server_response.head.status;
     *response.headers_mut() = P::ClientProtocol::relay_headers(&server_response.head.headers);
+    relay_phrase(&server_response.head, &mut response);
     response.headers_mut().remove(http::header::CONTENT_LENGTH);
     handler.name_version(response.headers_mut());
     ClientResponse::Stream(
@@ -321,6 +323,13 @@
     )
 }
 
+// Keeps the server's reason phrase, if it is not the standard one of the status.
+fn relay_phrase<B>(head: &response::Parts, response: &mut Response<B>) {
+    if let Some(phrase) = head.extensions.get::<ReasonPhrase>() {
+        response.extensions_mut().insert(phrase.clone());
+    }
+}
+
 // Collects a response and returns it for the client. The error is the refusal to send, or `None` if
 // another attempt is allowed.
 async fn complete_response<P>(
@@ -369,6 +378,7 @@
             let mut response = Response::new(body);
             *response.status_mut() = head.status;
             *response.headers_mut() = P::ClientProtocol::relay_headers(&head.headers);
+            relay_phrase(&head, &mut response);
             response.headers_mut().remove(http::header::CONTENT_LENGTH);
             return Ok(response);
         }
