--- a/crates/apricotwell_dispatch/src/backends.rs
+++ b/crates/apricotwell_dispatch/src/backends.rs
@@ -370,9 +370,8 @@
     pub fn mark_removed(&mut self, now: Instant, id: &str, keep: Option<Duration>) {
         self.order.record_removal(now, id);
         if let Some(server) = self.servers.get_mut(id) {
-            let (id, started_ms) = (&server.entry.id, server.entry.started_ms);
             self.returned
-                .record_removal(now, id, started_ms, keep.is_some());
+                .record_removal(now, &server.entry, keep.is_some());
             server.expires_at = Some(now + keep.unwrap_or_default());
         }
     }
--- a/crates/apricotwell_dispatch/src/returned_servers.rs
+++ b/crates/apricotwell_dispatch/src/returned_servers.rs
@@ -31,12 +31,22 @@
 #[derive(Clone, Copy, Debug)]
 struct Removal {
     at: Instant,
-    // Start time of the removed process.
+    // Start time of the removed process, and the number of its last entry.
     started_ms: u64,
+    number: Option<u64>,
     // Whether its entry lapsed in an outage of the store.
     is_lapse: bool,
 }
 
+impl Removal {
+    // Returns whether an entry may have been written before the removal and executed after it. One whose number was
+    // listed has been executed before, so it was written again.
+    fn may_precede(&self, entry: &BackendEntry) -> bool {
+        let is_listed = entry.number.is_some() && entry.number == self.number;
+        !self.is_lapse && self.started_ms == entry.started_ms && !is_listed
+    }
+}
+
 /// A server that is held back.
 #[derive(Clone, Copy, Debug)]
 struct Hold {
@@ -77,22 +87,17 @@
         }
     }
 
-    /// Records that a server's process was removed from the list; `is_lapse` states whether its entry lapsed in
-    /// an outage of the store.
-    pub fn record_removal(
-        &mut self,
-        now: Instant,
-        server: &ServerId,
-        started_ms: u64,
-        is_lapse: bool,
-    ) {
-        self.held.remove(server);
+    /// Records that a server with this last entry was removed from the list; `is_lapse` states whether the entry
+    /// lapsed in an outage of the store.
+    pub fn record_removal(&mut self, now: Instant, last: &BackendEntry, is_lapse: bool) {
+        self.held.remove(&last.id);
         let removal = Removal {
             at: now,
-            started_ms,
+            started_ms: last.started_ms,
+            number: last.number,
             is_lapse,
         };
-        self.removed.insert(server.clone(), removal);
+        self.removed.insert(last.id.clone(), removal);
     }
 
     /// Records an entry that is not outdated; returns whether its server is held back from now on.
@@ -120,8 +125,10 @@
         self.held.remove(&entry.id);
         let lapse_time = heartbeat * LAPSE_INTERVALS + LAPSE_MARGIN;
         let due = match self.removed.remove(&entry.id) {
-            Some(removal) if removal.is_lapse || removal.started_ms != entry.started_ms => None,
-            Some(removal) => Some((now + lapse_time).max(removal.at + LATE_SPREAD + lapse_time)),
+            Some(removal) if removal.may_precede(entry) => {
+                Some((now + lapse_time).max(removal.at + LATE_SPREAD + lapse_time))
+            }
+            Some(_) => None,
             // Its removal was not seen, but a new server's numbers begin anew.
             None => {
                 let is_new = entry.number.is_none_or(|number| number <= MAX_FIRST_NUMBER);
--- a/crates/apricotwell_dispatch/tests/returned_servers.rs
+++ b/crates/apricotwell_dispatch/tests/returned_servers.rs
@@ -146,6 +146,16 @@
     assert!(fixture.is_used());
 }
 
+#[test]
+fn server_whose_listed_entry_is_written_again_is_used_at_once() {
+    let mut fixture = Fixture::listed();
+    fixture.remove(None);
+    fixture.pass(Duration::from_millis(500));
+    // A write is executed once, so this is no late one.
+    fixture.write(1, 40);
+    assert!(fixture.is_used());
+}
+
 #[test]
 fn entry_outlasts_no_lapse_while_the_store_is_away() {
     let mut fixture = Fixture::listed();
