Vouch for the versions of a store that came back only after others could add theirs

Cause: an instance whose list was 450 ms old vouched for the record of the copy 3 ms after the drill, though another one had recorded a version in between; a vouched record with one version was believed, whatever was known of the attempt.

Change: an instance vouches 2 s after the era has changed. Within a stream's lifetime after a drill a named attempt is looked up beside a record with one version.

--- a/crates/apricotwell_dispatch/src/software.rs
+++ b/crates/apricotwell_dispatch/src/software.rs
@@ -30,6 +30,8 @@
 /// Time without a current list of servers after which an instance may have missed versions that began streams
 /// elsewhere.
 const MAX_BLIND_TIME: Duration = Duration::from_secs(10);
+/// Time after a change of the store's era in which other instances may still add what they know to the record.
+const VOUCH_DELAY: Duration = Duration::from_secs(2);
 /// Absence after which the record marks a version, so that the restart of its only server costs no
 /// append.
 const MARK_DELAY: Duration = Duration::from_secs(3);
@@ -101,6 +103,8 @@
     is_complete: bool,
     // Whether somebody has vouched for the record in this era, as far as it was read or appended.
     is_vouched: bool,
+    // When the era has changed, until the others had time to add what they know.
+    changed_at: Option<Instant>,
 }
 
 // What is known of a recorded version that may leave.
@@ -185,6 +189,8 @@
         // Streams from before the first read can't be resumed any longer.
         let is_old = |at: Instant| now.saturating_duration_since(at) >= lifetime;
         self.is_complete |= self.read_at.is_some_and(is_old);
+        let is_settled = |at: &Instant| now.saturating_duration_since(*at) >= VOUCH_DELAY;
+        self.changed_at = self.changed_at.filter(|at| !is_settled(at));
     }
 
     /// Records the era of the store; returns whether it has changed, so that the record may lack versions.
@@ -195,6 +201,7 @@
             return false;
         }
         self.owed = self.remembered(now, lifetime);
+        self.changed_at = Some(now);
         self.confirmed.clear();
         self.is_vouched = false;
         let was_blind = |at: Instant| now.saturating_duration_since(at) > MAX_BLIND_TIME;
@@ -210,10 +217,16 @@
 
     /// Returns whether this instance is to complete the record after the era has changed.
     pub fn needs_vouching(&self) -> bool {
-        let is_due = self.is_complete && self.read_at.is_some();
+        let is_due = self.may_vouch() && self.read_at.is_some();
         self.era.is_some() && !self.is_vouched && (is_due || !self.owed.is_empty())
     }
 
+    /// Returns whether this instance may vouch for the record: it knows all versions that may have begun streams,
+    /// except those that another one recorded just before the era changed, and that one had time to add them.
+    pub fn may_vouch(&self) -> bool {
+        self.is_complete && self.changed_at.is_none()
+    }
+
     /// Returns whether this instance knows all versions that may have begun streams.
     pub fn is_complete(&self) -> bool {
         self.is_complete
--- a/crates/apricotwell_dispatch/src/stream_memory.rs
+++ b/crates/apricotwell_dispatch/src/stream_memory.rs
@@ -254,12 +254,12 @@
     let known = || answers.iter().flatten();
     let by_attempt = merged(known().filter_map(|answer| answer.attempt_versions.as_ref()));
     if !by_attempt.is_empty() {
-        return only(by_attempt);
+        return only_version(by_attempt);
     }
     if !are_complete(answers) {
         return None;
     }
-    only(merged(known().flat_map(|answer| {
+    only_version(merged(known().flat_map(|answer| {
         let earlier = answer.earlier_versions.as_ref();
         answer.versions.iter().chain(earlier)
     })))
@@ -280,13 +280,11 @@
 ) -> Option<SoftwareVersion> {
     let known = || answers.iter().flatten();
     if query.attempt != UNNAMED {
-        let told = known().filter_map(|answer| answer.attempt_versions.as_ref());
-        let saved = saved.versions(query.attempt);
-        let versions: VersionSet = merged(told).into_iter().chain(saved).collect();
+        let versions = attempt_versions(answers, saved, query);
         return if versions.is_empty() {
             earlier_version(answers)
         } else {
-            only(versions)
+            only_version(versions)
         };
     }
     if has_reverted || known().any(|answer| answer.has_overflowed) {
@@ -297,7 +295,19 @@
         return remembered_version(answers);
     }
     let told = known().filter_map(|answer| answer.versions.as_ref());
-    only(merged(told).into_iter().chain(saved).collect())
+    only_version(merged(told).into_iter().chain(saved).collect())
+}
+
+/// Returns the versions at which the attempt that a client names began streams, as far as anyone knows.
+pub fn attempt_versions(
+    answers: &[Option<StreamAnswer>],
+    saved: &SavedStreams,
+    query: &StreamQuery,
+) -> VersionSet {
+    let known = answers.iter().flatten();
+    let told = known.filter_map(|answer| answer.attempt_versions.as_ref());
+    let saved = saved.versions(query.attempt).into_iter();
+    merged(told).into_iter().chain(saved).collect()
 }
 
 // Returns the version of a stream that no process of today began, `None` if there may be several.
@@ -306,7 +316,7 @@
         return None;
     }
     let known = answers.iter().flatten();
-    only(merged(known.filter_map(|it| it.earlier_versions.as_ref())))
+    only_version(merged(known.filter_map(|it| it.earlier_versions.as_ref())))
 }
 
 // Returns whether all instances answered, and no stream that began in their time can be missing.
@@ -323,7 +333,8 @@
     records.flat_map(decode_record).collect()
 }
 
-fn only(versions: VersionSet) -> Option<SoftwareVersion> {
+/// Returns the only one of these versions, `None` if there are several or it is unknown.
+pub fn only_version(versions: VersionSet) -> Option<SoftwareVersion> {
     let mut versions = versions.into_iter();
     let first = versions.next()?;
     match versions.next() {
--- a/crates/apricotwell_dispatch/tests/software.rs
+++ b/crates/apricotwell_dispatch/tests/software.rs
@@ -279,3 +279,18 @@
         assert_eq!(table.is_complete(), is_complete, "{blind:?}");
     }
 }
+
+#[test]
+fn instance_with_an_older_list_does_not_vouch_before_others_had_time_to_add_their_versions() {
+    // Another one recorded "2" just before the drill, which this one has not read.
+    let start = Instant::now();
+    let mut table = reader(start, 1, &vouched(&["1"], 1), &["1"]);
+    assert!(table.may_vouch());
+    table.observe_era(start + STEP, LIFETIME, Some(2));
+    table.apply_record(start + STEP, &vouched(&["1"], 1), &software(&["1"]));
+    assert!(table.is_complete() && !table.may_vouch() && !table.needs_vouching());
+    table.expire(start + STEP + Duration::from_millis(1900), LIFETIME);
+    assert!(!table.may_vouch());
+    table.expire(start + STEP + Duration::from_secs(2), LIFETIME);
+    assert!(table.may_vouch() && table.needs_vouching());
+}
--- a/crates/apricotwell_gateway/src/handler/versions.rs
+++ b/crates/apricotwell_gateway/src/handler/versions.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use apricotwell_dispatch::prelude::*;
-use apricotwell_dispatch::software::{RecordedVersion, recorded_version};
-use apricotwell_dispatch::stream_memory::{BegunStream, StreamKey, UNNAMED, known_stream};
-use apricotwell_messages::StreamQuery;
+use apricotwell_dispatch::software::{RecordedVersion, VersionSet, recorded_version};
+use apricotwell_dispatch::stream_memory::{
+    BegunStream, StreamKey, UNNAMED, attempt_versions, known_stream, only_version,
+};
+use apricotwell_messages::{StreamAnswer, StreamQuery};
 use apricotwell_types::{BodyDigest, Refusal, RefusalKind};
 use http::{HeaderMap, HeaderName, HeaderValue};
 
@@ -87,6 +89,16 @@
         };
         match version {
             RecordedVersion::Only(service, version) => {
+                let told = self.told_after_reversion(&service).await;
+                let version = if told.is_empty() {
+                    Some(version)
+                } else {
+                    only_version(told)
+                };
+                let Some(version) = version else {
+                    let reason = "the store may have lost the version that began it";
+                    return Err(self.refuse_resumption("several", reason));
+                };
                 self.bind(service, version);
                 Ok(())
             }
@@ -174,6 +186,33 @@
         streams.into()
     }
 
+    // Returns the versions that others know of the attempt, if the record may have lost some of them just now.
+    async fn told_after_reversion(&self, service: &ServiceId) -> VersionSet {
+        let lifetime = software::stream_lifetime(&self.gateway);
+        let now = self.gateway.now();
+        let query = self.stream_query(service);
+        let has_reverted = {
+            let dispatcher = self.gateway.dispatcher.borrow();
+            dispatcher.streams.has_reverted(now, lifetime)
+        };
+        if !has_reverted || query.attempt == UNNAMED {
+            return VersionSet::new();
+        }
+        let answers = self.ask(&query).await;
+        let dispatcher = self.gateway.dispatcher.borrow();
+        attempt_versions(&answers, &dispatcher.saved_streams, &query)
+    }
+
+    // Asks all instances, and reads what they saved.
+    async fn ask(&self, query: &StreamQuery) -> Vec<Option<StreamAnswer>> {
+        let answers = stream_queries::ask(&self.gateway, query).await;
+        // Without the log, what the instances remember may still be certain.
+        if let Err(error) = stream_log::read(&self.gateway).await {
+            log::info!("failed to read the saved streams: {error}");
+        }
+        answers
+    }
+
     // Returns the service and the version that instances remember; they don't remember the service. `is_lossy` is
     // whether the store has lost records that no instance is known to have written again.
     async fn remembered(
@@ -183,11 +222,7 @@
     ) -> Option<(ServiceId, SoftwareVersion)> {
         let service = services.first().filter(|_| services.len() == 1)?;
         let query = self.stream_query(service);
-        let answers = stream_queries::ask(&self.gateway, &query).await;
-        // Without the log, what the instances remember may still be certain.
-        if let Err(error) = stream_log::read(&self.gateway).await {
-            log::info!("failed to read the saved streams: {error}");
-        }
+        let answers = self.ask(&query).await;
         let lifetime = software::stream_lifetime(&self.gateway);
         let now = self.gateway.now();
         let dispatcher = self.gateway.dispatcher.borrow();
--- a/crates/apricotwell_gateway/src/software.rs
+++ b/crates/apricotwell_gateway/src/software.rs
@@ -265,7 +265,7 @@
         named.extend(versions.iter().cloned());
     }
     let mut wanted = stored.record.updated(&named, departures, stored.end);
-    wanted.vouch(&stored.record, stored.era, software.is_complete());
+    wanted.vouch(&stored.record, stored.era, software.may_vouch());
     wanted
 }
 
