--- a/crates/apricotwell_dispatch/src/stream_memory.rs
+++ b/crates/apricotwell_dispatch/src/stream_memory.rs
@@ -270,8 +270,10 @@
 ///
 /// An attempt that the client names counts alone: if nobody knows it, an equal request says nothing, as it may
 /// have begun at another version. If no stream is missing otherwise, an earlier process of an instance began it,
-/// at a version that was recorded when the instance started again. Without a name the version of the request is taken, unless an instance has
-/// forgotten streams or the log may have lost some (`has_reverted`): an equal one may be among them.
+/// at a version that was recorded when the instance started again.
+///
+/// Without a name the version of the request is taken, unless an instance has forgotten streams or the log may
+/// have lost some (`has_reverted`): an equal one may be among them.
 pub fn known_stream(
     answers: &[Option<StreamAnswer>],
     saved: &SavedStreams,
