--- a/crates/apricotwell_timeline/src/lib.rs
+++ b/crates/apricotwell_timeline/src/lib.rs
@@ -8,10 +8,10 @@
 //! ```
 //! use apricotwell_timeline::prelude::*;
 //!
-//! let event = Event::new(EventKind::RequestAccepted).with_request("entry-1/1").with_org("haneul");
+//! let event = Event::new(EventKind::RequestAccepted).with_request("entry-1/1").with_org("acme");
 //! let line = event.stamped("entry-1", 1_000).to_line();
 //! let merged = merge(&[line]).unwrap();
-//! assert_eq!(merged[0].org.as_deref(), Some("haneul"));
+//! assert_eq!(merged[0].org.as_deref(), Some("acme"));
 //! ```
 
 mod event;
