--- a/review/stand_ins_3/fleet.py
+++ b/review/stand_ins_3/fleet.py
@@ -150,7 +150,9 @@
         return Instance(self, name, zone, ip, self.ports)
 
     def note(self, event, at=None, **fields):
-        """Writes one line to the record."""
+        """Writes one line to the record, unless the run has ended."""
+        if self.record.closed:
+            return
         seconds = (time.monotonic() if at is None else at) - self.begun
         text = " ".join(f"{name}={value}" for name, value in fields.items())
         self.record.write(f"{seconds:9.3f} {event} {text}\n")
--- a/review/stand_ins_3/server.py
+++ b/review/stand_ins_3/server.py
@@ -13,20 +13,24 @@
     """A worker. `models` are held at its start, `on_disk` can be loaded in `disk_s`."""
 
     def __init__(self, store, service, models=(), on_disk=(), spec=None, checks_fences=False,
-                 disk_s=0.7, events=8, event_s=0.03, work_s=0.02, slots=16, zone="zone-a"):
+                 disk_s=0.7, events=8, event_s=0.03, work_s=0.02, slots=16, zone="zone-a",
+                 version="v1"):
         self.store, self.service, self.spec = store, service, spec
         self.id = new_id("i-")
         self.models = {model: set() for model in models}
         self.on_disk = list(on_disk)
         self.checks_fences, self.disk_s = checks_fences, disk_s
         self.events, self.event_s, self.work_s = events, event_s, work_s
-        self.slots, self.zone = slots, zone
+        self.slots, self.zone, self.version = slots, zone, version
         self.fence = 0
         self.seq = 0
         self.number = 0
         self.busy_until = 0.0
         self.pending = None
         self.in_flight = 0
+        self.cold_left_ms = 0
+        self.content = None
+        self.is_listed = True
         self.orders = []
         self.runs = []
         self.born = int(time.time() * 1000)
@@ -43,8 +47,18 @@
             await self.announce()
 
     async def announce(self):
+        """Writes the entry; the list changes only if more than its number does."""
         self.number += 1
-        await self.store.put("keyed.servers", self.id, self.entry())
+        entry = self.entry()
+        content = {**entry, "seq": 0}
+        if self.is_listed and content != self.content:
+            self.content = content
+            await self.store.put("keyed.servers", self.id, entry)
+
+    async def unlist(self):
+        """Takes the entry out of the list, as a worker does that leaves without draining."""
+        self.is_listed = False
+        await self.store.put("keyed.servers", self.id, None)
 
     def held(self):
         return [{"name": model, "version": 1, "adapters": sorted(adapters)}
@@ -54,8 +68,8 @@
         return {"in-memory": [], "on-disk": self.on_disk}
 
     def entry(self):
-        return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
-                "slots": self.slots, "state": "ready", "cold-left-ms": 0, "stage": "colocated",
+        return {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version,
+                "slots": self.slots, "state": "ready", "cold-left-ms": self.cold_left_ms, "stage": "colocated",
                 "models": self.held(), "at-hand": self.at_hand(), "seq": self.number, "born": self.born}
 
     def settle(self):
@@ -160,17 +174,17 @@
                 await asyncio.sleep(self.work_s)
                 writer.write(encode(status_line(200), head, attempt.encode() * 20))
                 return
-            await self.stream(head, writer)
+            await self.stream(head, int(headers.get("last-event-id", 0)), writer)
         finally:
             self.in_flight -= 1
 
-    async def stream(self, head, writer):
+    async def stream(self, head, last, writer):
         lines = [status_line(200)] + [f"{name}: {value}" for name, value in head]
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        for number in range(1, self.events + 1):
+        for number in range(last + 1, self.events + 1):
             await asyncio.sleep(self.event_s)
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = f"id: {number}\ndata: piece {number} {self.version}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/review/stand_ins_3/store.py
+++ b/review/stand_ins_3/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import time
 from urllib.parse import parse_qsl, urlsplit
@@ -60,9 +61,9 @@
                 if (topic, part) not in self.target:
                     self.partitions.append((topic, part))
                     self.target[(topic, part)] = None
+        self.expire(now)
         is_new = member not in self.members
         self.members[member] = (now + ttl, generation)
-        self.expire(now)
         if is_new:
             self.deal()
         elif generation >= self.generation:
@@ -84,6 +85,8 @@
         self.keep_s = keep_s
         self.era = era
         self.parts = parts
+        # Whether the store is away: connections end without an answer.
+        self.is_away = False
         self.topics = {}
         self.groups = {}
         self.appended = asyncio.Condition()
@@ -104,6 +107,9 @@
             log.drop_until(count)
         return log
 
+    def group(self, name):
+        return self.groups.setdefault(name, Group())
+
     async def append(self, topic, record, part=0):
         """Appends a record; returns its offset."""
         log = self.log(topic, part)
@@ -130,11 +136,28 @@
             body = await read_body(reader, headers)
             method, target, _ = line.split(" ")
             url = urlsplit(target)
+            if self.is_away:
+                return
             response = await self.answer(url.path, dict(parse_qsl(url.query)), body)
+            if self.is_away:
+                return
             await asyncio.sleep(0.004)
             writer.write(response)
             await writer.drain()
 
+    def copy(self):
+        """Returns a copy of the present state, for `come_back`."""
+        return time.monotonic(), copy.deepcopy(self.topics), copy.deepcopy(self.groups)
+
+    def come_back(self, state):
+        """Comes back from a copy, in the next era; the times of members have paused."""
+        taken_at, self.topics, self.groups = state
+        age = time.monotonic() - taken_at
+        for group in self.groups.values():
+            group.members = {name: (until + age, generation)
+                             for name, (until, generation) in group.members.items()}
+        self.era += 1
+
     def reply(self, status, value):
         return json_response(status, value, [("Store-Era", self.era)])
 
@@ -147,17 +170,17 @@
             return await self.append_records(query, body)
         value = json.loads(body) if body else {}
         if path == "/v1/log-join":
-            group = self.groups.setdefault(value["group"], Group())
+            group = self.group(value["group"])
             now = time.monotonic()
             parts = group.join(now, value["member"], value["topics"], self.parts,
                                value["ttl-ms"] / 1000.0, value["generation"])
             answer = {"generation": group.generation, "ttl-ms": value["ttl-ms"], "parts": parts}
             return self.reply(200, answer)
         if path == "/v1/log-leave":
-            self.groups.setdefault(value["group"], Group()).leave(value["member"])
+            self.group(value["group"]).leave(value["member"])
             return self.reply(200, {})
         if path == "/v1/log-owners":
-            group = self.groups.setdefault(query["group"], Group())
+            group = self.group(query["group"])
             group.expire(time.monotonic())
             rows = [[topic, part, group.owner[(topic, part)], 0] for topic, part in group.partitions]
             return self.reply(200, {"parts": [row for row in rows if row[2] is not None]})
