--- a/crates/apricotwell_gateway/src/gateway.rs
+++ b/crates/apricotwell_gateway/src/gateway.rs
@@ -20,7 +20,7 @@
 use crate::metrics::Metrics;
 use crate::pending::PendingQuestions;
 use crate::software::SoftwareReads;
-use crate::stream_log::StreamLogReads;
+use crate::stream_log::StreamLog;
 use crate::stream_notices::StreamNotices;
 
 /// Limit on open client connections. The process has about 4000 file descriptors; the remaining
@@ -117,8 +117,8 @@
     pub stream_notices: StreamNotices,
     /// Reads of the record of software versions for clients that resume streams.
     pub software_reads: SoftwareReads,
-    /// Position up to which the saved streams were read.
-    pub stream_log_reads: StreamLogReads,
+    /// Appends to the log of saved streams, and position up to which it was read.
+    pub stream_log: StreamLog,
     /// Socket for datagrams to other instances; set once the instance listens.
     pub peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Open client connections.
@@ -182,7 +182,7 @@
             stream_queries,
             stream_notices,
             software_reads: SoftwareReads::default(),
-            stream_log_reads: StreamLogReads::default(),
+            stream_log: StreamLog::default(),
             peer_socket: OnceCell::new(),
             connections: Rc::default(),
             connection_budget: Budget::new(MAX_CONNECTIONS),
--- a/crates/apricotwell_gateway/src/handler/versions.rs
+++ b/crates/apricotwell_gateway/src/handler/versions.rs
@@ -20,7 +20,7 @@
 use crate::adapter::Platform;
 use crate::events::Event;
 use crate::requests::Origin;
-use crate::{feeds, software, stream_log, stream_notices, stream_queries};
+use crate::{feeds, software, stream_announcements, stream_log, stream_queries};
 
 /// Header with the version that a stream is bound to, in hexadecimal, between instances only.
 const SOFTWARE: HeaderName = HeaderName::from_static("apricotwell-software");
@@ -36,8 +36,8 @@
     pub has_delivered: bool,
     /// Whether this instance remembers the version for a resumption.
     pub is_remembered: bool,
-    // What it remembers and has not told to another instance.
-    untold: Vec<BegunStream>,
+    // What it remembers and has not announced.
+    unannounced: Vec<BegunStream>,
 }
 
 impl<P> RequestHandler<P>
@@ -272,20 +272,20 @@
         }
         if !self.software.is_remembered && self.admission.route.kind.is_stream() {
             self.software.is_remembered = true;
-            self.software.untold = self.remember();
+            self.software.unannounced = self.remember();
         }
     }
 
-    /// Tells another instance of a stream that has just begun, while a client that resumes it would need to know
-    /// its version. To be called before the client receives its first events.
-    pub async fn tell_stream(&mut self) {
-        let untold = std::mem::take(&mut self.software.untold);
-        // An instance that passed the request on tells of the stream itself.
+    /// Makes a stream that has just begun known to others, who need its version if a client resumes it. To be called
+    /// before the client receives its first events.
+    pub async fn announce_stream(&mut self) {
+        let begun = std::mem::take(&mut self.software.unannounced);
+        // An instance that passed the request on announces the stream itself.
         let is_own = self.origin == Origin::Client;
-        if untold.is_empty() || !is_own || !self.admission.route.kind.is_repeatable() {
+        if begun.is_empty() || !is_own || !self.admission.route.kind.is_repeatable() {
             return;
         }
-        if !stream_notices::tell(&self.gateway, &untold).await {
+        if !stream_announcements::announce(&self.gateway, &begun).await {
             Event::new("stream_untold")
                 .with("request", self.request.attempt.as_str())
                 .with("software", self.admission.bound.as_deref())
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod resumption;
 pub mod signals;
 pub mod software;
+pub mod stream_announcements;
 pub mod stream_log;
 pub mod stream_notices;
 pub mod stream_queries;
--- a/crates/apricotwell_gateway/src/metrics.rs
+++ b/crates/apricotwell_gateway/src/metrics.rs
@@ -130,7 +130,7 @@
         let stream_notices = Family::default();
         registry.register(
             "stream_notices",
-            "Begun streams that another instance was told of, by outcome",
+            "Begun streams that were announced before their first events, by outcome",
             stream_notices.clone(),
         );
         let detours = Family::default();
@@ -330,7 +330,8 @@
         count(&self.reach, change);
     }
 
-    /// Counts a begun stream that another instance `received` notice of, or that is `unknown` to others.
+    /// Counts a begun stream that was `saved` soon, that another instance `received` notice of, or that is `unknown`
+    /// to others.
     pub fn count_stream_notice(&self, outcome: &str) {
         count(&self.stream_notices, outcome);
     }
--- a/crates/apricotwell_gateway/src/relay.rs
+++ b/crates/apricotwell_gateway/src/relay.rs
@@ -142,7 +142,7 @@
             let reason = match self.examine(received) {
                 Ok(Examined::Events(events)) => {
                     self.handler.bind_delivered();
-                    self.handler.tell_stream().await;
+                    self.handler.announce_stream().await;
                     self.handler.record_bytes();
                     return Some(Ok(events));
                 }
--- a/crates/apricotwell_gateway/src/requests.rs
+++ b/crates/apricotwell_gateway/src/requests.rs
@@ -365,7 +365,7 @@
             handler.record_bytes();
             if handler.admission.route.kind.is_stream() && head.status.is_success() {
                 handler.bind_delivered();
-                handler.tell_stream().await;
+                handler.announce_stream().await;
             }
             let outcome = if handler.is_refused_elsewhere {
                 "refused_elsewhere"
--- a/crates/apricotwell_gateway/src/stream_notices.rs
+++ b/crates/apricotwell_gateway/src/stream_notices.rs
@@ -1,8 +1,7 @@
-//! Notices of streams to another instance, before their first events are delivered.
+//! Notices of streams to another instance, where the store's log may lack them when their first events are delivered.
 //!
-//! The store's log lacks the streams that an instance began since its last append. If the instance is killed,
-//! the one that had notice of them still knows their versions. Notices are sent only while several software
-//! versions may have begun streams, and only in a fleet so small that all instances are asked for a stream.
+//! If the instance is killed, the one that had notice of them still knows their versions. Notices are sent only in a
+//! fleet so small that all instances are asked for a stream.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -18,7 +17,6 @@
 use crate::adapter::Platform;
 use crate::gateway::Gateway;
 use crate::pending::PendingQuestions;
-use crate::software::stream_lifetime;
 use crate::stream_queries::MAX_ASKED;
 
 /// Time limit for the receipt of one notice, which holds up the first events of a stream.
@@ -93,11 +91,9 @@
 where
     P: Platform,
 {
-    let lifetime = stream_lifetime(gateway);
     let now = gateway.now();
     let dispatcher = gateway.dispatcher.borrow();
-    let is_small = dispatcher.peers.heartbeat_targets().len() <= MAX_ASKED;
-    if !is_small || !dispatcher.software.is_mixed(now, lifetime) {
+    if dispatcher.peers.heartbeat_targets().len() > MAX_ASKED {
         return None;
     }
     let targets = dispatcher.notice_targets(now).into_iter();
