--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -73,7 +73,9 @@
     pub use crate::freshness::{ChangeBounds, Freshness};
     pub use crate::inventory_updates::InventoryUpdates;
     pub use crate::lease::{ClaimStatus, FenceConflict, Lease, LeaseAction, LeaseConfig, Standing};
-    pub use crate::lease_log::{ClaimReceipt, ClaimRecord, LastClaim};
+    pub use crate::lease_log::{
+        ClaimCopy, ClaimReceipt, ClaimRecord, KnownClaim, LastClaim, LastCopies,
+    };
     pub use crate::model::{AdapterName, Inventory, ModelName, RequestedModel};
     pub use crate::orders::{Operation, OrderReply, StatusReport};
     pub use crate::quota::QuotaBounds;
--- a/crates/apricotwell_dispatch/tests/lease_eras.rs
+++ b/crates/apricotwell_dispatch/tests/lease_eras.rs
@@ -1,10 +1,12 @@
-//! The placement lease at a store that comes back from older copies, in virtual time.
+//! The placement lease at a store that comes back from older copies and whose records expire, in virtual time.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use apricotwell_dispatch::lease::{Lease, LeaseAction, LeaseConfig};
-use apricotwell_dispatch::lease_log::{ClaimContext, ClaimRecord, LastClaim};
+use apricotwell_dispatch::lease_log::{
+    ClaimContext, ClaimCopy, ClaimRecord, KnownClaim, LastClaim, LastCopies,
+};
 use apricotwell_types::{Fence, StoreEra};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -26,6 +28,11 @@
 #[derive(Clone, Default)]
 struct History {
     claims: Vec<ClaimRecord>,
+    // Number of claims whose records were deleted.
+    expired: usize,
+    // Newest copy of a claim of each era, and the end of the log of copies.
+    copies: BTreeMap<Option<StoreEra>, ClaimCopy>,
+    copy_end: u64,
     // Members and the step at which each expires.
     group: BTreeMap<usize, usize>,
     candidate: usize,
@@ -33,10 +40,21 @@
     generation: u64,
 }
 
+impl History {
+    fn append_copy(&mut self, at: u64, copy: ClaimCopy) {
+        if self.copy_end == at {
+            self.copies.insert(copy.claim.era, copy);
+            self.copy_end += 1;
+        }
+    }
+}
+
 #[derive(Default)]
 struct Store {
     history: History,
     copies: Vec<History>,
+    // Copies of claims that are appended late, with the step and the offset at which they may be.
+    late: Vec<(usize, u64, ClaimCopy)>,
     era: Option<StoreEra>,
     away_until: usize,
 }
@@ -80,6 +98,8 @@
     step: usize,
     fenced: bool,
     restarts_in_pause: bool,
+    // Whether records of claims are deleted.
+    expires: bool,
     rng: SmallRng,
     store: Store,
     members: Vec<Member>,
@@ -94,6 +114,7 @@
             step: 0,
             fenced,
             restarts_in_pause: true,
+            expires: false,
             rng: SmallRng::seed_from_u64(seed),
             store: Store {
                 era,
@@ -136,6 +157,13 @@
                 history.generation += 1;
             }
         }
+        if self.expires && self.rng.random_ratio(1, 300) {
+            history.expired = history.claims.len();
+        }
+        let is_due = |late: &mut (usize, u64, ClaimCopy)| late.0 <= step;
+        for (_, at, copy) in self.store.late.extract_if(.., is_due) {
+            history.append_copy(at, copy);
+        }
         if step.is_multiple_of(COPY_STEPS) {
             self.store.copies.push(self.store.history.clone());
         }
@@ -224,11 +252,19 @@
     // Returns whether all calls of the store succeeded.
     fn check(&mut self, index: usize, is_candidate: bool) -> bool {
         let now = self.now();
-        let last = LastClaim {
-            end: self.store.history.claims.len() as u64,
-            claim: self.store.history.claims.last().cloned(),
+        let history = &self.store.history;
+        let retained = history.claims[history.expired..].last();
+        let log = LastClaim {
+            end: history.claims.len() as u64,
+            claim: retained.cloned(),
+            era: self.store.era,
+        };
+        let copies = LastCopies {
+            copies: history.copies.values().cloned().collect(),
+            end: history.copy_end,
             era: self.store.era,
         };
+        let last = KnownClaim::new(copies, log).unwrap();
         let context = ClaimContext {
             has_reverted: self.members[index].first_era != self.store.era,
             others_know_eras: true,
@@ -244,21 +280,36 @@
         }
         let waits = lease.first_order(now, standing) > now;
         let record = last.next_claim(&own, context, waits);
-        let fence = record.fence_at(last.end);
+        let fence = record.fence_at(last.end());
         // Some appends fail, with or without an effect.
         let is_answered = !self.rng.random_ratio(1, 8);
         if is_answered || self.rng.random() {
-            self.store.history.claims.push(record);
+            self.store.history.claims.push(record.clone());
             self.claims.push(fence);
         }
+        let is_answered =
+            is_answered && self.append_copy(last.copy_end(), record.copied_at(last.end()));
         let lease = &mut self.members[index].lease;
         match is_answered {
-            true => lease.apply_claim(now, fence, last.end, standing),
+            true => lease.apply_claim(now, fence, last.end(), standing),
             false => lease.on_claim_lost(),
         }
         is_answered
     }
 
+    // Returns whether the append was answered; if not, it may have succeeded or still succeed.
+    fn append_copy(&mut self, at: u64, copy: ClaimCopy) -> bool {
+        let is_answered = !self.rng.random_ratio(1, 8);
+        let is_late = !is_answered && self.rng.random();
+        if is_late {
+            let step = self.step + self.rng.random_range(1..400);
+            self.store.late.push((step, at, copy));
+        } else if is_answered || self.rng.random() {
+            self.store.history.append_copy(at, copy);
+        }
+        is_answered
+    }
+
     fn order(&mut self, member: usize, fence: Fence) {
         let order = Order {
             step: self.step,
@@ -354,3 +405,16 @@
         fleet.check_turns(seed);
     }
 }
+
+/// A holder whose claim had expired lost the lease while it lived, and the token of its successor fell.
+#[test]
+fn no_order_of_expiries_and_faults_gives_the_lease_away_or_lowers_a_token() {
+    for seed in 0..600 {
+        let mut fleet = Fleet::new(seed, Some(1), false);
+        fleet.restarts_in_pause = seed % 2 == 0;
+        fleet.expires = true;
+        fleet.run();
+        fleet.check_fences(seed);
+        fleet.check_turns(seed);
+    }
+}
--- a/crates/apricotwell_dispatch/tests/lease_log.rs
+++ b/crates/apricotwell_dispatch/tests/lease_log.rs
@@ -1,7 +1,9 @@
 //! Fencing tokens: beside builds and stores that know no eras, and with eras of any size.
 
 use apricotwell_dispatch::lease::{ClaimStatus, FenceConflict, Lease, LeaseConfig, Standing};
-use apricotwell_dispatch::lease_log::{ClaimContext, ClaimRecord, LastClaim};
+use apricotwell_dispatch::lease_log::{
+    ClaimContext, ClaimCopy, ClaimRecord, KnownClaim, LastClaim, LastCopies,
+};
 use std::time::{Duration, Instant};
 
 /// Largest whole number that every reader of JSON takes exactly.
@@ -16,8 +18,22 @@
     ..ALONE
 };
 
-fn log(end: u64, era: Option<u64>, claim: Option<ClaimRecord>) -> LastClaim {
-    LastClaim { end, claim, era }
+fn log(end: u64, era: Option<u64>, claim: Option<ClaimRecord>) -> KnownClaim {
+    copied(end, era, claim, None)
+}
+
+fn copied(
+    end: u64,
+    era: Option<u64>,
+    claim: Option<ClaimRecord>,
+    copy: Option<ClaimCopy>,
+) -> KnownClaim {
+    let copies = LastCopies {
+        copies: copy.into_iter().collect(),
+        end: 7,
+        era,
+    };
+    KnownClaim::new(copies, LastClaim { end, claim, era }).unwrap()
 }
 
 // Claim of a build that knows no eras.
@@ -30,8 +46,9 @@
     }
 }
 
-fn fence(last: &LastClaim, context: ClaimContext) -> u64 {
-    last.next_claim("own", context, false).fence_at(last.end)
+fn fence(last: &KnownClaim, context: ClaimContext) -> u64 {
+    let claim = last.next_claim("own", context, false);
+    claim.fence_at(last.end())
 }
 
 #[test]
@@ -103,3 +120,42 @@
         assert_eq!(lease.fence(now).is_some(), conflict == FenceConflict::None);
     }
 }
+
+#[test]
+fn claim_that_expired_lowers_no_token_of_a_member_that_has_not_heard_the_others() {
+    let first = log(0, Some(1), None).next_claim("lost", ALONE, false);
+    let known = copied(1, Some(1), None, Some(first.copied_at(0)));
+    assert!(fence(&known, MIXED) > first.fence_at(0));
+    // A claim after the copied one, whose holder ended before it wrote a copy, has expired too.
+    let second = known.next_claim("ended", MIXED, false);
+    let known = copied(2, Some(1), None, Some(first.copied_at(0)));
+    assert!(fence(&known, MIXED) > second.fence_at(1));
+    // Earlier builds write no copies.
+    assert!(fence(&log(2, Some(1), None), MIXED) > second.fence_at(1));
+}
+
+#[test]
+fn copy_of_an_earlier_claim_brings_back_no_former_holder() {
+    let own = log(0, Some(1), None).next_claim("own", ALONE, false);
+    let status = |end, claim: Option<ClaimRecord>| {
+        let last = copied(end, Some(1), claim, Some(own.copied_at(0)));
+        last.standing("own", ALONE, |_| true).status
+    };
+    assert_eq!(status(1, None), ClaimStatus::Own);
+    assert_eq!(status(2, None), ClaimStatus::Dropped);
+    assert_eq!(status(2, Some(former_claim())), ClaimStatus::Taken);
+}
+
+#[test]
+fn copy_that_was_read_in_another_era_than_the_log_counts_for_nothing() {
+    let copies = LastCopies {
+        era: Some(1),
+        ..LastCopies::default()
+    };
+    let log = LastClaim {
+        end: 0,
+        claim: None,
+        era: Some(2),
+    };
+    assert_eq!(KnownClaim::new(copies, log), None);
+}
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -304,6 +304,9 @@
     /// Returns the members of the group.
     fn members(&self) -> impl Future<Output = Result<Vec<String>, StoreError>>;
 
+    /// Returns the newest copy of a claim of each era.
+    fn last_copies(&self) -> impl Future<Output = Result<LastCopies, StoreError>>;
+
     /// Returns the last claim of the placement lease.
     fn last_claim(&self) -> impl Future<Output = Result<LastClaim, StoreError>>;
 
@@ -317,6 +320,17 @@
         at: Offset,
         record: &ClaimRecord,
     ) -> impl Future<Output = Result<ClaimReceipt, StoreError>>;
+
+    /// Replaces the newest copy of the claim's era, which is retained permanently; `at` is the end of the log of copies.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Conflict`] if the log of copies does not end at `at`.
+    fn append_copy(
+        &self,
+        at: Offset,
+        copy: &ClaimCopy,
+    ) -> impl Future<Output = Result<ClaimReceipt, StoreError>>;
 }
 
 /// What a server answered to a call that is no client's request.
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -214,9 +214,9 @@
     // Checks who holds the lease, and claims it if it is free and this member is the candidate.
     async fn check(&self, is_candidate: bool) -> Result<(), StoreError> {
         for _ in 0..MAX_CLAIM_ATTEMPTS {
-            let last = self.gateway.store.last_claim().await?;
-            let members = match &last.claim {
-                Some(claim) if claim.holder != self.member => self.gateway.store.members().await?,
+            let last = self.read_claims().await?;
+            let members = match last.holder() {
+                Some(holder) if holder != self.member => self.gateway.store.members().await?,
                 _ => Vec::new(),
             };
             let is_member = |holder: &str| members.iter().any(|member| member == holder);
@@ -250,22 +250,59 @@
         }
     }
 
-    async fn claim(&self, last: &LastClaim, standing: Standing) -> Result<(), StoreError> {
+    // Reads the copies first: one that is read after the log may be of a claim that the log did not have yet.
+    async fn read_claims(&self) -> Result<KnownClaim, StoreError> {
+        let copies = self.gateway.store.last_copies().await?;
+        let log = self.gateway.store.last_claim().await?;
+        KnownClaim::new(copies, log).ok_or(StoreError::Conflict)
+    }
+
+    // Appends a claim and then its copy. Without a copy it is not in force: once it has expired, nobody would know its
+    // holder and its token.
+    async fn append(
+        &self,
+        last: &KnownClaim,
+        record: &ClaimRecord,
+    ) -> Result<ClaimReceipt, StoreError> {
+        let store = &self.gateway.store;
+        let receipt = store.append_claim(last.end(), record).await;
+        let receipt = self.rely_on(last, receipt)?;
+        let copy = record.copied_at(receipt.offset);
+        let copied = store.append_copy(last.copy_end(), &copy).await;
+        let copied = copied.inspect_err(|_| self.on_claim_lost());
+        self.rely_on(last, copied)?;
+        Ok(receipt)
+    }
+
+    // Returns the receipt of an append to the log that was checked.
+    fn rely_on(
+        &self,
+        last: &KnownClaim,
+        receipt: Result<ClaimReceipt, StoreError>,
+    ) -> Result<ClaimReceipt, StoreError> {
+        if matches!(receipt, Err(StoreError::Unknown(_))) {
+            self.on_claim_lost();
+        }
+        let receipt = receipt?;
+        if receipt.era != last.era() {
+            // The log is not the one that was checked, so the claim is not relied on.
+            self.on_claim_lost();
+            return Err(StoreError::Conflict);
+        }
+        Ok(receipt)
+    }
+
+    fn on_claim_lost(&self) {
+        self.gateway.dispatcher.borrow_mut().lease.on_claim_lost();
+    }
+
+    async fn claim(&self, last: &KnownClaim, standing: Standing) -> Result<(), StoreError> {
         let gateway = &self.gateway;
         let now = gateway.now();
         let first_order = gateway.dispatcher.borrow().lease.first_order(now, standing);
         let context = self.claim_context();
         let record = last.next_claim(&self.member, context, first_order > now);
-        let appended = gateway.store.append_claim(last.end, &record).await;
-        if matches!(appended, Err(StoreError::Unknown(_))) {
-            gateway.dispatcher.borrow_mut().lease.on_claim_lost();
-        }
-        let receipt = appended?;
-        if receipt.era != last.era {
-            // The log is not the one that was checked, so the claim is not relied on.
-            gateway.dispatcher.borrow_mut().lease.on_claim_lost();
-            return Err(StoreError::Conflict);
-        }
+        let receipt = self.append(last, &record).await?;
         let fence = record.fence_at(receipt.offset);
         let now = gateway.now();
         let mut dispatcher = gateway.dispatcher.borrow_mut();
