Let the candidate look for the holder while none is heard (Starved)

What servers would see: nobody gives orders for good. A claim without an answer reached the log, its claimant restarted within its term, and the record expired before anyone looked. The group does not change, so the candidate, which had seen a living holder, never looked again.

Change: the candidate checks the lease at each renewal while it hears nobody who gives orders (GroupView::may_be_free, moved out of the gateway so that the simulation uses it).

--- a/crates/apricotwell_dispatch/src/lease.rs
+++ b/crates/apricotwell_dispatch/src/lease.rs
@@ -47,6 +47,31 @@
     Taken,
 }
 
+/// What a member knows when it has renewed its membership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GroupView {
+    /// Generation of the group; changes with its members.
+    pub generation: u64,
+    /// Generation in which the member last checked the lease, `None` if it has not in this era of the store.
+    pub checked: Option<u64>,
+    /// Whether it may claim the lease if it is free.
+    pub is_candidate: bool,
+    /// Whether it or a member that it hears gives orders or is about to.
+    pub is_led: bool,
+}
+
+impl GroupView {
+    /// Returns whether the lease may have become free since the last check. Only the candidate may claim it then, so
+    /// the other members need not look.
+    ///
+    /// The candidate looks again while nobody gives orders: the last claim may have been a living member's and may have
+    /// expired since, of which the group says nothing.
+    pub fn may_be_free(&self) -> bool {
+        let is_known = self.checked == Some(self.generation) && self.is_led;
+        self.checked.is_none() || (self.is_candidate && !is_known)
+    }
+}
+
 /// What the log and the group say of the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Standing {
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -72,7 +72,9 @@
     pub use crate::feeds::{Feed, FeedSource, ServerListChange};
     pub use crate::freshness::{ChangeBounds, Freshness};
     pub use crate::inventory_updates::InventoryUpdates;
-    pub use crate::lease::{ClaimStatus, FenceConflict, Lease, LeaseAction, LeaseConfig, Standing};
+    pub use crate::lease::{
+        ClaimStatus, FenceConflict, GroupView, Lease, LeaseAction, LeaseConfig, Standing,
+    };
     pub use crate::lease_log::{
         ClaimCopy, ClaimReceipt, ClaimRecord, KnownClaim, LastClaim, LastCopies,
     };
--- a/crates/apricotwell_dispatch/tests/lease_eras.rs
+++ b/crates/apricotwell_dispatch/tests/lease_eras.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use apricotwell_dispatch::lease::{Lease, LeaseAction, LeaseConfig};
+use apricotwell_dispatch::lease::{GroupView, Lease, LeaseAction, LeaseConfig};
 use apricotwell_dispatch::lease_log::{
     ClaimContext, ClaimCopy, ClaimRecord, KnownClaim, LastClaim, LastCopies,
 };
@@ -231,14 +231,21 @@
         history.generation += u64::from(is_new);
         let (generation, is_candidate) = (history.generation, history.candidate == index);
         let era = self.store.era;
+        let is_heard = |member: &Member| member.lease.announced_fence(now).is_some();
+        let is_led = self.members.iter().any(is_heard);
         let member = &mut self.members[index];
         member.first_era = member.first_era.or(era);
         if member.era != era {
             member.checked = None;
         }
         member.era = era;
-        let changed =
-            member.checked.is_none() || (is_candidate && member.checked != Some(generation));
+        let view = GroupView {
+            generation,
+            checked: member.checked,
+            is_candidate,
+            is_led,
+        };
+        let changed = view.may_be_free();
         let action = member.lease.complete_renewal(now, changed, era);
         // Some reads of the log fail.
         if action == LeaseAction::Check
@@ -418,3 +425,14 @@
         fleet.check_turns(seed);
     }
 }
+
+/// A lease whose claim had expired without a copy was claimed by nobody, as the candidate had no reason to look.
+#[test]
+fn servers_get_orders_again_after_expiries_and_faults() {
+    for seed in 0..600 {
+        let mut fleet = Fleet::new(seed, Some(1), false);
+        fleet.expires = true;
+        fleet.run();
+        fleet.check_progress(seed);
+    }
+}
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -156,15 +156,18 @@
         self.generation = joined.generation;
         self.has_left = false;
         let now = gateway.now();
-        // Only the candidate may claim a free lease, so the other members need not check it.
-        let changed = self.checked.is_none()
-            || (joined.is_candidate && self.checked != Some(joined.generation));
         let action = {
             let mut dispatcher = gateway.dispatcher.borrow_mut();
             dispatcher.peers.refresh_members(now);
-            dispatcher
-                .lease
-                .complete_renewal(start, changed, joined.era)
+            let has_holder = dispatcher.peers.lease_holder(now).is_some();
+            let view = GroupView {
+                generation: joined.generation,
+                checked: self.checked,
+                is_candidate: joined.is_candidate,
+                is_led: has_holder || dispatcher.lease.is_held(now),
+            };
+            let lease = &mut dispatcher.lease;
+            lease.complete_renewal(start, view.may_be_free(), joined.era)
         };
         if self.listed != Some(joined.generation) && self.may_list(now) {
             list_members(&gateway).await?;
