--- a/crates/apricotwell_dispatch/src/lease_log.rs
+++ b/crates/apricotwell_dispatch/src/lease_log.rs
@@ -79,10 +79,10 @@
     copies: LastCopies,
 }
 
-/// Answer of the store to an appended claim.
+/// Answer of the store to an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ClaimReceipt {
-    /// Offset of the claim.
+pub struct AppendReceipt {
+    /// Offset of the record.
     pub offset: Offset,
     /// Era of the log that it was appended to.
     pub era: Option<StoreEra>,
@@ -150,7 +150,7 @@
             Some(claim) if is_member(&claim.holder) => ClaimStatus::Taken,
             Some(_) => ClaimStatus::Dropped,
             None if self.is_first() => ClaimStatus::Unclaimed,
-            // An earlier build wrote no copy, or a holder ended before: any member may have claimed.
+            // The claimant was an earlier build, or ended before it wrote a copy.
             None => ClaimStatus::Dropped,
         };
         Standing {
@@ -186,8 +186,7 @@
         }
     }
 
-    // Returns the highest token that a claim can have had; the offset of an expired claim without a copy is in the
-    // token of the next one anyway.
+    // Returns the highest token that the last claim can have, `None` if no claim is known.
     fn highest_fence(&self) -> Option<Fence> {
         let last = self.log.claim.as_ref().and_then(|claim| claim.fence);
         let copied = self.copies.copies.iter().map(|copy| {
--- a/crates/apricotwell_dispatch/src/lib.rs
+++ b/crates/apricotwell_dispatch/src/lib.rs
@@ -76,7 +76,7 @@
         ClaimStatus, FenceConflict, GroupView, Lease, LeaseAction, LeaseConfig, Standing,
     };
     pub use crate::lease_log::{
-        ClaimCopy, ClaimReceipt, ClaimRecord, KnownClaim, LastClaim, LastCopies,
+        AppendReceipt, ClaimCopy, ClaimRecord, KnownClaim, LastClaim, LastCopies,
     };
     pub use crate::model::{AdapterName, Inventory, ModelName, RequestedModel};
     pub use crate::orders::{Operation, OrderReply, StatusReport};
--- a/crates/apricotwell_gateway/src/adapter.rs
+++ b/crates/apricotwell_gateway/src/adapter.rs
@@ -211,10 +211,19 @@
     pub era: Option<StoreEra>,
 }
 
-/// Records of the software versions of services, with undecoded values.
+/// Log of which the store retains the newest record of each key permanently.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyedLog {
+    /// Software versions that may have begun streams, by service.
+    Software,
+    /// Copies of claims of the placement lease, by era of the store.
+    ClaimCopies,
+}
+
+/// Newest record of each key of a log, with undecoded values.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SoftwarePage {
-    /// Services and their records.
+pub struct KeyedPage {
+    /// Keys and their records.
     pub records: Vec<(String, Vec<u8>)>,
     /// End of the log: the offset of the next record.
     pub end: Offset,
@@ -271,20 +280,21 @@
     /// Loads the usage saved last; returns `None` if none was saved.
     fn load_usage(&self) -> impl Future<Output = Result<Option<Vec<u8>>, StoreError>>;
 
-    /// Reads the records of the software versions of all services.
-    fn software(&self) -> impl Future<Output = Result<SoftwarePage, StoreError>>;
+    /// Reads the newest record of each key of a log.
+    fn keyed(&self, log: KeyedLog) -> impl Future<Output = Result<KeyedPage, StoreError>>;
 
-    /// Replaces the record of a service; an empty one deletes it.
+    /// Replaces the record of a key; an empty one deletes it.
     ///
     /// # Errors
     ///
     /// Returns [`StoreError::Conflict`] if the log does not end at `at`.
-    fn append_software(
+    fn append_keyed(
         &self,
+        log: KeyedLog,
         at: Offset,
-        service: &str,
+        key: &str,
         record: &[u8],
-    ) -> impl Future<Output = Result<(), StoreError>>;
+    ) -> impl Future<Output = Result<AppendReceipt, StoreError>>;
 
     /// Returns the ids of all instances that have ever started.
     fn started_instances(&self) -> impl Future<Output = Result<Vec<String>, StoreError>>;
@@ -304,9 +314,6 @@
     /// Returns the members of the group.
     fn members(&self) -> impl Future<Output = Result<Vec<String>, StoreError>>;
 
-    /// Returns the newest copy of a claim of each era.
-    fn last_copies(&self) -> impl Future<Output = Result<LastCopies, StoreError>>;
-
     /// Returns the last claim of the placement lease.
     fn last_claim(&self) -> impl Future<Output = Result<LastClaim, StoreError>>;
 
@@ -319,18 +326,7 @@
         &self,
         at: Offset,
         record: &ClaimRecord,
-    ) -> impl Future<Output = Result<ClaimReceipt, StoreError>>;
-
-    /// Replaces the newest copy of the claim's era, which is retained permanently; `at` is the end of the log of copies.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StoreError::Conflict`] if the log of copies does not end at `at`.
-    fn append_copy(
-        &self,
-        at: Offset,
-        copy: &ClaimCopy,
-    ) -> impl Future<Output = Result<ClaimReceipt, StoreError>>;
+    ) -> impl Future<Output = Result<AppendReceipt, StoreError>>;
 }
 
 /// What a server answered to a call that is no client's request.
--- a/crates/apricotwell_gateway/src/lib.rs
+++ b/crates/apricotwell_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod adapter;
 pub mod budget;
+pub mod claim_copies;
 pub mod clock;
 pub mod crash_checks;
 pub mod daemon;
@@ -46,8 +47,8 @@
 /// Re-exports of the most commonly used types and traits.
 pub mod prelude {
     pub use crate::adapter::{
-        Attempt, ClientProtocol, EngineAnswer, EngineClient, FeedPage, FeedRecord, Membership,
-        Platform, ResponseHead, SoftwarePage, Store, StoreError, StreamPage, Transfer,
+        Attempt, ClientProtocol, EngineAnswer, EngineClient, FeedPage, FeedRecord, KeyedLog,
+        KeyedPage, Membership, Platform, ResponseHead, Store, StoreError, StreamPage, Transfer,
     };
     pub use crate::era_watch::EraWatch;
     pub use crate::events::Event;
--- a/crates/apricotwell_gateway/src/membership.rs
+++ b/crates/apricotwell_gateway/src/membership.rs
@@ -8,7 +8,8 @@
 use apricotwell_types::{InstanceId, StoreEra};
 use tokio::sync::watch;
 
-use crate::adapter::{Platform, Store, StoreError};
+use crate::adapter::{KeyedLog, Platform, Store, StoreError};
+use crate::claim_copies;
 use crate::events::Event;
 use crate::gateway::Gateway;
 
@@ -255,7 +256,8 @@
 
     // Reads the copies first: one that is read after the log may be of a claim that the log did not have yet.
     async fn read_claims(&self) -> Result<KnownClaim, StoreError> {
-        let copies = self.gateway.store.last_copies().await?;
+        let copies = self.gateway.store.keyed(KeyedLog::ClaimCopies).await?;
+        let copies = claim_copies::decode(&copies);
         let log = self.gateway.store.last_claim().await?;
         KnownClaim::new(copies, log).ok_or(StoreError::Conflict)
     }
@@ -266,12 +268,13 @@
         &self,
         last: &KnownClaim,
         record: &ClaimRecord,
-    ) -> Result<ClaimReceipt, StoreError> {
+    ) -> Result<AppendReceipt, StoreError> {
         let store = &self.gateway.store;
         let receipt = store.append_claim(last.end(), record).await;
         let receipt = self.rely_on(last, receipt)?;
-        let copy = record.copied_at(receipt.offset);
-        let copied = store.append_copy(last.copy_end(), &copy).await;
+        let (key, copy) = claim_copies::encode(&record.copied_at(receipt.offset));
+        let log = KeyedLog::ClaimCopies;
+        let copied = store.append_keyed(log, last.copy_end(), &key, &copy).await;
         let copied = copied.inspect_err(|_| self.on_claim_lost());
         self.rely_on(last, copied)?;
         Ok(receipt)
@@ -281,8 +284,8 @@
     fn rely_on(
         &self,
         last: &KnownClaim,
-        receipt: Result<ClaimReceipt, StoreError>,
-    ) -> Result<ClaimReceipt, StoreError> {
+        receipt: Result<AppendReceipt, StoreError>,
+    ) -> Result<AppendReceipt, StoreError> {
         if matches!(receipt, Err(StoreError::Unknown(_))) {
             self.on_claim_lost();
         }
--- a/crates/apricotwell_gateway/src/software.rs
+++ b/crates/apricotwell_gateway/src/software.rs
@@ -16,7 +16,7 @@
 use prost::Message;
 use tokio::sync::Mutex;
 
-use crate::adapter::{Platform, Store, StoreError};
+use crate::adapter::{KeyedLog, Platform, Store, StoreError};
 use crate::events::Event;
 use crate::gateway::Gateway;
 
@@ -210,10 +210,10 @@
         gateway.metrics.count_store_call("software");
         let appended = gateway
             .store
-            .append_software(stored.end, &service, &record)
+            .append_keyed(KeyedLog::Software, stored.end, &service, &record)
             .await;
         match appended {
-            Ok(()) => {}
+            Ok(_) => {}
             // A record that the store does not accept holds up no other service.
             Err(StoreError::Refused(reason)) => {
                 log::warn!("the versions of service {service} can't be recorded: {reason}");
@@ -332,7 +332,7 @@
     P: Platform,
 {
     gateway.metrics.count_store_call("software");
-    let page = gateway.store.software().await?;
+    let page = gateway.store.keyed(KeyedLog::Software).await?;
     let mut stored = RecordedSoftware::default();
     for (service, bytes) in page.records {
         let record = SoftwareRecord::decode(&*bytes).unwrap_or_else(|error| {
--- a/crates/apricotwell_messages/src/lib.rs
+++ b/crates/apricotwell_messages/src/lib.rs
@@ -19,6 +19,7 @@
 mod envelope;
 mod feeds;
 mod heartbeat;
+mod lease;
 mod member_update;
 mod permits;
 mod software;
@@ -36,6 +37,7 @@
     ModelUse, OrganisationSpending, PromptWork, ServerInventory, ServerUse, SlowServer, Spending,
     SpendingRefund,
 };
+pub use lease::ClaimCopyRecord;
 pub use member_update::MemberUpdate;
 pub use permits::{PermitRequest, PermitResponse, ServerLimit};
 pub use software::{
