Append as soon as allowed also where no first event waits for it

In a fleet whose appends are more than 60 ms apart, an append for streams that nobody waits for began up to 200 ms later than allowed, 1.84 s instead of 1.64 s after the last one at 410 instances (by reading, not measured). The order of two lines; version_saves, version_stops and kills pass.

--- a/crates/apricotwell_gateway/src/stream_log.rs
+++ b/crates/apricotwell_gateway/src/stream_log.rs
@@ -37,7 +37,7 @@
     position: Mutex<ReadPosition>,
     // Streams since the last append whose first events wait for the next one.
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
-    // Notified when one waits.
+    // Notified when an append should begin as soon as it may.
     append_due: Notify,
     // A permit for each append under way, and one for the last one before the exit.
     appends: Semaphore,
@@ -129,19 +129,19 @@
 /// Asks for an append of the streams that began up to now, for a client that can wait for `limit`. The result is
 /// ready once they are saved; it is an error if they are not.
 ///
-/// Returns `None` if that would take longer or the last append failed; they are then saved later.
+/// Returns `None` if the append may only begin later or the last one failed; they are then saved all the same.
 pub fn request_save<P>(gateway: &Gateway<P>, limit: Duration) -> Option<oneshot::Receiver<()>>
 where
     P: Platform,
 {
     let log = &gateway.stream_log;
     log.append_time.get()?;
+    log.append_due.notify_one();
     if time_to_append(gateway) >= limit {
         return None;
     }
     let (sender, saved) = oneshot::channel();
     log.waiting.borrow_mut().push(sender);
-    log.append_due.notify_one();
     Some(saved)
 }
 
